Serve the whole path as separate processes

Cause: the repository was empty; the first thing wanted is one thin path, end to end, with the boundaries that later parts need. Change: one binary with the entry host (gateway, admission, dispatch, batch runner, catalog, host lease), the administration API and its command line, and stand-ins for the platform, a model engine and a plain service. Ports are owned by their consumers: upstream.Engine, job.Repository, membership.Feed, ratelimit.Limiter, platform.Store. Ruled out: a fleet-wide limiter before the path stands; the even split here is the baseline that it will be measured against.

--- /dev/null
+++ b/internal/admin/keys.go
@@ -0,0 +1,76 @@
+package admin
+
+import (
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/key"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+// Key is a key as operators see it.
+type Key struct {
+	ID     key.ID   `json:"id"`
+	Secret string   `json:"secret,omitempty"` // only in the answer that made it
+	Spec   key.Spec `json:"spec"`
+}
+
+// CreateKey asks for a key.
+type CreateKey struct {
+	Team  string `json:"team"`
+	Label string `json:"label,omitempty"`
+}
+
+// WithdrawKey asks for the end of a key.
+type WithdrawKey struct {
+	CutActive bool `json:"cut_active,omitempty"` // end requests in progress too
+}
+
+func (a *API) listKeys(*http.Request) (any, error) {
+	list := List[Key]{Items: []Key{}}
+	for id, spec := range a.catalog.Current().Keys {
+		list.Items = append(list.Items, Key{ID: id, Spec: spec})
+	}
+	sort.Slice(list.Items, func(i, j int) bool { return list.Items[i].ID < list.Items[j].ID })
+	return list, nil
+}
+
+func (a *API) createKey(r *http.Request) (any, error) {
+	var req CreateKey
+	if err := decode(r, &req); err != nil {
+		return nil, err
+	}
+	if _, exists := a.catalog.Current().Teams[req.Team]; !exists {
+		if _, err := a.store.Get(r.Context(), platform.KindTeam, req.Team); err != nil {
+			return nil, apierr.Newf(apierr.NotFound, "create the team first", "team %q does not exist", req.Team)
+		}
+	}
+	secret := key.NewSecret()
+	spec := key.Spec{Team: req.Team, Label: req.Label, Created: time.Now().UTC()}
+	id := key.IDOf(secret)
+	if _, err := a.store.Create(r.Context(), platform.KindKey, string(id), spec); err != nil {
+		return nil, err
+	}
+	return Key{ID: id, Secret: secret, Spec: spec}, nil
+}
+
+func (a *API) withdrawKey(r *http.Request) (any, error) {
+	var req WithdrawKey
+	if err := decode(r, &req); err != nil {
+		return nil, err
+	}
+	id := key.ID(r.PathValue("id"))
+	stored, err := a.store.Get(r.Context(), platform.KindKey, string(id))
+	if err != nil {
+		return nil, err
+	}
+	var spec key.Spec
+	if err := stored.Decode(&spec); err != nil {
+		return nil, err
+	}
+	spec = spec.Withdraw(time.Now().UTC(), req.CutActive)
+	_, err = a.store.Update(r.Context(), platform.KindKey, string(id), stored.Version, spec)
+	return Key{ID: id, Spec: spec}, err
+}
--- /dev/null
+++ b/internal/app/providers.go
@@ -0,0 +1,73 @@
+package app
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/admin"
+	"github.com/masticscale/masticscale/internal/admission"
+	"github.com/masticscale/masticscale/internal/batch"
+	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/config"
+	"github.com/masticscale/masticscale/internal/dispatch"
+	"github.com/masticscale/masticscale/internal/gateway"
+	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/peer"
+	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/ratelimit"
+	"github.com/masticscale/masticscale/internal/telemetry"
+	"github.com/masticscale/masticscale/internal/upstream/httpengine"
+)
+
+// parts are the parts that a host runs.
+type parts struct {
+	Settings  config.Host
+	Log       *logrus.Logger
+	Metrics   *telemetry.Metrics
+	Catalog   *catalog.Catalog
+	Source    *catalog.Source
+	Registry  *membership.Registry
+	Pool      *dispatch.Pool
+	Observer  *dispatch.Observer
+	Admission *admission.Controller
+	Runner    *batch.Runner
+	Gateway   *gateway.Gateway
+	Admin     *admin.API
+	Peers     *peer.Server
+	Client    *platform.Client
+	Engine    *httpengine.Engine
+	PeerCalls *peer.Client
+}
+
+func assemble(p parts) *Host {
+	return &Host{
+		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source,
+		registry: p.Registry, pool: p.Pool, observer: p.Observer, admission: p.Admission, runner: p.Runner,
+		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
+		peerCalls: p.PeerCalls, notReady: make(chan struct{}),
+	}
+}
+
+func newLogger(s config.Host, out LogOutput) (*logrus.Logger, error) {
+	return telemetry.NewLogger(out, s.LogLevel, s.Name)
+}
+
+func newPlatformClient(s config.Host) *platform.Client {
+	return platform.NewClient(s.Platform, s.Name)
+}
+
+func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) *catalog.Source {
+	return catalog.NewSource(store, c, s.Site, log)
+}
+
+func newRegistry(store platform.Store, s config.Host, log logrus.FieldLogger) *membership.Registry {
+	return membership.NewRegistry(store, membership.Host{
+		Name: s.Name, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress,
+	}, log)
+}
+
+func operatorToken(s config.Host) admin.Token { return admin.Token(s.OperatorToken) }
+
+// hostsOfSplit is the number of hosts that the even split counts on.
+const hostsOfSplit = 8
+
+func newLimiter() ratelimit.Limiter { return ratelimit.NewEvenSplit(hostsOfSplit) }
--- /dev/null
+++ b/internal/app/wire.go
@@ -0,0 +1,50 @@
+//go:build wireinject
+
+package app
+
+import (
+	"github.com/google/wire"
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/admin"
+	"github.com/masticscale/masticscale/internal/admission"
+	"github.com/masticscale/masticscale/internal/batch"
+	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/config"
+	"github.com/masticscale/masticscale/internal/dispatch"
+	"github.com/masticscale/masticscale/internal/gateway"
+	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/peer"
+	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/serving"
+	"github.com/masticscale/masticscale/internal/telemetry"
+	"github.com/masticscale/masticscale/internal/upstream"
+	"github.com/masticscale/masticscale/internal/upstream/httpengine"
+)
+
+// NewHost builds an entry host from its settings.
+func NewHost(settings config.Host, out LogOutput) (*Host, error) {
+	panic(wire.Build(hostSet))
+}
+
+var hostSet = wire.NewSet(
+	assemble,
+	wire.Struct(new(parts), "*"),
+	newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)),
+	telemetry.NewMetrics,
+	newPlatformClient,
+	wire.Bind(new(platform.Store), new(*platform.Client)),
+	wire.Bind(new(platform.HostLister), new(*platform.Client)),
+	catalog.New, newSource,
+	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)),
+	httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)),
+	dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher,
+	admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)),
+	serving.NewPath,
+	newLimiter,
+	batch.NewRepository, batch.NewService, batch.NewRunner,
+	batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)),
+	gateway.New,
+	peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)),
+	operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+)
--- /dev/null
+++ b/internal/batch/repository.go
@@ -0,0 +1,134 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/job"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+// repository implements job.Repository on the platform's objects.
+type repository struct{ store platform.Store }
+
+// NewRepository returns a repository on the platform's objects.
+func NewRepository(store platform.Store) job.Repository { return repository{store} }
+
+func indexed(owner string, index int) string { return fmt.Sprintf("%s.%05d", owner, index) }
+
+func translate(err error) error {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return errors.Wrap(job.ErrNotFound, err.Error())
+	case errors.Is(err, platform.ErrConflict):
+		return errors.Wrap(job.ErrConflict, err.Error())
+	}
+	return err
+}
+
+func read[T any](ctx context.Context, store platform.Store, kind platform.Kind, name string) (T, job.Version, error) {
+	var v T
+	o, err := store.Get(ctx, kind, name)
+	if err != nil {
+		return v, 0, translate(err)
+	}
+	return v, job.Version(o.Version), o.Decode(&v)
+}
+
+func (r repository) create(ctx context.Context, kind platform.Kind, name string, v any) error {
+	_, err := r.store.Create(ctx, kind, name, v)
+	return translate(err)
+}
+
+func (r repository) CreateFile(ctx context.Context, f job.File) error {
+	return r.create(ctx, platform.KindFile, f.ID, f)
+}
+
+func (r repository) CreatePart(ctx context.Context, file string, index int, p job.FilePart) error {
+	return r.create(ctx, platform.KindFilePart, indexed(file, index), p)
+}
+
+func (r repository) File(ctx context.Context, id string) (job.File, error) {
+	f, _, err := read[job.File](ctx, r.store, platform.KindFile, id)
+	return f, err
+}
+
+func (r repository) Part(ctx context.Context, file string, index int) (job.FilePart, error) {
+	p, _, err := read[job.FilePart](ctx, r.store, platform.KindFilePart, indexed(file, index))
+	return p, err
+}
+
+func (r repository) CreateJob(ctx context.Context, j job.Job) error {
+	return r.create(ctx, platform.KindJob, j.ID, j)
+}
+
+func (r repository) Job(ctx context.Context, id string) (job.Job, job.Version, error) {
+	return read[job.Job](ctx, r.store, platform.KindJob, id)
+}
+
+func (r repository) Jobs(ctx context.Context) ([]job.Job, error) {
+	objects, _, err := r.store.List(ctx, platform.KindJob, "")
+	if err != nil {
+		return nil, translate(err)
+	}
+	jobs := make([]job.Job, len(objects))
+	for i, o := range objects {
+		if err := o.Decode(&jobs[i]); err != nil {
+			return nil, err
+		}
+	}
+	return jobs, nil
+}
+
+func (r repository) UpdateJob(ctx context.Context, j job.Job, v job.Version) error {
+	_, err := r.store.Update(ctx, platform.KindJob, j.ID, int64(v), j)
+	return translate(err)
+}
+
+func (r repository) Chunk(ctx context.Context, id string, index int) (job.Chunk, job.Version, error) {
+	return read[job.Chunk](ctx, r.store, platform.KindChunk, indexed(id, index))
+}
+
+func (r repository) Chunks(ctx context.Context, id string) (map[int]job.Chunk, error) {
+	objects, _, err := r.store.List(ctx, platform.KindChunk, id+".")
+	if err != nil {
+		return nil, translate(err)
+	}
+	chunks := make(map[int]job.Chunk, len(objects))
+	for _, o := range objects {
+		index, err := strconv.Atoi(strings.TrimPrefix(o.Name, id+"."))
+		if err != nil {
+			return nil, errors.Wrapf(err, "chunk name %q", o.Name)
+		}
+		var c job.Chunk
+		if err := o.Decode(&c); err != nil {
+			return nil, err
+		}
+		chunks[index] = c
+	}
+	return chunks, nil
+}
+
+func (r repository) PutChunk(ctx context.Context, id string, index int, c job.Chunk, v job.Version) (job.Version, error) {
+	var o platform.Object
+	var err error
+	if v == 0 {
+		o, err = r.store.Create(ctx, platform.KindChunk, indexed(id, index), c)
+	} else {
+		o, err = r.store.Update(ctx, platform.KindChunk, indexed(id, index), int64(v), c)
+	}
+	return job.Version(o.Version), translate(err)
+}
+
+func (r repository) CreateSegment(ctx context.Context, name string, s job.Segment) error {
+	return r.create(ctx, platform.KindSegment, name, s)
+}
+
+func (r repository) Segment(ctx context.Context, name string) (job.Segment, error) {
+	s, _, err := read[job.Segment](ctx, r.store, platform.KindSegment, name)
+	return s, err
+}
--- /dev/null
+++ b/internal/catalog/revision.go
@@ -0,0 +1,82 @@
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/config"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+// ReadRevision reads the accepted revision that the pointer names.
+func ReadRevision(ctx context.Context, store platform.Store, p Pointer) (config.Revision, error) {
+	var r config.Revision
+	o, err := store.Get(ctx, platform.KindRevision, p.Object)
+	if err != nil {
+		return r, err
+	}
+	return r, o.Decode(&r)
+}
+
+// Accept checks a bundle whole and makes it the revision in force. Expected is
+// the revision that the operator saw; another one in force is a conflict.
+func Accept(ctx context.Context, store platform.Store, bundle config.Bundle, author, note string, expected int64) (config.Revision, error) {
+	if err := bundle.Check(); err != nil {
+		return config.Revision{}, err
+	}
+	pointer, version, err := readPointer(ctx, store)
+	if err != nil {
+		return config.Revision{}, err
+	}
+	if expected >= 0 && pointer.Revision != expected {
+		return config.Revision{}, revisionConflict(pointer.Revision)
+	}
+	revision := config.Revision{
+		Number:  pointer.Revision + 1,
+		Bundle:  bundle,
+		Author:  author,
+		Note:    note,
+		Created: time.Now().UTC(),
+	}
+	return commit(ctx, store, revision, version)
+}
+
+// commit writes the revision under a name of its own, then the pointer, which
+// is the commit point. A revision whose pointer write lost is never read.
+func commit(ctx context.Context, store platform.Store, r config.Revision, version int64) (config.Revision, error) {
+	next := Pointer{Revision: r.Number, Object: uuid.NewString()}
+	if _, err := store.Create(ctx, platform.KindRevision, next.Object, r); err != nil {
+		return config.Revision{}, err
+	}
+	var err error
+	if version == 0 {
+		_, err = store.Create(ctx, platform.KindPointer, PointerName, next)
+	} else {
+		_, err = store.Update(ctx, platform.KindPointer, PointerName, version, next)
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		return config.Revision{}, revisionConflict(r.Number)
+	}
+	return r, err
+}
+
+func readPointer(ctx context.Context, store platform.Store) (Pointer, int64, error) {
+	var p Pointer
+	o, err := store.Get(ctx, platform.KindPointer, PointerName)
+	if errors.Is(err, platform.ErrNotFound) {
+		return p, 0, nil
+	}
+	if err != nil {
+		return p, 0, err
+	}
+	return p, o.Version, o.Decode(&p)
+}
+
+func revisionConflict(winner int64) error {
+	return apierr.Newf(apierr.Conflict, "read it with 'config show', merge your change and apply again",
+		"another operator's revision (%d) was accepted first", winner)
+}
--- /dev/null
+++ b/internal/cli/job.go
@@ -0,0 +1,320 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+)
+
+const (
+	hostEnv         = "MASTICSCALE_HOST"
+	keyEnv          = "MASTICSCALE_KEY"
+	jobPollInterval = 300 * time.Millisecond
+	uploadTimeout   = 5 * time.Minute
+)
+
+// batchView is a batch as the API shows it.
+type batchView struct {
+	ID            string `json:"id"`
+	Status        string `json:"status"`
+	OutputFileID  string `json:"output_file_id"`
+	ErrorFileID   string `json:"error_file_id"`
+	RequestCounts struct {
+		Total     int `json:"total"`
+		Completed int `json:"completed"`
+		Failed    int `json:"failed"`
+		Cancelled int `json:"cancelled"`
+	} `json:"request_counts"`
+}
+
+func (b batchView) ended() bool { return b.Status == "completed" || b.Status == "cancelled" }
+
+// callerClient calls the API of callers with a team's key.
+type callerClient struct {
+	base string
+	key  string
+}
+
+func newJob() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "job",
+		Short: "Submit, follow and cancel batch jobs, with a team's key",
+	}
+	c.PersistentFlags().String("host", os.Getenv(hostEnv), "address of any host for callers, as http://ip:port")
+	c.PersistentFlags().String("key", "", "the team's key; MASTICSCALE_KEY where not given")
+	c.PersistentFlags().StringP("output", "o", "table", "form of the output: table or json")
+	c.AddCommand(newJobSubmit(), newJobList(), newJobShow(), newJobWait(), newJobCancel(), newJobResults())
+	return c
+}
+
+func callerOf(c *cobra.Command) (*callerClient, error) {
+	base, _ := c.Flags().GetString("host")
+	key, _ := c.Flags().GetString("key")
+	if key == "" {
+		key = os.Getenv(keyEnv)
+	}
+	if base == "" || key == "" {
+		return nil, errors.Wrapf(errUsage, "pass --host and --key, or set %s and %s", hostEnv, keyEnv)
+	}
+	return &callerClient{base: base, key: key}, nil
+}
+
+func (c *callerClient) do(ctx context.Context, method, path, contentType string, body io.Reader, header http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	if contentType != "" {
+		req.Header.Set("Content-Type", contentType)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(errUnreachable, err.Error())
+	}
+	if resp.StatusCode >= 300 {
+		defer func() { _ = resp.Body.Close() }()
+		return nil, readCallerError(resp)
+	}
+	return resp, nil
+}
+
+func readCallerError(resp *http.Response) error {
+	var body struct {
+		Error struct {
+			Message string `json:"message"`
+			Code    string `json:"code"`
+		} `json:"error"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || body.Error.Code == "" {
+		return errors.Errorf("the host answered %s", resp.Status)
+	}
+	return &apierr.Error{Kind: apierr.Kind(body.Error.Code), Message: body.Error.Message}
+}
+
+func (c *callerClient) callJSON(ctx context.Context, method, path string, in any, header http.Header, out any) error {
+	text, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	resp, err := c.do(ctx, method, path, "application/json", bytes.NewReader(text), header)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return readJSON(resp.Body, out)
+}
+
+func printBatches(c *cobra.Command, value any, batches ...batchView) error {
+	t := table{header: []string{"ID", "STATUS", "TOTAL", "COMPLETED", "FAILED", "CANCELLED"}}
+	for _, b := range batches {
+		n := b.RequestCounts
+		t.add(b.ID, b.Status, n.Total, n.Completed, n.Failed, n.Cancelled)
+	}
+	return print(c, value, t)
+}
+
+func newJobSubmit() *cobra.Command {
+	var window, endpoint, idempotency string
+	c := &cobra.Command{
+		Use:   "submit FILE.jsonl",
+		Short: "Submit a job of one item a line",
+		Args:  exactly("FILE.jsonl"),
+		RunE: func(c *cobra.Command, args []string) error {
+			api, err := callerOf(c)
+			if err != nil {
+				return err
+			}
+			file, err := api.upload(c.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			header := http.Header{}
+			if idempotency != "" {
+				header.Set("Idempotency-Key", idempotency)
+			}
+			req := map[string]string{"input_file_id": file, "endpoint": endpoint, "completion_window": window}
+			var b batchView
+			if err := api.callJSON(c.Context(), http.MethodPost, "/v1/batches", req, header, &b); err != nil {
+				return err
+			}
+			return printBatches(c, b, b)
+		},
+	}
+	c.Flags().StringVar(&window, "window", "24h", "time in which the job is due")
+	c.Flags().StringVar(&endpoint, "endpoint", "/v1/chat/completions", "endpoint of every item")
+	c.Flags().StringVar(&idempotency, "idempotency-key", "", "submitting again with the same key gives the same job")
+	return c
+}
+
+func (c *callerClient) upload(ctx context.Context, path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Wrap(err, "read items")
+	}
+	var body bytes.Buffer
+	form := multipart.NewWriter(&body)
+	if err := form.WriteField("purpose", "batch"); err != nil {
+		return "", err
+	}
+	part, err := form.CreateFormFile("file", filepath.Base(path))
+	if err != nil {
+		return "", err
+	}
+	if _, err := part.Write(text); err != nil {
+		return "", err
+	}
+	if err := form.Close(); err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(ctx, uploadTimeout)
+	defer cancel()
+	resp, err := c.do(ctx, http.MethodPost, "/v1/files", form.FormDataContentType(), &body, nil)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var file struct {
+		ID string `json:"id"`
+	}
+	err = readJSON(resp.Body, &file)
+	return file.ID, err
+}
+
+func newJobList() *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List the team's jobs",
+		Args:  exactly(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			api, err := callerOf(c)
+			if err != nil {
+				return err
+			}
+			var list struct {
+				Data []batchView `json:"data"`
+			}
+			if err := api.callJSON(c.Context(), http.MethodGet, "/v1/batches", nil, nil, &list); err != nil {
+				return err
+			}
+			return printBatches(c, list, list.Data...)
+		},
+	}
+}
+
+// newJobCommand returns a command that makes one call for one job.
+func newJobCommand(verb, short, method, suffix string) *cobra.Command {
+	return &cobra.Command{
+		Use:   verb + " ID",
+		Short: short,
+		Args:  exactly("ID"),
+		RunE: func(c *cobra.Command, args []string) error {
+			api, err := callerOf(c)
+			if err != nil {
+				return err
+			}
+			var b batchView
+			path := "/v1/batches/" + url.PathEscape(args[0]) + suffix
+			if err := api.callJSON(c.Context(), method, path, nil, nil, &b); err != nil {
+				return err
+			}
+			return printBatches(c, b, b)
+		},
+	}
+}
+
+func newJobShow() *cobra.Command {
+	return newJobCommand("show", "Show a job and its progress", http.MethodGet, "")
+}
+
+func newJobCancel() *cobra.Command {
+	return newJobCommand("cancel", "Cancel a job; no further item is started", http.MethodPost, "/cancel")
+}
+
+func newJobWait() *cobra.Command {
+	var limit time.Duration
+	c := &cobra.Command{
+		Use:   "wait ID",
+		Short: "Wait until a job has ended",
+		Args:  exactly("ID"),
+		RunE: func(c *cobra.Command, args []string) error {
+			api, err := callerOf(c)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(c.Context(), limit)
+			defer cancel()
+			b, err := api.waitEnded(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			return printBatches(c, b, b)
+		},
+	}
+	c.Flags().DurationVar(&limit, "timeout", time.Hour, "time to wait at most")
+	return c
+}
+
+// waitEnded polls a job; an unreachable host is asked again.
+func (c *callerClient) waitEnded(ctx context.Context, id string) (batchView, error) {
+	for {
+		var b batchView
+		err := c.callJSON(ctx, http.MethodGet, "/v1/batches/"+url.PathEscape(id), nil, nil, &b)
+		temporary := errors.Is(err, errUnreachable) || apierr.IsKind(err, apierr.Unavailable)
+		if err != nil && !temporary {
+			return b, err
+		}
+		if err == nil && b.ended() {
+			return b, nil
+		}
+		select {
+		case <-ctx.Done():
+			return b, errors.Errorf("job %s has not ended in time; it goes on, wait again", id)
+		case <-time.After(jobPollInterval):
+		}
+	}
+}
+
+func newJobResults() *cobra.Command {
+	var failed bool
+	c := &cobra.Command{
+		Use:   "results ID",
+		Short: "Print the results that are committed, in input order, one JSON object a line",
+		Args:  exactly("ID"),
+		RunE: func(c *cobra.Command, args []string) error {
+			api, err := callerOf(c)
+			if err != nil {
+				return err
+			}
+			name := "output-" + args[0]
+			if failed {
+				name = "errors-" + args[0]
+			}
+			resp, err := api.do(c.Context(), http.MethodGet, fmt.Sprintf("/v1/files/%s/content", url.PathEscape(name)), "", nil, nil)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = resp.Body.Close() }()
+			_, err = io.Copy(c.OutOrStdout(), resp.Body)
+			return err
+		},
+	}
+	c.Flags().BoolVar(&failed, "errors", false, "print the items that failed instead")
+	return c
+}
--- /dev/null
+++ b/internal/emulator/engine/engine.go
@@ -0,0 +1,235 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/masticscale/masticscale/internal/emulator/fault"
+)
+
+const (
+	defaultMaxTokens = 16
+	crashMarker      = "crash-this-engine" // a prompt with this text ends the process
+	crashExitCode    = 70
+	seenBytesKept    = 8 << 20
+)
+
+// Options describe one engine.
+type Options struct {
+	Name  string
+	Slots int // requests that run at once; more wait in order
+	Cost  Cost
+	// Crash is called when a marked prompt or a fault asks for it.
+	Crash func()
+}
+
+// Server is the stand-in. Create it with New.
+type Server struct {
+	Faults fault.Switch
+
+	options Options
+	slots   chan struct{}
+	running atomic.Int64
+	waiting atomic.Int64
+	started atomic.Int64
+	done    atomic.Int64
+	aborted atomic.Int64
+	tokens  atomic.Int64
+
+	mu         sync.Mutex
+	executions map[string]int // prompt to times run
+	seen       strings.Builder
+}
+
+// New returns an engine.
+func New(o Options) *Server {
+	if o.Crash == nil {
+		o.Crash = func() { os.Exit(crashExitCode) }
+	}
+	return &Server{options: o, slots: make(chan struct{}, o.Slots), executions: map[string]int{}}
+}
+
+// Handler returns the HTTP surface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.chat)
+	mux.HandleFunc("POST /v1/completions", s.chat)
+	mux.HandleFunc("GET /metrics", s.metrics)
+	mux.HandleFunc("GET /health", s.health)
+	mux.Handle("/control/faults", &s.Faults)
+	mux.HandleFunc("GET /control/executions", s.listExecutions)
+	mux.HandleFunc("GET /control/seen", s.listSeen)
+	return mux
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type request struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	Prompt    string    `json:"prompt"`
+	MaxTokens int       `json:"max_tokens"`
+	Stream    bool      `json:"stream"`
+}
+
+func (r request) promptText() string {
+	var b strings.Builder
+	b.WriteString(r.Prompt)
+	for _, m := range r.Messages {
+		var text string
+		if json.Unmarshal(m.Content, &text) != nil {
+			text = string(m.Content)
+		}
+		b.WriteString(text)
+	}
+	return b.String()
+}
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	body, req, err := readRequest(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	prompt := req.promptText()
+	s.remember(r, body, prompt)
+	f := s.Faults.Get()
+	if f.Crash || strings.Contains(prompt, crashMarker) {
+		s.options.Crash()
+		fault.Cut(w)
+		return
+	}
+	if f.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if f.Down {
+		http.Error(w, "engine is overloaded", http.StatusServiceUnavailable)
+		return
+	}
+	if s.Faults.TakeOne(func(f *fault.Set) *int { return &f.CutBeforeHeaders }) {
+		fault.Cut(w)
+		return
+	}
+	if !s.enter(r.Context()) {
+		s.aborted.Add(1)
+		return
+	}
+	defer s.leave()
+	s.generate(w, r.Context(), req, prompt)
+}
+
+// enter waits for a slot in the running batch.
+func (s *Server) enter(ctx context.Context) bool {
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	select {
+	case s.slots <- struct{}{}:
+		s.running.Add(1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) leave() {
+	s.running.Add(-1)
+	<-s.slots
+}
+
+func (s *Server) generate(w http.ResponseWriter, ctx context.Context, req request, prompt string) {
+	s.started.Add(1)
+	if !pause(ctx, s.options.Cost.Prefill(CountTokens(prompt))+s.Faults.Get().Latency) {
+		s.aborted.Add(1)
+		return
+	}
+	out := newWriter(w, req, s.options.Name, CountTokens(prompt))
+	words := Answer(prompt, req.MaxTokens)
+	cut := s.Faults.TakeOne(func(f *fault.Set) *int { return &f.CutMidAnswer })
+	for i, word := range words {
+		if !pause(ctx, s.options.Cost.Step(int(s.running.Load()))) {
+			s.aborted.Add(1)
+			return
+		}
+		if cut && i == len(words)/2 {
+			fault.Cut(w)
+			return
+		}
+		s.tokens.Add(1)
+		out.word(word)
+	}
+	out.finish()
+	s.done.Add(1)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	if f := s.Faults.Get(); f.Leaving || f.Down {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ok")
+}
+
+// metrics is the load report, in the Prometheus text format.
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_, _ = fmt.Fprintf(w, "engine_requests_running %d\n", s.running.Load())
+	_, _ = fmt.Fprintf(w, "engine_requests_waiting %d\n", s.waiting.Load())
+	_, _ = fmt.Fprintf(w, "engine_slots %d\n", s.options.Slots)
+	_, _ = fmt.Fprintf(w, "engine_requests_started_total %d\n", s.started.Load())
+	_, _ = fmt.Fprintf(w, "engine_requests_finished_total %d\n", s.done.Load())
+	_, _ = fmt.Fprintf(w, "engine_requests_aborted_total %d\n", s.aborted.Load())
+	_, _ = fmt.Fprintf(w, "engine_tokens_generated_total %d\n", s.tokens.Load())
+}
+
+// remember keeps what arrived, so that tests can count executions and search
+// for keys.
+func (s *Server) remember(r *http.Request, body []byte, prompt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executions[prompt]++
+	if s.seen.Len() > seenBytesKept {
+		return
+	}
+	fmt.Fprintf(&s.seen, "%s %s\n", r.Method, r.URL)
+	_ = r.Header.Write(&s.seen)
+	s.seen.Write(body)
+	s.seen.WriteByte('\n')
+}
+
+func (s *Server) listExecutions(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.executions)
+}
+
+func (s *Server) listSeen(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = w.Write([]byte(s.seen.String()))
+}
--- /dev/null
+++ b/internal/emulator/fault/fault.go
@@ -0,0 +1,80 @@
+// Package fault holds the failures that a stand-in can be told to show, and
+// the HTTP endpoint that switches them while the stand-in runs.
+package fault
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Set is the failures in force. The zero value is a healthy stand-in.
+type Set struct {
+	Down             bool          `json:"down"`               // refuse every call with 503
+	Latency          time.Duration `json:"latency"`            // added to every call, nanoseconds
+	LoseAnswers      int           `json:"lose_answers"`       // writes that take effect but whose connection is cut
+	CutBeforeHeaders int           `json:"cut_before_headers"` // requests that run, then are cut
+	CutMidAnswer     int           `json:"cut_mid_answer"`     // answers that are cut half way
+	Silent           bool          `json:"silent"`             // accept, then say nothing
+	Crash            bool          `json:"crash"`              // exit the process at once
+	StaleWatch       bool          `json:"stale_watch"`        // keep watches open but send no event
+	RejectRate       int           `json:"reject_rate"`        // calls a second above which 429 is sent; 0 is no limit
+	Leaving          bool          `json:"leaving"`            // answer health checks as a leaving server
+}
+
+// Switch guards the failures in force.
+type Switch struct {
+	mu  sync.Mutex
+	set Set
+}
+
+// Get returns the failures in force.
+func (s *Switch) Get() Set {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.set
+}
+
+// Put replaces the failures in force.
+func (s *Switch) Put(set Set) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set = set
+}
+
+// TakeOne counts down the counter that pick selects and reports whether it was
+// above zero.
+func (s *Switch) TakeOne(pick func(*Set) *int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := pick(&s.set)
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+// ServeHTTP reads the failures with GET and replaces them with PUT.
+func (s *Switch) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut {
+		var set Set
+		if err := json.NewDecoder(r.Body).Decode(&set); err != nil {
+			http.Error(w, "fault set is not valid JSON: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.Put(set)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Get())
+}
+
+// Cut closes the connection without an answer.
+func Cut(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/internal/gateway/errors.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+)
+
+const executionHeader = "X-Masticscale-Execution" // not_run or unknown
+
+// errorBody is the error object of the OpenAI API.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string           `json:"message"`
+	Type      string           `json:"type"`
+	Code      string           `json:"code"`
+	Param     *string          `json:"param"`
+	Execution apierr.Execution `json:"execution"`
+}
+
+func detailOf(e *apierr.Error) errorDetail {
+	message := e.Message
+	if e.Remedy != "" {
+		message += "; " + e.Remedy
+	}
+	return errorDetail{Message: message, Type: typeOf(e), Code: string(e.Kind), Execution: e.Execution}
+}
+
+func typeOf(e *apierr.Error) string {
+	switch e.Status() / 100 {
+	case 4:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+func writeError(w http.ResponseWriter, e *apierr.Error) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(executionHeader, string(e.Execution))
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", retryAfterSeconds(e.RetryAfter))
+	}
+	w.WriteHeader(e.Status())
+	_ = json.NewEncoder(w).Encode(errorBody{Error: detailOf(e)})
+}
+
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(max(1, int(math.Ceil(d.Seconds()))))
+}
--- /dev/null
+++ b/internal/job/codec.go
@@ -0,0 +1,85 @@
+package job
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+	"github.com/klauspost/compress/zstd"
+)
+
+// MaxPartBytes bounds the uncompressed bytes of one part, so that its
+// compressed form stays well under the platform's limit for a value.
+const (
+	MaxPartBytes = 512 << 10
+	MaxPartLines = 256
+)
+
+var (
+	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(64<<20))
+)
+
+// Compress returns the zstd form of the text.
+func Compress(text []byte) []byte { return encoder.EncodeAll(text, nil) }
+
+// Decompress reads the zstd form of a text.
+func Decompress(data []byte) ([]byte, error) {
+	text, err := decoder.DecodeAll(data, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress")
+	}
+	return text, nil
+}
+
+// Items reads the items of one part.
+func (p FilePart) Items() ([]Item, error) {
+	text, err := Decompress(p.Data)
+	if err != nil {
+		return nil, err
+	}
+	var items []Item
+	for _, line := range bytes.Split(text, []byte("\n")) {
+		if len(line) == 0 {
+			continue
+		}
+		var item Item
+		if err := json.Unmarshal(line, &item); err != nil {
+			return nil, errors.Wrap(err, "decode item")
+		}
+		items = append(items, item)
+	}
+	return items, nil
+}
+
+// NewSegment packs results.
+func NewSegment(lines []ResultLine) (Segment, error) {
+	var text bytes.Buffer
+	enc := json.NewEncoder(&text)
+	for _, line := range lines {
+		if err := enc.Encode(line); err != nil {
+			return Segment{}, errors.Wrap(err, "encode result")
+		}
+	}
+	return Segment{Data: Compress(text.Bytes())}, nil
+}
+
+// Lines reads the results of a segment.
+func (s Segment) Lines() ([]ResultLine, error) {
+	text, err := Decompress(s.Data)
+	if err != nil {
+		return nil, err
+	}
+	var lines []ResultLine
+	for _, raw := range bytes.Split(text, []byte("\n")) {
+		if len(raw) == 0 {
+			continue
+		}
+		var line ResultLine
+		if err := json.Unmarshal(raw, &line); err != nil {
+			return nil, errors.Wrap(err, "decode result")
+		}
+		lines = append(lines, line)
+	}
+	return lines, nil
+}
--- /dev/null
+++ b/internal/job/repository.go
@@ -0,0 +1,38 @@
+package job
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+)
+
+// The errors of a Repository.
+var (
+	ErrNotFound = errors.New("not found")
+	ErrConflict = errors.New("changed by another writer")
+)
+
+// Version is the version of a stored object, for conditional writes. Zero means
+// that the object does not exist.
+type Version int64
+
+// Repository keeps files, jobs, chunks and segments. Every write is conditional
+// on the version that was read.
+type Repository interface {
+	CreateFile(ctx context.Context, f File) error
+	CreatePart(ctx context.Context, file string, index int, p FilePart) error
+	File(ctx context.Context, id string) (File, error)
+	Part(ctx context.Context, file string, index int) (FilePart, error)
+
+	CreateJob(ctx context.Context, j Job) error
+	Job(ctx context.Context, id string) (Job, Version, error)
+	Jobs(ctx context.Context) ([]Job, error)
+	UpdateJob(ctx context.Context, j Job, v Version) error
+
+	Chunk(ctx context.Context, job string, index int) (Chunk, Version, error)
+	Chunks(ctx context.Context, job string) (map[int]Chunk, error)
+	PutChunk(ctx context.Context, job string, index int, c Chunk, v Version) (Version, error)
+
+	CreateSegment(ctx context.Context, name string, s Segment) error
+	Segment(ctx context.Context, name string) (Segment, error)
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,64 @@
+// Package route is the aggregate of a route: the paths and methods that lead to
+// a plain service, and the promises made for them.
+package route
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+)
+
+// Spec is a route as operators write it.
+type Spec struct {
+	Path    string   `json:"path"`              // exact, or a prefix when it ends in "/"
+	Methods []string `json:"methods,omitempty"` // empty means all
+	Service string   `json:"service"`
+	// Repeatable says that running a request twice does no harm. It is false
+	// unless set.
+	Repeatable bool `json:"repeatable,omitempty"`
+	// Open says that callers need no key.
+	Open bool `json:"open,omitempty"`
+	// TimeoutSeconds bounds one request; 0 means the fleet's default.
+	TimeoutSeconds float64 `json:"timeout_seconds,omitempty"`
+}
+
+var knownMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// Validate returns an error that names the first field that is out of range.
+func (s Spec) Validate() error {
+	if !strings.HasPrefix(s.Path, "/") {
+		return apierr.Newf(apierr.Invalid, `start the path with "/"`, "path %q is not absolute", s.Path)
+	}
+	if s.Path == "/v1/" || strings.HasPrefix(s.Path, "/v1/") {
+		return apierr.Newf(apierr.Invalid, "choose another path", "path %q belongs to the model API", s.Path)
+	}
+	for _, m := range s.Methods {
+		if !slices.Contains(knownMethods, m) {
+			return apierr.Newf(apierr.Invalid, "write methods in capitals, as in POST", "method %q is not known", m)
+		}
+	}
+	if s.TimeoutSeconds < 0 {
+		return apierr.New(apierr.Invalid, "timeout_seconds is negative", "leave it out for the default")
+	}
+	return nil
+}
+
+// Matches reports whether the route takes a request, and how specific the match
+// is: longer paths win.
+func (s Spec) Matches(method, path string) (int, bool) {
+	if len(s.Methods) > 0 && !slices.Contains(s.Methods, method) {
+		return 0, false
+	}
+	if s.Path == path {
+		return len(s.Path) + 1, true
+	}
+	if strings.HasSuffix(s.Path, "/") && strings.HasPrefix(path, s.Path) {
+		return len(s.Path), true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,60 @@
+// Package service is the aggregate of a service: a set of upstreams that answer
+// the same requests, either model engines or plain HTTP servers.
+package service
+
+import (
+	"net/url"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/team"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+// Kind says what the upstreams of a service are.
+type Kind string
+
+// The kinds of service.
+const (
+	Engine Kind = "engine"
+	Plain  Kind = "plain"
+)
+
+// Spec is a service as operators write it.
+type Spec struct {
+	Kind      Kind                     `json:"kind"`
+	Models    []string                 `json:"models,omitempty"` // engine services only
+	Upstreams map[string]upstream.Spec `json:"upstreams"`
+}
+
+// Validate returns an error that names the first field that is out of range.
+func (s Spec) Validate() error {
+	if s.Kind != Engine && s.Kind != Plain {
+		return apierr.Newf(apierr.Invalid, `write "engine" or "plain"`, "kind %q is not known", s.Kind)
+	}
+	if s.Kind == Engine && len(s.Models) == 0 {
+		return apierr.New(apierr.Invalid, "an engine service has no models", "list the model names that callers use")
+	}
+	if s.Kind == Plain && len(s.Models) > 0 {
+		return apierr.New(apierr.Invalid, "a plain service has models", `remove "models" or set the kind to "engine"`)
+	}
+	for name, u := range s.Upstreams {
+		if err := validateUpstream(name, u); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func validateUpstream(name string, u upstream.Spec) error {
+	if !team.ValidName(name) {
+		return apierr.Newf(apierr.Invalid, "use lower case letters, digits, dots and dashes", "upstream name %q is not valid", name)
+	}
+	address, err := url.Parse(u.Address)
+	if err != nil || address.Host == "" || (address.Scheme != "http" && address.Scheme != "https") {
+		return apierr.Newf(apierr.Invalid, "write http://host:port", "address %q of upstream %q is not an HTTP URL", u.Address, name)
+	}
+	if u.Slots < 0 {
+		return apierr.Newf(apierr.Invalid, "leave slots out for the default", "slots of upstream %q are negative", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/serving/serving.go
@@ -0,0 +1,58 @@
+// Package serving is the one way from an accepted request to an upstream:
+// admission, then dispatch. The gateway and the batch runner both use it.
+package serving
+
+import (
+	"context"
+	"time"
+
+	"github.com/masticscale/masticscale/internal/admission"
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/dispatch"
+	"github.com/masticscale/masticscale/internal/telemetry"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+// Request is an accepted request.
+type Request struct {
+	Team     string
+	Weight   float64
+	Service  string
+	Class    dispatch.Class
+	Tokens   int
+	MaxQueue int
+	Deadline time.Time // batch only
+	Call     upstream.Call
+}
+
+// Path runs requests.
+type Path struct {
+	admission  *admission.Controller
+	dispatcher *dispatch.Dispatcher
+	pool       *dispatch.Pool
+	metrics    *telemetry.Metrics
+}
+
+// NewPath returns a path.
+func NewPath(a *admission.Controller, d *dispatch.Dispatcher, p *dispatch.Pool, m *telemetry.Metrics) *Path {
+	return &Path{admission: a, dispatcher: d, pool: p, metrics: m}
+}
+
+// Run waits for a place and returns the beginning of the answer, whose End must
+// be called.
+func (p *Path) Run(ctx context.Context, r Request) (*dispatch.Answer, error) {
+	if !p.pool.Exists(r.Service) {
+		return nil, apierr.Newf(apierr.Unavailable, "ask the operators to add upstreams",
+			"service %q has no upstream", r.Service).WithRetryAfter(time.Second)
+	}
+	place, err := p.admission.Admit(ctx, admission.Request{
+		Team: r.Team, Weight: r.Weight, Service: r.Service, Class: r.Class,
+		Tokens: r.Tokens, MaxQueue: r.MaxQueue, Deadline: r.Deadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, span := telemetry.Tracer().Start(ctx, "dispatch")
+	defer span.End()
+	return p.dispatcher.Do(ctx, dispatch.Request{Team: r.Team, Service: r.Service, Class: r.Class, Call: r.Call}, place)
+}
--- /dev/null
+++ b/internal/upstream/httpengine/httpengine.go
@@ -0,0 +1,155 @@
+// Package httpengine reaches upstreams over HTTP/1.1.
+//
+// Contract: a call that may not be repeated is sent at most once. The standard
+// transport repeats some requests by itself when a kept connection breaks, so
+// such calls always use a fresh connection, on which it never does.
+package httpengine
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+const (
+	dialTimeout      = 2 * time.Second
+	reportTimeout    = 2 * time.Second
+	idleTimeout      = 30 * time.Second
+	maxIdlePerServer = 64
+)
+
+// Engine implements upstream.Engine.
+type Engine struct {
+	kept  *http.Client // keeps connections; for calls that may be repeated
+	fresh *http.Client // one connection a call
+}
+
+// New returns an engine.
+func New() *Engine {
+	return &Engine{kept: client(false), fresh: client(true)}
+}
+
+func client(fresh bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: maxIdlePerServer,
+			IdleConnTimeout:     idleTimeout,
+			DisableKeepAlives:   fresh,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Close drops idle connections.
+func (e *Engine) Close() {
+	e.kept.CloseIdleConnections()
+	e.fresh.CloseIdleConnections()
+}
+
+// Start implements upstream.Engine.
+func (e *Engine) Start(ctx context.Context, address string, call upstream.Call) (*upstream.Answer, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	target := address + call.Path
+	if call.RawQuery != "" {
+		target += "?" + call.RawQuery
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, target, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, &upstream.SendError{Cause: errors.Wrap(err, "build request")}
+	}
+	req.Header = call.Header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header.Set("User-Agent", "masticscale")
+	}
+	resp, err := e.clientFor(call).Do(req)
+	if err != nil {
+		return nil, &upstream.SendError{Sent: connected.Load(), Cause: err}
+	}
+	return &upstream.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+}
+
+func (e *Engine) clientFor(call upstream.Call) *http.Client {
+	if call.Repeatable {
+		return e.kept
+	}
+	return e.fresh
+}
+
+// Load implements upstream.Engine.
+func (e *Engine) Load(ctx context.Context, address string) (upstream.Load, error) {
+	resp, err := e.get(ctx, address+"/metrics")
+	if err != nil {
+		return upstream.Load{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return upstream.Load{}, errors.Wrap(err, "load report")
+	}
+	value := func(name string) int {
+		family := families[name]
+		if family == nil || len(family.Metric) == 0 {
+			return 0
+		}
+		return int(family.Metric[0].GetUntyped().GetValue())
+	}
+	return upstream.Load{Running: value("engine_requests_running"), Waiting: value("engine_requests_waiting")}, nil
+}
+
+// Healthy implements upstream.Engine.
+func (e *Engine) Healthy(ctx context.Context, address string) error {
+	resp, err := e.get(ctx, address+"/health")
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func (e *Engine) get(ctx context.Context, target string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		cancel()
+		return nil, errors.Wrap(err, "build request")
+	}
+	resp, err := e.kept.Do(req)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	resp.Body = &cancelBody{resp.Body, cancel}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, errors.Errorf("%s answered %s", target, resp.Status)
+	}
+	return resp, nil
+}
+
+// cancelBody ends the call's context when the body is closed.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (b *cancelBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
