Stop a host without cutting a request; add the load tool

Ruled out: refusing while draining, since a planned stop must not cost callers a repeat; http.Server.SetKeepAlivesEnabled(false), which closes idle connections at once and so cuts as well. Change: the host reports 'not ready', serves on for the drain time and asks callers to close their connections; the lease write no longer delays the drain; a forced stop says how many requests it cut. The load tool sends open-loop load through a balancer that checks readiness, with HDR histograms, a results file, an HTML report with plots, and a comparison of two runs.

--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -30,9 +30,6 @@
 const (
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
-	defaultDrain   = 500 * time.Millisecond
-	defaultStop    = 60 * time.Second
-	resignTimeout  = 5 * time.Second
 	maxHeaderBytes = 64 << 10
 )
 
@@ -58,8 +55,7 @@
 	engine    *httpengine.Engine
 	peerCalls *peer.Client
 
-	stopping sync.Once
-	notReady chan struct{} // closed when a stop begins
+	drain *drain
 }
 
 // Log returns the host's logger.
@@ -167,16 +163,14 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", h.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(h.metrics.Registry, promhttp.HandlerOpts{}))
-	mux.Handle("/", h.gateway.Handler())
+	mux.Handle("/", h.drain.track(h.gateway.Handler()))
 	return mux
 }
 
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	select {
-	case <-h.notReady:
+	if h.drain.stopping() {
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
-	default:
 	}
 	if !h.source.Ready() {
 		http.Error(w, "configuration has not been read yet", http.StatusServiceUnavailable)
@@ -197,47 +191,3 @@
 	}
 	return failed
 }
-
-// stop is the graceful shutdown.
-func (h *Host) stop(force context.Context, listeners []listener, stopRunner func(), runnerDone <-chan struct{}) {
-	h.stopping.Do(func() { close(h.notReady) })
-	h.log.WithField("event", "host_stopping").Info("host stops; it takes no new connections soon")
-	bounded, cancel := context.WithTimeout(force, h.stopTime())
-	defer cancel()
-	h.registry.Leave(bounded)
-	wait(bounded, h.drainTime())
-	stopRunner()
-	select {
-	case <-runnerDone:
-	case <-bounded.Done():
-	}
-	for _, l := range listeners {
-		if err := l.server.Shutdown(bounded); err != nil {
-			h.log.WithError(err).WithFields(logrus.Fields{"event": "stop_forced", "listener": l.name}).Warn("requests in progress were cut")
-			_ = l.server.Close()
-		}
-	}
-	resign, done := context.WithTimeout(context.WithoutCancel(force), resignTimeout)
-	defer done()
-	h.registry.Resign(resign)
-}
-
-func (h *Host) drainTime() time.Duration { return seconds(h.settings.DrainSeconds, defaultDrain) }
-
-func (h *Host) stopTime() time.Duration { return seconds(h.settings.StopSeconds, defaultStop) }
-
-func seconds(n float64, fallback time.Duration) time.Duration {
-	if n <= 0 {
-		return fallback
-	}
-	return time.Duration(n * float64(time.Second))
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -43,7 +43,7 @@
 		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source,
 		registry: p.Registry, pool: p.Pool, observer: p.Observer, admission: p.Admission, runner: p.Runner,
 		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
-		peerCalls: p.PeerCalls, notReady: make(chan struct{}),
+		peerCalls: p.PeerCalls, drain: newDrain(),
 	}
 }
 
--- /dev/null
+++ b/internal/cli/load.go
@@ -0,0 +1,136 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/masticscale/masticscale/internal/load"
+)
+
+func newLoad() *cobra.Command {
+	var results, report string
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "load PLAN.jsonc",
+		Short: "Send open-loop load to hosts and report what callers saw",
+		Long: `Send open-loop load to hosts and report what callers saw.
+
+A plan names the hosts, the time, and for each team its key, model and rate:
+
+  {
+    "hosts": ["http://127.0.0.1:8001"], "seconds": 20, "seed": 1,
+    "teams": [{"name": "forecourt", "key": "msk-...", "model": "aires-lm", "rate": 40,
+               "bursts": [{"at_seconds": 5, "for_seconds": 3, "factor": 10}]}],
+    "batch": {"key": "msk-...", "model": "aires-lm", "items": 2000}
+  }
+
+Requests start when the plan says, and latency counts from there.`,
+		Args: exactly("PLAN.jsonc"),
+		RunE: func(c *cobra.Command, args []string) error {
+			plan, err := load.ReadPlan(args[0])
+			if err != nil {
+				return err
+			}
+			if c.Flags().Changed("seed") {
+				plan.Seed = seed
+			}
+			r, err := load.Run(c.Context(), plan, progressOf(c))
+			if err != nil {
+				return err
+			}
+			if err := saveRun(r, results, report); err != nil {
+				return err
+			}
+			return printRun(c, r)
+		},
+	}
+	c.Flags().StringVar(&results, "results", "", "file for the results, as JSON")
+	c.Flags().StringVar(&report, "report", "", "file for the report, as an HTML page with plots")
+	c.Flags().Uint64Var(&seed, "seed", 0, "seed of the arrivals, in place of the plan's")
+	c.Flags().StringP("output", "o", "table", "form of the output: table or json")
+	c.AddCommand(newLoadCompare())
+	return c
+}
+
+// progressOf returns a progress line for people, or nothing when the output is
+// not a terminal.
+func progressOf(c *cobra.Command) load.Progress {
+	info, err := os.Stderr.Stat()
+	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return func(elapsed time.Duration, started, ended int) {
+		_, _ = fmt.Fprintf(c.ErrOrStderr(), "\r%3.0f s  %d started  %d ended ", elapsed.Seconds(), started, ended)
+	}
+}
+
+func saveRun(r *load.Result, results, report string) error {
+	if results != "" {
+		text, err := json.MarshalIndent(r, "", "  ")
+		if err != nil {
+			return errors.Wrap(err, "encode results")
+		}
+		if err := os.WriteFile(results, append(text, '\n'), 0o644); err != nil {
+			return errors.Wrap(err, "write results")
+		}
+	}
+	if report == "" {
+		return nil
+	}
+	f, err := os.Create(report)
+	if err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	if err := r.WriteReport(f); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func printRun(c *cobra.Command, r *load.Result) error {
+	t := table{header: []string{"TEAM", "OFFERED", "ANSWERED", "REFUSED", "FAILED", "TRUNCATED", "CUT", "FIRST P50", "FIRST P99", "GAP P95", "TOTAL P99"}}
+	for _, row := range append(append([]load.TeamResult{}, r.Teams...), r.All) {
+		t.add(row.Name, row.Offered, row.Ends[load.Answered], row.Ends[load.Refused], row.Ends[load.Failed],
+			row.Ends[load.Truncated], row.Ends[load.Cut], ms(row.First.P50), ms(row.First.P99), ms(row.Gap.P95), ms(row.Total.P99))
+	}
+	if b := r.Batch; b != nil {
+		t.add("(batch)", b.Items, b.Completed, "", b.Failed, "", "", "", "", "", fmt.Sprintf("%.1f s", b.Seconds))
+	}
+	return print(c, r, t)
+}
+
+func ms(v float64) string { return fmt.Sprintf("%.1f ms", v) }
+
+func newLoadCompare() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "compare BEFORE.json AFTER.json",
+		Short: "Compare the results of two runs",
+		Args:  exactly("BEFORE.json", "AFTER.json"),
+		RunE: func(c *cobra.Command, args []string) error {
+			var runs [2]load.Result
+			for i, path := range args {
+				text, err := os.ReadFile(path)
+				if err != nil {
+					return errors.Wrap(err, "read results")
+				}
+				if err := json.Unmarshal(text, &runs[i]); err != nil {
+					return errors.Wrapf(err, "%s is not a results file", path)
+				}
+			}
+			changes := load.Compare(&runs[0], &runs[1])
+			t := table{header: []string{"FIGURE", "BEFORE", "AFTER", "RATIO"}}
+			for _, ch := range changes {
+				t.add(ch.Name, fmt.Sprintf("%.2f", ch.Before), fmt.Sprintf("%.2f", ch.After), fmt.Sprintf("%.3f", ch.Ratio))
+			}
+			return print(c, changes, t)
+		},
+	}
+	c.Flags().StringP("output", "o", "table", "form of the output: table or json")
+	return c
+}
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -25,9 +25,10 @@
 type processes struct {
 	dir string
 
-	mu     sync.Mutex
-	all    map[string]*process
-	relays map[string]*relay
+	mu      sync.Mutex
+	all     map[string]*process
+	relays  map[string]*relay
+	traffic *traffic
 }
 
 func newProcesses(dir string) *processes {
--- /dev/null
+++ b/internal/scenario/traffic_test.go
@@ -0,0 +1,84 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/masticscale/masticscale/internal/load"
+)
+
+const (
+	trafficSeconds = 600 // a run in the background is stopped long before
+	trafficBound   = 90 * time.Second
+	trafficKey     = "traffic"
+)
+
+func init() {
+	commands["traffic"] = cmdTraffic
+	commands["endtraffic"] = cmdEndTraffic
+}
+
+// traffic is load in the background of a scenario.
+type traffic struct {
+	stop func()
+	done chan *load.Result
+}
+
+// cmdTraffic starts load in the background, through a balancer that sends only
+// to hosts that are ready: traffic RATE MODEL HOST...
+func cmdTraffic(ts *testscript.TestScript, _ bool, args []string) {
+	usage(ts, len(args) >= 3, "traffic RATE MODEL HOST...")
+	rate, err := strconv.ParseFloat(args[0], 64)
+	ts.Check(err)
+	key := ts.Getenv("MASTICSCALE_KEY")
+	plan := load.Plan{Hosts: args[2:], Seconds: trafficSeconds, Seed: 1, Teams: []load.Team{
+		{Name: "streams", Key: key, Model: args[1], Rate: rate, MaxTokens: 40},
+		{Name: "whole", Key: key, Model: args[1], Rate: rate, MaxTokens: 8, Whole: true},
+	}}
+	stopping := make(chan struct{})
+	t := &traffic{stop: func() { close(stopping) }, done: make(chan *load.Result, 1)}
+	go func() {
+		r, err := load.RunUntil(context.Background(), stopping, plan, nil)
+		if err != nil {
+			r = &load.Result{}
+		}
+		t.done <- r
+	}()
+	processesOf(ts).traffic = t
+}
+
+// cmdEndTraffic stops the load, waits for the answers still due, and checks how
+// the requests ended; those that were answered must be at least one: endtraffic
+// FILE [END...], where END is allowed beside "answered"
+func cmdEndTraffic(ts *testscript.TestScript, _ bool, args []string) {
+	usage(ts, len(args) >= 1, "endtraffic FILE [END...]")
+	t := processesOf(ts).traffic
+	t.stop()
+	var r *load.Result
+	select {
+	case r = <-t.done:
+	case <-time.After(trafficBound):
+		ts.Fatalf("requests are still open after %v", trafficBound)
+	}
+	text, err := json.MarshalIndent(r, "", " ")
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), text, 0o644))
+	allowed := map[load.End]bool{load.Answered: true}
+	for _, end := range args[1:] {
+		allowed[load.End(end)] = true
+	}
+	ts.Logf("requests ended: %v %v", r.All.Ends, r.All.Kinds)
+	if r.Ended(load.Answered) == 0 {
+		ts.Fatalf("no request was answered: %v", r.All.Ends)
+	}
+	for end, n := range r.All.Ends {
+		if !allowed[end] && n > 0 {
+			ts.Fatalf("%d requests ended as %s: %v", n, end, r.All.Kinds)
+		}
+	}
+}
