Divide rates among hosts by escrow: the pure core

Cause: an even split refuses requests inside the rate wherever demand is uneven, and no fixed split survives a change of hosts. Change: Holding (one host's tokens of one team), Share (the object that divides a team's rate) and Member (one host's side of it), all without I/O and with time as an argument. Found by the differential test before it passed, each now mended: a full holding kept the refill of the time before a transfer expired; a smaller reserved part was written before the host had stopped using the larger; tokens that came with a write were added to capacity that had refilled meanwhile; the pool kept tokens of a burst that had been lowered.

--- /dev/null
+++ b/internal/ratelimit/history_test.go
@@ -0,0 +1,391 @@
+package ratelimit
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/masticscale/masticscale/internal/membership"
+)
+
+var seeds = flag.Int("seeds", 2000, "histories of the differential test of rate limits")
+
+const (
+	seedWorkers   = 3
+	stepsPerSeed  = 400
+	stepsPerRapid = 150
+)
+
+// step is one event of a history.
+func (w *world) step() error {
+	h := w.hosts[w.src.IntN(len(w.hosts))]
+	switch w.src.IntN(40) {
+	case 0:
+		h.frozen = !h.frozen
+	case 1:
+		h.up = false
+	case 2:
+		if !h.up {
+			h.start()
+		}
+	case 3:
+		h.platformIsCut = !h.platformIsCut
+	case 4:
+		w.toggleCut(h.index, w.src.IntN(len(w.hosts)))
+	case 5:
+		for _, other := range w.hosts {
+			other.platformIsCut = false
+		}
+		clear(w.cut)
+	case 6:
+		w.advance(time.Duration(w.src.IntN(30_000)) * time.Millisecond)
+	case 7:
+		if w.src.IntN(10) == 0 {
+			w.advance(ReserveTime + time.Duration(w.src.IntN(60))*time.Second)
+		}
+	case 8:
+		if w.src.IntN(4) == 0 {
+			w.change()
+		}
+	case 9:
+		h.leave()
+	case 10, 11, 12, 13:
+		w.settleDown()
+	case 14, 15, 16, 17, 18, 19:
+		h.borrow(w.hosts[w.src.IntN(len(w.hosts))])
+	case 20, 21:
+		h.returnTokens()
+	case 22, 23, 24:
+		h.renew()
+	case 25, 26, 27:
+		h.sync()
+	case 28, 29:
+		h.watch()
+	case 30, 31, 32, 33, 34, 35:
+		w.advance(time.Duration(w.src.IntN(1500)) * time.Millisecond)
+	default:
+		return h.hammer(1 + w.src.IntN(300))
+	}
+	return nil
+}
+
+func (w *world) toggleCut(a, b int) {
+	pair := [2]int{min(a, b), max(a, b)}
+	w.cut[pair] = !w.cut[pair]
+}
+
+// settleDown lets every running host do its regular duties for a while, so that
+// shares are formed.
+func (w *world) settleDown() {
+	for range 2 {
+		for _, h := range w.hosts {
+			h.renew()
+			h.sync()
+		}
+		w.advance(100 * time.Millisecond)
+		for _, h := range w.hosts {
+			h.watch()
+		}
+	}
+}
+
+// change gives the team a new rate and burst, which every running host hears of.
+// Hosts that are frozen are resumed, so that the time of hearing is bounded.
+func (w *world) change() {
+	rate, burst := 0.5+float64(w.src.IntN(100)), 1+float64(w.src.IntN(100))
+	w.setSpec(rate, burst)
+	for _, h := range w.hosts {
+		h.frozen = false
+		h.member.Holding.SetSpec(rate, burst, h.clock())
+	}
+}
+
+func (h *simHost) hammer(n int) error {
+	for range n {
+		if !h.running() || h.leaving || !h.member.Holding.Take(h.clock()) {
+			return nil
+		}
+		if err := h.w.admit(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *simHost) borrow(giver *simHost) {
+	if !h.running() || !giver.up || giver == h {
+		return
+	}
+	w, birth := h.w, h.birth
+	id := h.member.Holding.Ask(giver.name, h.clock())
+	amount := 1 + float64(w.src.IntN(50))
+	keep := float64(w.src.IntN(3))
+	w.send(h.index, giver.index, 0, func() {
+		transfer, given := giver.member.Holding.Lend(amount, 1, keep, giver.clock())
+		w.send(giver.index, h.index, birth, func() {
+			h.member.Holding.AddBorrowed(id, transfer, given, h.clock())
+		})
+	})
+}
+
+func (h *simHost) returnTokens() {
+	if !h.running() {
+		return
+	}
+	for _, d := range h.member.Holding.CollectDebts(h.clock().Add(-time.Second), h.clock()) {
+		for _, giver := range h.w.hosts {
+			if giver.name == d.Giver {
+				h.w.send(h.index, giver.index, 0, func() { giver.member.Holding.Settle(d.Settlement, giver.clock()) })
+			}
+		}
+	}
+}
+
+// renew renews the host lease as membership.Registry does.
+func (h *simHost) renew() {
+	if !h.running() || h.leaving {
+		return
+	}
+	w, sent, birth := h.w, h.clock(), h.birth
+	held, version := h.leaseVersion != 0 && sent.Before(h.lease.Until), h.leaseVersion
+	w.send(h.index, -1, 0, func() {
+		l := w.leases[h.name]
+		if l == nil {
+			l = &simLease{}
+			w.leases[h.name] = l
+		}
+		incarnation := fmt.Sprint(h.name, "/", birth)
+		switch {
+		case held && (l.version != version || l.incarnation != incarnation), birth != h.birth:
+			w.send(-1, h.index, birth, func() { h.leaseVersion = 0 })
+			return
+		case !held:
+			l.epoch++
+		}
+		w.version++
+		*l = simLease{incarnation: incarnation, epoch: l.epoch, version: w.version}
+		now := *l
+		w.send(-1, h.index, birth, func() { h.renewed(now, held, sent) })
+	})
+}
+
+func (h *simHost) renewed(l simLease, held bool, sent time.Time) {
+	if l.version <= h.leaseVersion || l.epoch < h.lease.Epoch {
+		return
+	}
+	if held && !h.clock().Before(h.lease.Until) {
+		h.leaseVersion = 0
+		return
+	}
+	h.leaseVersion = l.version
+	h.lease = Lease{Epoch: l.epoch, Until: sent.Add(membership.LeaseTime)}
+	h.member.Holding.Renew(h.lease)
+}
+
+func (h *simHost) watch() {
+	if !h.running() || h.platformIsCut {
+		return
+	}
+	w, now := h.w, h.clock()
+	for name, l := range w.leases {
+		s, known := h.sightings[name]
+		if known && s.lease.version == l.version {
+			continue
+		}
+		fresh := simSighting{lease: *l, seen: now, epochSeen: now}
+		if known && s.lease.epoch == l.epoch {
+			fresh.epochSeen = s.epochSeen
+		}
+		h.sightings[name] = fresh
+	}
+	if n := len(w.shares); n > 0 {
+		seen := w.shares[max(0, n-1-w.src.IntN(3))]
+		h.member.Observe(seen.share, seen.version, h.lease, now)
+	}
+}
+
+// sync plans a write of the share object and sends it.
+func (h *simHost) sync() {
+	if !h.running() {
+		return
+	}
+	if h.w.mutant.splitBySight {
+		h.splitBySight()
+		return
+	}
+	in := Intent{Wanted: true, Leaving: h.leaving, Verdict: h.verdict}
+	if h.clock().Sub(h.written) > time.Second {
+		h.member.Abandon(h.plan, h.lease, h.clock())
+	}
+	p, changed := h.member.Prepare(in, h.lease, h.clock())
+	if !changed {
+		return
+	}
+	h.plan, h.written = p, h.clock()
+	w, birth := h.w, h.birth
+	_, base := h.member.Share()
+	w.send(h.index, -1, 0, func() {
+		var current int64
+		if n := len(w.shares); n > 0 {
+			current = w.shares[n-1].version
+		}
+		if current != base {
+			return
+		}
+		w.version++
+		version := w.version
+		w.shares = append(w.shares, versioned{p.Next, version})
+		w.send(-1, h.index, birth, func() { h.member.Written(p, version, h.lease, h.clock()) })
+	})
+}
+
+// leave is a graceful stop: the share is given back, then the lease, and the
+// process ends.
+func (h *simHost) leave() {
+	if !h.running() {
+		return
+	}
+	h.leaving = true
+	h.sync()
+	h.w.advance(60 * time.Millisecond)
+	if l := h.w.leases[h.name]; l != nil && !h.platformIsCut && l.version == h.leaseVersion {
+		h.w.version++
+		l.version, l.gone = h.w.version, true
+	}
+	h.up = false
+}
+
+// run plays one history and checks the promise after every event.
+func run(src source, m mutant, steps int) (*world, error) {
+	w := newWorld(src, m)
+	w.settleDown()
+	for range steps {
+		if err := w.step(); err != nil {
+			return w, err
+		}
+		if err := w.check(); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+// check fails when all hosts together could now admit more than the central
+// bucket: the history in which every host takes at once all that it has.
+func (w *world) check() error {
+	w.oracle.settle(w.now)
+	w.oracle.bucket.Refill(simEpoch.Add(w.now))
+	sum := 0.0
+	for _, h := range w.hosts {
+		if h.up {
+			sum += h.member.Holding.clone().Available(h.clock())
+		}
+	}
+	if sum > w.oracle.bucket.Tokens+1e-6 {
+		return fmt.Errorf("at %v: hosts can admit %g, burst + rate × t leaves %g", w.now, sum, w.oracle.bucket.Tokens)
+	}
+	return w.checkShares()
+}
+
+func (h *Holding) clone() *Holding {
+	c := *h
+	c.lent, c.borrowed, c.asks = slices.Clone(h.lent), slices.Clone(h.borrowed), slices.Clone(h.asks)
+	return &c
+}
+
+func (w *world) checkShares() error {
+	if n := len(w.shares); n > 0 {
+		s := w.shares[n-1].share
+		sum := 0.0
+		for _, h := range s.Holders {
+			sum += h.Fraction
+		}
+		if sum > 1+1e-9 {
+			return fmt.Errorf("fractions sum to %g", sum)
+		}
+	}
+	return nil
+}
+
+// runSeeds plays the seeds below n until enough have failed, and returns the
+// failures and the admissions.
+func runSeeds(m mutant, n, enough int) (failures []error, admitted int) {
+	var mu sync.Mutex
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range seedWorkers {
+		wg.Go(func() {
+			for {
+				seed := int(next.Add(1)) - 1
+				if seed >= n {
+					return
+				}
+				w, err := run(rand.New(rand.NewPCG(uint64(seed), 7)), m, stepsPerSeed)
+				mu.Lock()
+				admitted += w.admitted
+				if err != nil {
+					failures = append(failures, fmt.Errorf("seed %d: %w", seed, err))
+				}
+				stop := len(failures) >= enough
+				mu.Unlock()
+				if stop {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return failures, admitted
+}
+
+func TestNoHistoryAdmitsMoreThanRateAndBurst(t *testing.T) {
+	c := quicktest.New(t)
+	failures, admitted := runSeeds(mutant{}, *seeds, 5)
+	t.Logf("%d histories, %d admissions, %d failures", *seeds, admitted, len(failures))
+	for _, err := range failures {
+		t.Log(err)
+	}
+	c.Assert(failures, quicktest.HasLen, 0)
+	c.Assert(admitted > *seeds*10, quicktest.IsTrue)
+}
+
+// rapidSource draws from rapid, which shrinks a history that fails.
+type rapidSource struct{ t *rapid.T }
+
+func (s rapidSource) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(s.t, "choice") }
+
+func TestNoDrawnHistoryAdmitsMoreThanRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if _, err := run(rapidSource{t}, mutant{}, stepsPerRapid); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Each safeguard is switched off in turn; the check must notice.
+func TestCheckNoticesEachMissingSafeguard(t *testing.T) {
+	for name, m := range map[string]mutant{
+		"transfers do not occupy the giver's capacity":     {variant: variant{freeTransfers: true}},
+		"leased part used after the lease has lapsed":      {variant: variant{usableWhenLapsed: true}},
+		"shrink confirmed while transfers are outstanding": {variant: variant{uncheckedShrink: true}},
+		"borrowed tokens without a deadline":               {variant: variant{endlessBorrowing: true}},
+		"reply used twice":                                 {variant: variant{repeatedReplies: true}},
+		"reclaim without waiting":                          {reclaimAtOnce: true},
+		"restart with a full bucket":                       {fullRestart: true},
+		"even split by the hosts in sight":                 {splitBySight: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			failures, _ := runSeeds(m, 20_000, 1)
+			quicktest.Assert(t, len(failures) > 0, quicktest.IsTrue)
+			t.Log(failures[0])
+		})
+	}
+}
--- /dev/null
+++ b/internal/ratelimit/verdict.go
@@ -0,0 +1,38 @@
+package ratelimit
+
+import (
+	"time"
+
+	"github.com/masticscale/masticscale/internal/membership"
+)
+
+// VerdictOf says which part of a holder's share is out of use, from what the
+// membership knows of its host lease.
+//
+// A host that resigned has stopped taking requests and lends nothing; its last
+// transfers expire within TransferHold. A host that fell silent uses its
+// reserved part for ReserveTime at most.
+func VerdictOf(l membership.Lapse) Verdict {
+	switch {
+	case !l.Lapsed:
+		return Alive
+	case l.Resigned && l.For >= TransferHold:
+		return Gone
+	case l.Resigned:
+		return Alive
+	case l.For >= ReserveTime:
+		return Gone
+	default:
+		return Lapsed
+	}
+}
+
+// PastVerdict says what is out of use of a share that an earlier incarnation at
+// this host's own address holds. That process has ended, since this one listens
+// where it did; its last transfers expire within TransferHold.
+func PastVerdict(sinceStart time.Duration) Verdict {
+	if sinceStart < TransferHold {
+		return Alive
+	}
+	return Gone
+}
