Divide rates among hosts by escrow: limiter, exchange, host lease

Change: Escrow is the hosts' limiter; it follows the shares, joins, grows and shrinks by conditional writes, and borrows from peers over a connect service of its own.

--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -23,6 +23,7 @@
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/ratelimit"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
 )
@@ -57,6 +58,8 @@
 	client    *platform.Client
 	engine    *httpengine.Engine
 	peerCalls *peer.Client
+	rates     *ratelimit.Escrow
+	ratePeers *peer.RateLimitServer
 
 	stopping sync.Once
 	notReady chan struct{} // closed when a stop begins
@@ -115,6 +118,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.source.Run(ctx) })
 	wg.Go(func() { h.registry.Run(ctx) })
+	wg.Go(func() { h.rates.Run(ctx) })
 	wg.Go(func() { h.observer.Run(ctx) })
 	wg.Go(func() { h.admission.Run(ctx) })
 	runnerDone := make(chan struct{})
@@ -133,7 +137,7 @@
 	}{
 		{"callers", h.settings.Listen, h.callers()},
 		{"operators", h.settings.AdminListen, h.admin.Handler()},
-		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration())},
+		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration(), h.ratePeers.Registration())},
 	} {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -219,6 +223,7 @@
 	}
 	resign, done := context.WithTimeout(context.WithoutCancel(force), resignTimeout)
 	defer done()
+	h.rates.Release(resign)
 	h.registry.Resign(resign)
 }
 
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -14,6 +14,7 @@
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
+	"github.com/masticscale/masticscale/internal/team"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
 )
@@ -36,6 +37,8 @@
 	Client    *platform.Client
 	Engine    *httpengine.Engine
 	PeerCalls *peer.Client
+	Rates     *ratelimit.Escrow
+	RatePeers *peer.RateLimitServer
 }
 
 func assemble(p parts) *Host {
@@ -43,7 +46,7 @@
 		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source,
 		registry: p.Registry, pool: p.Pool, observer: p.Observer, admission: p.Admission, runner: p.Runner,
 		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
-		peerCalls: p.PeerCalls, notReady: make(chan struct{}),
+		peerCalls: p.PeerCalls, rates: p.Rates, ratePeers: p.RatePeers, notReady: make(chan struct{}),
 	}
 }
 
@@ -67,7 +70,13 @@
 
 func operatorToken(s config.Host) admin.Token { return admin.Token(s.OperatorToken) }
 
-// hostsOfSplit is the number of hosts that the even split counts on.
-const hostsOfSplit = 8
+func newRateMetrics(m *telemetry.Metrics) *ratelimit.Metrics {
+	return ratelimit.NewMetrics(m.Registry)
+}
 
-func newLimiter() ratelimit.Limiter { return ratelimit.NewEvenSplit(hostsOfSplit) }
+func newSpecs(c *catalog.Catalog) ratelimit.Specs {
+	return func(name string) (team.Spec, bool) {
+		spec, ok := c.Current().Teams[name]
+		return spec, ok
+	}
+}
--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -16,6 +16,7 @@
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/ratelimit"
 	"github.com/masticscale/masticscale/internal/serving"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
@@ -41,7 +42,11 @@
 	dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher,
 	admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)),
 	serving.NewPath,
-	newLimiter,
+	newRateMetrics, newSpecs,
+	ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)),
+	wire.Bind(new(ratelimit.Members), new(*membership.Registry)),
+	wire.Bind(new(ratelimit.Exchange), new(*peer.Client)),
+	peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)),
 	batch.NewRepository, batch.NewService, batch.NewRunner,
 	batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)),
 	gateway.New,
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -18,6 +18,7 @@
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/ratelimit"
 	"github.com/masticscale/masticscale/internal/serving"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
@@ -47,11 +48,13 @@
 	path := serving.NewPath(controller, dispatcher, pool, metrics)
 	pathExecutor := batch.NewPathExecutor(catalogCatalog, path)
 	runner := batch.NewRunner(repository, client, pathExecutor, registry, metrics, logger)
-	limiter := newLimiter()
+	peerClient := peer.NewClient()
+	specs := newSpecs(catalogCatalog)
+	ratelimitMetrics := newRateMetrics(metrics)
+	escrow := ratelimit.NewEscrow(client, registry, peerClient, specs, ratelimitMetrics, logger)
 	service := batch.NewService(repository)
-	gatewayGateway := gateway.New(catalogCatalog, limiter, path, service, metrics, logger)
+	gatewayGateway := gateway.New(catalogCatalog, escrow, path, service, metrics, logger)
 	token := operatorToken(settings)
-	peerClient := peer.NewClient()
 	deps := admin.Deps{
 		Token:   token,
 		Store:   client,
@@ -64,6 +67,7 @@
 	}
 	api := admin.New(deps)
 	server := peer.NewServer(catalogCatalog, registry)
+	rateLimitServer := peer.NewRateLimitServer(escrow)
 	appParts := parts{
 		Settings:  settings,
 		Log:       logger,
@@ -81,6 +85,8 @@
 		Client:    client,
 		Engine:    engine,
 		PeerCalls: peerClient,
+		Rates:     escrow,
+		RatePeers: rateLimitServer,
 	}
 	host := assemble(appParts)
 	return host, nil
@@ -90,5 +96,5 @@
 
 var hostSet = wire.NewSet(
 	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource,
-	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newLimiter, batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- /dev/null
+++ b/internal/emulator/memstore/memstore.go
@@ -0,0 +1,262 @@
+// Package memstore is a stand-in for the platform's object API in memory. It
+// has no sockets, so that it runs under virtual time. Each client has failures
+// of its own.
+package memstore
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+type objectID struct {
+	kind platform.Kind
+	name string
+}
+
+// Store holds the objects. Create it with New.
+type Store struct {
+	mu      sync.Mutex
+	version int64
+	objects map[objectID]platform.Object
+	history []platform.Event
+	changed chan struct{} // closed and replaced at each write
+	calls   int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{objects: map[objectID]platform.Object{}, changed: make(chan struct{})}
+}
+
+// Calls returns the number of calls that reached the store.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Client returns a client whose calls take the time.
+func (s *Store) Client(latency time.Duration) *Client {
+	return &Client{store: s, latency: latency, faulted: make(chan struct{})}
+}
+
+// Client implements platform.Store.
+type Client struct {
+	store   *Store
+	latency time.Duration
+
+	mu       sync.Mutex
+	down     bool
+	stale    bool
+	loseNext int
+	faulted  chan struct{} // closed and replaced when the client goes down
+}
+
+// SetDown cuts the client off from the store, or connects it again.
+func (c *Client) SetDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+	close(c.faulted)
+	c.faulted = make(chan struct{})
+}
+
+// SetStale keeps watches open without events.
+func (c *Client) SetStale(stale bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stale = stale
+}
+
+// LoseAnswers makes the next writes take effect without an answer.
+func (c *Client) LoseAnswers(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loseNext = n
+}
+
+// enter lets a call travel; it fails when the client is cut off.
+func (c *Client) enter(ctx context.Context) error {
+	timer := time.NewTimer(c.latency)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+	case <-timer.C:
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return platform.ErrUnavailable
+	}
+	c.store.mu.Lock()
+	c.store.calls++
+	c.store.mu.Unlock()
+	return nil
+}
+
+// Get implements platform.Store.
+func (c *Client) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	if err := c.enter(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	o, ok := c.store.objects[objectID{kind, name}]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+// List implements platform.Store.
+func (c *Client) List(ctx context.Context, kind platform.Kind, prefix string) ([]platform.Object, int64, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	var all []platform.Object
+	for id, o := range c.store.objects {
+		if id.kind == kind && strings.HasPrefix(id.name, prefix) {
+			all = append(all, o)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all, c.store.version, nil
+}
+
+// Create implements platform.Store.
+func (c *Client) Create(ctx context.Context, kind platform.Kind, name string, value any) (platform.Object, error) {
+	return c.write(ctx, kind, name, 0, value)
+}
+
+// Update implements platform.Store.
+func (c *Client) Update(ctx context.Context, kind platform.Kind, name string, version int64, value any) (platform.Object, error) {
+	return c.write(ctx, kind, name, version, value)
+}
+
+func (c *Client) write(ctx context.Context, kind platform.Kind, name string, version int64, value any) (platform.Object, error) {
+	spec, err := json.Marshal(value)
+	if err != nil {
+		return platform.Object{}, errors.Wrap(err, "encode value")
+	}
+	if err := c.enter(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	o, err := c.store.put(objectID{kind, name}, version, spec)
+	if err != nil {
+		return o, err
+	}
+	return o, c.answer()
+}
+
+// answer loses the answer to a write where that is due.
+func (c *Client) answer() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loseNext == 0 {
+		return nil
+	}
+	c.loseNext--
+	return platform.ErrAmbiguous
+}
+
+func (s *Store) put(id objectID, version int64, spec json.RawMessage) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[id].Version != version {
+		return platform.Object{}, platform.ErrConflict
+	}
+	s.version++
+	o := platform.Object{Kind: id.kind, Name: id.name, Version: s.version, Value: spec}
+	s.objects[id] = o
+	s.record(platform.Event{Type: platform.EventPut, Object: o})
+	return o, nil
+}
+
+// Delete implements platform.Store.
+func (c *Client) Delete(ctx context.Context, kind platform.Kind, name string, version int64) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	s, id := c.store, objectID{kind, name}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[id]
+	if ok && o.Version != version {
+		return platform.ErrConflict
+	}
+	if ok {
+		s.version++
+		delete(s.objects, id)
+		s.record(platform.Event{Type: platform.EventDelete, Object: platform.Object{Kind: kind, Name: name, Version: s.version}})
+	}
+	return nil
+}
+
+// record appends to the history and wakes the watches; the caller holds mu.
+func (s *Store) record(e platform.Event) {
+	s.history = append(s.history, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Watch implements platform.Store.
+func (c *Client) Watch(ctx context.Context, kind platform.Kind, after int64) (platform.Watcher, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	return &watcher{ctx: ctx, cancel: cancel, client: c, kind: kind, after: after}, nil
+}
+
+type watcher struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	client *Client
+	kind   platform.Kind
+	after  int64
+	next   int // position in the history
+}
+
+// Next implements platform.Watcher.
+func (w *watcher) Next() (platform.Event, error) {
+	s := w.client.store
+	for {
+		w.client.mu.Lock()
+		down, stale, faulted := w.client.down, w.client.stale, w.client.faulted
+		w.client.mu.Unlock()
+		if down {
+			return platform.Event{}, platform.ErrUnavailable
+		}
+		s.mu.Lock()
+		changed := s.changed
+		for !stale && w.next < len(s.history) {
+			e := s.history[w.next]
+			w.next++
+			if e.Object.Kind == w.kind && e.Object.Version > w.after {
+				s.mu.Unlock()
+				return e, nil
+			}
+		}
+		s.mu.Unlock()
+		select {
+		case <-w.ctx.Done():
+			return platform.Event{}, platform.ErrUnavailable
+		case <-faulted:
+		case <-changed:
+		}
+	}
+}
+
+// Close implements platform.Watcher.
+func (w *watcher) Close() { w.cancel() }
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,212 @@
+package membership
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/emulator/memstore"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+const latency = 5 * time.Millisecond
+
+// member is a registry that runs with a store client of its own.
+type member struct {
+	*Registry
+	client *memstore.Client
+	stop   func()
+}
+
+func join(store *memstore.Store, name, address string) *member {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	client := store.Client(latency)
+	r := NewRegistry(client, Host{Name: name, PeerAddress: address}, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	return &member{Registry: r, client: client, stop: func() { cancel(); <-done }}
+}
+
+func (m *member) owner() Owner {
+	self := m.Self()
+	return Owner{Host: self.Name, Epoch: self.Epoch}
+}
+
+func (m *member) confirms(owner Owner) Lapse {
+	lapse, err := m.Confirm(context.Background(), owner)
+	if err != nil {
+		return Lapse{}
+	}
+	return lapse
+}
+
+// inBubble runs a test in virtual time.
+func inBubble(t *testing.T, test func(c *quicktest.C, store *memstore.Store)) {
+	synctest.Test(t, func(t *testing.T) { test(quicktest.New(t), memstore.New()) })
+}
+
+func TestLeaseThatLapsedIsNotTrustedAgainUnderItsEpoch(t *testing.T) {
+	inBubble(t, func(c *quicktest.C, store *memstore.Store) {
+		a := join(store, "a", "a:1")
+		defer a.stop()
+		b := join(store, "b", "b:1")
+		defer b.stop()
+		time.Sleep(time.Second)
+		first := a.owner()
+		a.client.SetDown(true)
+		time.Sleep(LeaseTime + time.Second)
+		c.Assert(a.Owns(), quicktest.IsFalse)
+		c.Assert(b.confirms(first).Lapsed, quicktest.IsFalse)
+		time.Sleep(LapseTime - LeaseTime + RenewInterval)
+		c.Assert(b.confirms(first).Lapsed, quicktest.IsTrue)
+		a.client.SetDown(false)
+		time.Sleep(2 * RenewInterval)
+		c.Assert(a.Owns(), quicktest.IsTrue)
+		c.Assert(a.Self().Epoch > first.Epoch, quicktest.IsTrue)
+		time.Sleep(LapseTime)
+		c.Assert(b.confirms(first).Lapsed, quicktest.IsTrue, quicktest.Commentf("a lapse is final"))
+		c.Assert(a.Lapsed(first), quicktest.IsTrue)
+	})
+}
+
+func TestStaleWatchIsNoLapse(t *testing.T) {
+	inBubble(t, func(c *quicktest.C, store *memstore.Store) {
+		a := join(store, "a", "a:1")
+		defer a.stop()
+		b := join(store, "b", "b:1")
+		defer b.stop()
+		time.Sleep(time.Second)
+		b.client.SetStale(true)
+		time.Sleep(2 * LapseTime)
+		c.Assert(b.Lapsed(a.owner()), quicktest.IsTrue, quicktest.Commentf("the watch shows nothing"))
+		c.Assert(b.confirms(a.owner()).Lapsed, quicktest.IsFalse)
+		c.Assert(a.Owns(), quicktest.IsTrue)
+	})
+}
+
+func TestLostAnswersDoNotEndTheLease(t *testing.T) {
+	inBubble(t, func(c *quicktest.C, store *memstore.Store) {
+		a := join(store, "a", "a:1")
+		defer a.stop()
+		time.Sleep(time.Second)
+		first := a.owner()
+		a.client.LoseAnswers(1)
+		for range 20 {
+			time.Sleep(RenewInterval)
+			c.Assert(a.Owns(), quicktest.IsTrue)
+		}
+		c.Assert(a.owner(), quicktest.Equals, first)
+	})
+}
+
+func TestSuccessorDoesNotProveThatTheEarlierHolderStopped(t *testing.T) {
+	inBubble(t, func(c *quicktest.C, store *memstore.Store) {
+		old := join(store, "a", "a:1")
+		defer old.stop()
+		b := join(store, "b", "b:1")
+		defer b.stop()
+		time.Sleep(time.Second)
+		first := old.owner()
+		old.client.SetDown(true) // alive, and it trusts its lease for a while
+		young := join(store, "a", "elsewhere:1")
+		defer young.stop()
+		time.Sleep(time.Second)
+		c.Assert(old.Owns() && young.Owns(), quicktest.IsTrue)
+		for _, observer := range []*member{b, young} {
+			c.Assert(observer.Lapsed(first), quicktest.IsFalse)
+			c.Assert(observer.confirms(first).Lapsed, quicktest.IsFalse)
+		}
+		time.Sleep(LapseTime + time.Second)
+		c.Assert(old.Owns(), quicktest.IsFalse)
+		for _, observer := range []*member{b, young} {
+			c.Assert(observer.confirms(first).Lapsed, quicktest.IsTrue)
+		}
+	})
+}
+
+func TestTwoProcessesOfOneNameDoNotTakeTurns(t *testing.T) {
+	inBubble(t, func(c *quicktest.C, store *memstore.Store) {
+		old := join(store, "a", "a:1")
+		defer old.stop()
+		time.Sleep(time.Second)
+		young := join(store, "a", "elsewhere:1")
+		defer young.stop()
+		time.Sleep(3 * RenewInterval)
+		epoch := young.Self().Epoch
+		for range 30 {
+			time.Sleep(RenewInterval)
+			c.Assert(old.Owns(), quicktest.IsFalse)
+			c.Assert(young.Owns(), quicktest.IsTrue)
+		}
+		c.Assert(young.Self().Epoch, quicktest.Equals, epoch)
+	})
+}
+
+func TestLeaveAndResignWinOverRenewals(t *testing.T) {
+	inBubble(t, func(c *quicktest.C, store *memstore.Store) {
+		a := join(store, "a", "a:1")
+		defer a.stop()
+		b := join(store, "b", "b:1")
+		defer b.stop()
+		// Leave at the very moment of a renewal.
+		time.Sleep(3 * RenewInterval)
+		first := a.owner()
+		a.Leave(context.Background())
+		time.Sleep(time.Second)
+		c.Assert(a.Owns(), quicktest.IsTrue)
+		c.Assert(a.owner(), quicktest.Equals, first)
+		a.Resign(context.Background())
+		time.Sleep(10 * RenewInterval)
+		c.Assert(a.Owns(), quicktest.IsFalse)
+		c.Assert(b.confirms(first).Resigned, quicktest.IsTrue)
+		c.Assert(b.Members(), quicktest.HasLen, 1)
+	})
+}
+
+func TestRenewalAnsweredAfterTheDeadlineDoesNotRevive(t *testing.T) {
+	inBubble(t, func(c *quicktest.C, store *memstore.Store) {
+		a := join(store, "a", "a:1")
+		defer a.stop()
+		time.Sleep(time.Second)
+		first := a.owner()
+		// The holder is paused past its deadline: its clock has moved on when it
+		// next looks.
+		a.mu.Lock()
+		a.deadline = time.Now().Add(latency / 2)
+		a.mu.Unlock()
+		time.Sleep(2 * RenewInterval)
+		c.Assert(a.Owns(), quicktest.IsTrue)
+		c.Assert(a.Self().Epoch > first.Epoch, quicktest.IsTrue)
+	})
+}
+
+func TestRemovedLeaseObjectKeepsItsHoldersTime(t *testing.T) {
+	inBubble(t, func(c *quicktest.C, store *memstore.Store) {
+		a := join(store, "a", "a:1")
+		defer a.stop()
+		b := join(store, "b", "b:1")
+		defer b.stop()
+		time.Sleep(LapseTime + RenewInterval)
+		first := a.owner()
+		o, err := b.client.Get(context.Background(), platform.KindHost, "a")
+		c.Assert(err, quicktest.IsNil)
+		a.client.SetDown(true)
+		c.Assert(b.client.Delete(context.Background(), platform.KindHost, "a", o.Version), quicktest.IsNil)
+		time.Sleep(time.Second)
+		c.Assert(a.Owns(), quicktest.IsTrue)
+		c.Assert(b.Lapsed(first), quicktest.IsFalse)
+		a.client.SetDown(false)
+		time.Sleep(LapseTime)
+		c.Assert(a.Self().Epoch > first.Epoch, quicktest.IsTrue, quicktest.Commentf("epochs never fall"))
+	})
+}
--- a/internal/membership/observe.go
+++ b/internal/membership/observe.go
@@ -119,15 +119,15 @@
 }
 
 // Confirm reports whether the owner's lease has lapsed, and asks the platform
-// where only silence speaks for it. What it reports is final: no holder ever
-// trusts that epoch again.
+// where only silence speaks for it. A lapse that it has reported is final: no
+// holder ever trusts that epoch again.
 func (r *Registry) Confirm(ctx context.Context, owner Owner) (Lapse, error) {
 	r.mu.Lock()
 	s, known := r.others[owner.Host]
 	self, started := r.self.Name, r.started
 	r.mu.Unlock()
 	if owner.Host == self {
-		return Lapse{Lapsed: r.Lapsed(owner)}, nil
+		return Lapse{Lapsed: r.Lapsed(owner), For: r.heldFor()}, nil
 	}
 	now := time.Now()
 	switch {
@@ -156,6 +156,14 @@
 	return Lapse{}, nil
 }
 
+// heldFor returns how long an earlier process of this host's name has been out
+// of its lease, at least.
+func (r *Registry) heldFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(0, time.Since(r.own.acquired)-LapseTime)
+}
+
 // lapsedSince is a lapse that is certain from a time on.
 func lapsedSince(certain, now time.Time) Lapse {
 	if now.Before(certain) {
--- /dev/null
+++ b/internal/ratelimit/escrow.go
@@ -0,0 +1,244 @@
+package ratelimit
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/team"
+)
+
+const (
+	waitTime     = 250 * time.Millisecond // a request waits so long for tokens at most
+	roundsWaited = 3                      // rounds that one request waits for at most
+	ringSize     = 1024
+	borrowers    = 16
+	keepers      = 4
+	tickInterval = 500 * time.Millisecond
+)
+
+// Escrow is the Limiter of a host whose teams' rates are divided among hosts.
+// Run does its duties.
+type Escrow struct {
+	store    platform.Store
+	members  Members
+	exchange Exchange
+	specs    Specs
+	metrics  *Metrics
+	log      logrus.FieldLogger
+	self     Holder
+	started  time.Time
+
+	rounds  chan errand // for the borrowers
+	keeping chan *state // for the keepers
+
+	mu      sync.RWMutex
+	teams   map[string]*state
+	stopped bool
+}
+
+// errand is work for a borrower.
+type errand struct {
+	team   *state
+	settle bool // only give back what is due
+}
+
+// NewEscrow returns a limiter that holds nothing yet.
+func NewEscrow(store platform.Store, members Members, exchange Exchange, specs Specs, m *Metrics, log logrus.FieldLogger) *Escrow {
+	h := members.Self()
+	return &Escrow{
+		store: store, members: members, exchange: exchange, specs: specs, metrics: m, log: log,
+		self:    Holder{Host: h.Name, Incarnation: h.Incarnation, Address: h.PeerAddress, DataCentre: h.DataCentre},
+		started: time.Now(), teams: map[string]*state{},
+		rounds: make(chan errand, ringSize), keeping: make(chan *state, ringSize),
+	}
+}
+
+// Run does the limiter's duties until ctx is done: it follows the shares, keeps
+// this host's part of them, and moves tokens between hosts.
+func (e *Escrow) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { platform.Follow(ctx, e.store, platform.KindRateShare, e.reset, e.apply) })
+	wg.Go(func() { e.tickLoop(ctx) })
+	for range borrowers {
+		wg.Go(func() { e.borrowLoop(ctx) })
+	}
+	for range keepers {
+		wg.Go(func() { e.keepLoop(ctx) })
+	}
+	wg.Wait()
+}
+
+func (e *Escrow) lease() Lease {
+	epoch, until := e.members.Lease()
+	return Lease{Epoch: epoch, Until: until}
+}
+
+// state returns what is known of a team, and begins to know it if need be.
+func (e *Escrow) state(name string) *state {
+	e.mu.RLock()
+	t := e.teams[name]
+	e.mu.RUnlock()
+	if t != nil {
+		return t
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if t := e.teams[name]; t != nil {
+		return t
+	}
+	spec, _ := e.specs(name)
+	// Ids of different incarnations must differ.
+	h := NewHolding(spec.Rate, float64(spec.Burst), rand.Uint64()>>1, time.Now())
+	t = &state{name: name, member: NewMember(e.self, h), lenders: map[string]*lenderView{}, debts: map[string][]Settlement{}}
+	e.teams[name] = t
+	return t
+}
+
+func (e *Escrow) isStopped() bool {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.stopped
+}
+
+// Take implements Limiter. A request that finds no token here waits a bounded
+// time for those of peers.
+func (e *Escrow) Take(ctx context.Context, name string, spec team.Spec) error {
+	t := e.state(name)
+	if e.takeHere(t, spec) {
+		return nil
+	}
+	t.mu.Lock()
+	t.waiting++
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		t.waiting--
+		t.mu.Unlock()
+	}()
+	timer := time.NewTimer(waitTime)
+	defer timer.Stop()
+	for range roundsWaited {
+		done := e.startRound(t)
+		if done == nil {
+			break
+		}
+		select {
+		case <-done:
+		case <-timer.C:
+			return e.refuse(t)
+		case <-ctx.Done():
+			return e.refuse(t)
+		}
+		if e.retake(t) {
+			return nil
+		}
+	}
+	return e.refuse(t)
+}
+
+// takeHere takes a token that this host has, and has more borrowed ahead when
+// few are left.
+func (e *Escrow) takeHere(t *state, spec team.Spec) bool {
+	if e.isStopped() {
+		return false
+	}
+	l := e.lease()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.demand.add(now)
+	t.wanted = now
+	h := t.member.Holding
+	h.Renew(l)
+	h.SetSpec(spec.Rate, float64(spec.Burst), now)
+	ok := h.Take(now)
+	if ok && t.low(now) {
+		e.beginRound(t)
+	}
+	return ok
+}
+
+func (e *Escrow) retake(t *state) bool {
+	l := e.lease()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.member.Holding.Renew(l)
+	return t.member.Holding.Take(time.Now())
+}
+
+// startRound returns the end of a round of borrowing that can help, or nil when
+// none can.
+func (e *Escrow) startRound(t *state) <-chan struct{} {
+	if e.isStopped() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.round == nil && time.Now().Before(t.dryUntil) {
+		return nil
+	}
+	return e.beginRound(t)
+}
+
+// beginRound hands a round to the borrowers unless one is out; the caller holds
+// the team's mu. A full ring gives nil.
+func (e *Escrow) beginRound(t *state) <-chan struct{} {
+	if t.round != nil {
+		return t.round
+	}
+	done := make(chan struct{})
+	select {
+	case e.rounds <- errand{team: t}:
+		t.round = done
+		return done
+	default:
+		return nil
+	}
+}
+
+// refuse returns the refusal of a request that found no token.
+func (e *Escrow) refuse(t *state) *apierr.Error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	wait := max(t.dryUntil.Sub(now), dryTimeMin)
+	if t.member.Holding.Fraction(now) > 0 || !t.cutOff {
+		return Refusal(t.name, wait)
+	}
+	return apierr.Newf(apierr.Unavailable, "send again after the time in Retry-After, or through a host of another data centre",
+		"this host holds no share of the rate of team %q and reaches no host that does", t.name).WithRetryAfter(dryTimeMax)
+}
+
+// Lend answers a peer that asks for tokens.
+func (e *Escrow) Lend(r BorrowRequest) BorrowReply {
+	e.mu.RLock()
+	t := e.teams[r.Team]
+	e.mu.RUnlock()
+	if t == nil {
+		return BorrowReply{}
+	}
+	l := e.lease()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	h := t.member.Holding
+	h.Renew(l)
+	for _, s := range r.Settlements {
+		h.Settle(s, now)
+	}
+	var reply BorrowReply
+	if r.Amount > 0 {
+		t.demand.decay(now)
+		keep := t.demand.rate * borrowHorizon.Seconds()
+		reply.Transfer, reply.Amount = h.Lend(r.Amount, r.Minimum, keep, now)
+		e.metrics.lent(reply.Amount)
+	}
+	reply.Left, reply.Rate = h.OwnTokens(now), h.Refill(now)
+	return reply
+}
--- a/internal/ratelimit/holding.go
+++ b/internal/ratelimit/holding.go
@@ -227,6 +227,12 @@
 	return h.tokens + h.borrowedTokens()
 }
 
+// OwnTokens returns the tokens that this host could lend now.
+func (h *Holding) OwnTokens(now time.Time) float64 {
+	h.advance(now)
+	return h.tokens
+}
+
 // Refill returns the tokens a second that this host refills now.
 func (h *Holding) Refill(now time.Time) float64 { return h.Fraction(now) * h.rate }
 
--- /dev/null
+++ b/internal/ratelimit/keep.go
@@ -0,0 +1,241 @@
+package ratelimit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+const (
+	keepTime     = 5 * time.Second // bounds one change of a share
+	keepTries    = 3               // after conflicts with other writers
+	releaseHosts = 8               // shares given back at once
+)
+
+func (e *Escrow) keepLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-e.keeping:
+			t.mu.Lock()
+			t.queued = false
+			t.mu.Unlock()
+			bounded, cancel := context.WithTimeout(ctx, keepTime)
+			e.keep(bounded, t, false)
+			cancel()
+		}
+	}
+}
+
+// enqueue hands a team to the keepers; the caller holds the team's mu.
+func (e *Escrow) enqueue(t *state) {
+	if t.queued {
+		return
+	}
+	select {
+	case e.keeping <- t:
+		t.queued = true
+	default: // the next tick finds it again
+	}
+}
+
+// tickLoop looks after the teams that are active here.
+func (e *Escrow) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, t := range e.all() {
+			e.tick(t)
+		}
+	}
+}
+
+func (e *Escrow) all() []*state {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	all := make([]*state, 0, len(e.teams))
+	for _, t := range e.teams {
+		all = append(all, t)
+	}
+	return all
+}
+
+func (e *Escrow) tick(t *state) {
+	spec, exists := e.specs(t.name)
+	l := e.lease()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	wanted := exists && now.Sub(t.wanted) < wantedTime
+	home := t.member.Home()
+	if !home && !wanted && len(t.member.Holding.borrowed) == 0 && len(t.debts) == 0 {
+		return
+	}
+	h := t.member.Holding
+	h.Renew(l)
+	h.SetSpec(spec.Rate, float64(spec.Burst), now)
+	t.collect(now)
+	if len(t.debts) > 0 {
+		select {
+		case e.rounds <- errand{team: t, settle: true}:
+		default:
+		}
+	}
+	if t.member.unsettled(wanted, l) || e.suspects(t.member.share) {
+		e.enqueue(t)
+	}
+}
+
+// suspects reports whether a holder of the share seems to be gone.
+func (e *Escrow) suspects(s Share) bool {
+	for _, h := range s.Holders {
+		if h.Incarnation != e.self.Incarnation && (h.Host == e.self.Host || e.members.Lapsed(h.Owner())) {
+			return true
+		}
+	}
+	return false
+}
+
+// keep changes the share as this host needs it: it joins, grows, confirms a
+// shrink, puts its part under a new lease, and frees what is out of use.
+func (e *Escrow) keep(ctx context.Context, t *state, leaving bool) {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	for range keepTries {
+		t.mu.Lock()
+		share, _ := t.member.Share()
+		t.mu.Unlock()
+		verdicts := e.judge(ctx, share)
+		l := e.lease()
+		t.mu.Lock()
+		now := time.Now()
+		_, base := t.member.Share()
+		p, changed := t.member.Prepare(Intent{
+			Wanted: now.Sub(t.wanted) < wantedTime, Leaving: leaving,
+			Verdict: func(h Holder) Verdict { return verdicts[h] },
+		}, l, now)
+		t.mu.Unlock()
+		if !changed {
+			return
+		}
+		if e.write(ctx, t, p, base) {
+			return
+		}
+	}
+}
+
+// judge finds out which holders are out of use. The verdict on a holder whose
+// entry has changed meanwhile is not used.
+func (e *Escrow) judge(ctx context.Context, s Share) map[Holder]Verdict {
+	verdicts := map[Holder]Verdict{}
+	for _, h := range s.Holders {
+		switch {
+		case h.Incarnation == e.self.Incarnation:
+		case h.Host == e.self.Host && h.Address == e.self.Address:
+			verdicts[h] = PastVerdict(time.Since(e.started))
+		case e.members.Lapsed(h.Owner()):
+			lapse, err := e.members.Confirm(ctx, h.Owner())
+			if err != nil {
+				lapse = membership.Lapse{}
+			}
+			verdicts[h] = VerdictOf(lapse)
+		}
+	}
+	return verdicts
+}
+
+// write sends a planned change. It returns false after a conflict, when the
+// share as it now stands has been taken in.
+func (e *Escrow) write(ctx context.Context, t *state, p Plan, base int64) bool {
+	var o platform.Object
+	var err error
+	if base == 0 {
+		o, err = e.store.Create(ctx, platform.KindRateShare, t.name, p.Next)
+	} else {
+		o, err = e.store.Update(ctx, platform.KindRateShare, t.name, base, p.Next)
+	}
+	e.metrics.wrote(err)
+	l := e.lease()
+	t.mu.Lock()
+	if err == nil {
+		t.member.Written(p, o.Version, l, time.Now())
+		t.dryUntil = time.Time{}
+		t.mu.Unlock()
+		return true
+	}
+	t.member.Abandon(p, l, time.Now())
+	t.mu.Unlock()
+	if !errors.Is(err, platform.ErrConflict) {
+		e.log.WithError(err).WithField("event", "rate_share_not_written").Debug("rate share was not changed")
+		return true
+	}
+	if o, err = e.store.Get(ctx, platform.KindRateShare, t.name); err != nil {
+		return true
+	}
+	e.observe(o)
+	return false
+}
+
+func (e *Escrow) observe(o platform.Object) {
+	var s Share
+	if err := o.Decode(&s); err != nil {
+		e.log.WithError(err).WithField("event", "rate_share_unreadable").Error("rate share was not understood; it is left alone")
+		return
+	}
+	t := e.state(o.Name)
+	l := e.lease()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.member.Observe(s, o.Version, l, now)
+	if t.member.unsettled(now.Sub(t.wanted) < wantedTime, l) {
+		e.enqueue(t)
+	}
+}
+
+func (e *Escrow) reset(objects []platform.Object, _ int64) {
+	for _, o := range objects {
+		e.observe(o)
+	}
+}
+
+func (e *Escrow) apply(event platform.Event) {
+	if event.Type == platform.EventPut {
+		e.observe(event.Object)
+	}
+}
+
+// Release stops admitting and gives every share back, for a graceful stop.
+func (e *Escrow) Release(ctx context.Context) {
+	e.mu.Lock()
+	e.stopped = true
+	e.mu.Unlock()
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, releaseHosts)
+	for _, t := range e.all() {
+		t.mu.Lock()
+		home := t.member.Home()
+		t.mu.Unlock()
+		if !home {
+			continue
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			e.settle(ctx, t)
+			e.keep(ctx, t, true)
+		})
+	}
+	wg.Wait()
+}
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -229,6 +229,17 @@
 	p.Changed = true
 }
 
+// occupied returns the fraction that outstanding transfers occupy.
+func (v View) occupied() float64 {
+	if v.Outstanding <= 0 {
+		return 0
+	}
+	if v.Burst <= 0 {
+		return 1
+	}
+	return v.Outstanding / v.Burst
+}
+
 // release gives everything back but what outstanding transfers occupy.
 func (p *Plan) release(v View) {
 	i := p.Next.Index(v.Self.Host, v.Self.Incarnation)
@@ -236,7 +247,7 @@
 		return
 	}
 	h := &p.Next.Holders[i]
-	h.Fraction = min(h.Fraction, v.Outstanding/v.Burst)
+	h.Fraction = min(h.Fraction, v.occupied())
 	h.Reserved, h.Retired = h.Fraction, true
 	if h.Fraction == 0 {
 		p.Next.Holders = slices.Delete(p.Next.Holders, i, i+1)
