--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -23,6 +23,7 @@
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/ratelimit"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
 )
@@ -54,6 +55,8 @@
 	client    *platform.Client
 	engine    *httpengine.Engine
 	peerCalls *peer.Client
+	rates     *ratelimit.Escrow
+	ratePeers *peer.RateLimitServer
 
 	drain *drain
 }
@@ -111,6 +114,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.source.Run(ctx) })
 	wg.Go(func() { h.registry.Run(ctx) })
+	wg.Go(func() { h.rates.Run(ctx) })
 	wg.Go(func() { h.observer.Run(ctx) })
 	wg.Go(func() { h.admission.Run(ctx) })
 	runnerDone := make(chan struct{})
@@ -129,7 +133,7 @@
 	}{
 		{"callers", h.settings.Listen, h.callers()},
 		{"operators", h.settings.AdminListen, h.admin.Handler()},
-		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration())},
+		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration(), h.ratePeers.Registration())},
 	} {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -73,6 +73,7 @@
 	leaving.Wait()
 	resign, done := context.WithTimeout(context.WithoutCancel(force), resignTimeout)
 	defer done()
+	h.rates.Release(resign)
 	h.registry.Resign(resign)
 }
 
