Settle every platform write from the object's own history

A write whose answer was lost and which another writer then replaced was reported as a conflict, though it had taken effect: the envelope named only the last attempt, and the hook that should have kept earlier ones was empty. A settled write could also return the version of the later writer. A lost delete was reported as an outage, and a throttled call was read back at once.

Reading before each write was ruled out: it doubles the calls. From that chain a read back tells success (and the version it made), a conflict, or that it cannot be told. Calls that the platform refuses for its rate wait for Retry-After.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -18,6 +19,8 @@
 
 const (
 	callTimeout       = 3 * time.Second
+	throttleTries     = 6
+	throttleWaitMax   = 5 * time.Second
 	settleAttempts    = 6
 	settleBackoff     = 50 * time.Millisecond
 	settleBackoffMax  = time.Second
@@ -31,6 +34,8 @@
 	http    *http.Client
 	writer  string
 	counter atomic.Int64
+	history *history
+	sleep   func(context.Context, time.Duration) bool
 }
 
 // NewClient returns a client of the object API at the base URL. The writer
@@ -40,9 +45,11 @@
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = 32
 	return &Client{
-		base:   base,
-		http:   &http.Client{Transport: transport},
-		writer: writer + "/" + uuid.NewString(),
+		base:    base,
+		http:    &http.Client{Transport: transport},
+		writer:  writer + "/" + uuid.NewString(),
+		sleep:   sleep,
+		history: newHistory(),
 	}
 }
 
@@ -63,22 +70,25 @@
 	return o, err
 }
 
-func (c *Client) get(ctx context.Context, kind Kind, name string) (Object, envelope, error) {
+func (c *Client) get(ctx context.Context, kind Kind, name string) (Object, []writer, error) {
 	var o Object
 	if err := c.call(ctx, http.MethodGet, c.objectURL(kind, name), nil, nil, &o); err != nil {
-		return Object{}, envelope{}, errors.Wrapf(err, "get %s %q", kind, name)
+		return Object{}, nil, errors.Wrapf(err, "get %s %q", kind, name)
 	}
-	env, err := unwrap(&o)
-	return o, env, err
+	writers, err := c.unwrap(&o)
+	return o, writers, err
 }
 
-func unwrap(o *Object) (envelope, error) {
+// unwrap takes the value out of its envelope and remembers its writers for a
+// later write on this version.
+func (c *Client) unwrap(o *Object) ([]writer, error) {
 	var env envelope
 	if err := json.Unmarshal(o.Value, &env); err != nil {
-		return env, errors.Wrapf(err, "decode envelope of %s %q", o.Kind, o.Name)
+		return nil, errors.Wrapf(err, "decode envelope of %s %q", o.Kind, o.Name)
 	}
 	o.Value = env.Spec
-	return env, nil
+	c.history.remember(o.Kind, o.Name, o.Version, env.Writers)
+	return env.Writers, nil
 }
 
 // List implements Store.
@@ -99,7 +109,7 @@
 			version = page.Version
 		}
 		for i := range page.Items {
-			if _, err := unwrap(&page.Items[i]); err != nil {
+			if _, err := c.unwrap(&page.Items[i]); err != nil {
 				return nil, 0, err
 			}
 		}
@@ -131,89 +141,23 @@
 	return c.write(ctx, kind, name, version, value)
 }
 
-// write sends one attempt until it is settled. The same attempt is sent again
-// only after a read has shown that it has not taken effect; a late first copy
-// then fails its own condition, so both are harmless together.
+// write sends one attempt until it is settled.
 func (c *Client) write(ctx context.Context, kind Kind, name string, version int64, value any) (Object, error) {
 	spec, err := json.Marshal(value)
 	if err != nil {
 		return Object{}, errors.Wrapf(err, "encode %s %q", kind, name)
 	}
-	attempt := c.nextAttempt()
-	env := envelope{Writers: []string{attempt}, Spec: spec}
-	if version > 0 {
-		env.Writers = append(env.Writers, c.earlierWriters(ctx, kind, name, version)...)
-	}
-	body, err := json.Marshal(env)
+	a := attempt{kind: kind, name: name, version: version, id: c.nextAttempt(), spec: spec}
+	a.writers = append([]writer{{Attempt: a.id, On: version}}, c.history.of(kind, name, version)...)
+	a.writers = a.writers[:min(len(a.writers), writersKept)]
+	a.body, err = json.Marshal(envelope{Writers: a.writers, Spec: spec})
 	if err != nil {
 		return Object{}, errors.Wrap(err, "encode envelope")
 	}
-	if len(body) > MaxValueBytes {
-		return Object{}, errors.Wrapf(ErrTooLarge, "write %s %q of %d bytes", kind, name, len(body))
-	}
-	return c.settle(ctx, kind, name, version, attempt, spec, body)
-}
-
-// earlierWriters is a hook for remembering attempts. Reading before each write
-// would double the calls, so only the client's own last attempt is kept.
-func (c *Client) earlierWriters(context.Context, Kind, string, int64) []string { return nil }
-
-func (c *Client) settle(ctx context.Context, kind Kind, name string, version int64, attempt string, spec, body []byte) (Object, error) {
-	backoff := settleBackoff
-	sent := false
-	for try := 0; ; try++ {
-		var o Object
-		err := c.call(ctx, http.MethodPut, c.objectURL(kind, name), body, conditionFor(version, attempt), &o)
-		if err == nil {
-			o.Value = spec
-			return o, nil
-		}
-		if errors.Is(err, ErrTooLarge) {
-			return Object{}, errors.Wrapf(err, "write %s %q", kind, name)
-		}
-		ambiguous := !errors.Is(err, ErrConflict) && !errors.Is(err, ErrNotFound) && !errors.Is(err, errThrottled)
-		sent = sent || ambiguous
-		if errors.Is(err, ErrConflict) && !sent {
-			return Object{}, errors.Wrapf(ErrConflict, "write %s %q", kind, name)
-		}
-		if done, o, serr := c.readBack(ctx, kind, name, version, attempt); done {
-			return o, serr
-		}
-		if try+1 >= settleAttempts || ctx.Err() != nil {
-			return Object{}, unsettled(kind, name, sent, err)
-		}
-		if !sleep(ctx, backoff) {
-			return Object{}, unsettled(kind, name, sent, err)
-		}
-		backoff = min(2*backoff, settleBackoffMax)
-	}
-}
-
-func unsettled(kind Kind, name string, sent bool, cause error) error {
-	if sent {
-		return errors.Wrapf(ErrAmbiguous, "write %s %q (%v)", kind, name, cause)
-	}
-	return errors.Wrapf(ErrUnavailable, "write %s %q (%v)", kind, name, cause)
-}
-
-// readBack reports whether the attempt is settled: by success, by a conflict,
-// or not yet, when the object still is as it was before the attempt.
-func (c *Client) readBack(ctx context.Context, kind Kind, name string, version int64, attempt string) (bool, Object, error) {
-	o, env, err := c.get(ctx, kind, name)
-	switch {
-	case errors.Is(err, ErrNotFound) && version == 0:
-		return false, Object{}, nil
-	case errors.Is(err, ErrNotFound):
-		return true, Object{}, errors.Wrapf(ErrConflict, "%s %q is gone", kind, name)
-	case err != nil:
-		return false, Object{}, nil
-	case env.writtenBy(attempt):
-		return true, o, nil
-	case o.Version == version:
-		return false, Object{}, nil
-	default:
-		return true, Object{}, errors.Wrapf(ErrConflict, "write %s %q", kind, name)
+	if len(a.body) > MaxValueBytes {
+		return Object{}, errors.Wrapf(ErrTooLarge, "write %s %q of %d bytes", kind, name, len(a.body))
 	}
+	return c.settle(ctx, a)
 }
 
 func conditionFor(version int64, attempt string) http.Header {
@@ -226,15 +170,6 @@
 	return h
 }
 
-// Delete implements Store. An object that is already gone counts as deleted.
-func (c *Client) Delete(ctx context.Context, kind Kind, name string, version int64) error {
-	err := c.call(ctx, http.MethodDelete, c.objectURL(kind, name), nil, conditionFor(version, c.nextAttempt()), nil)
-	if err == nil || errors.Is(err, ErrNotFound) {
-		return nil
-	}
-	return errors.Wrapf(err, "delete %s %q", kind, name)
-}
-
 // Hosts implements HostLister.
 func (c *Client) Hosts(ctx context.Context) ([]HostEntry, error) {
 	var hosts []HostEntry
@@ -244,10 +179,36 @@
 	return hosts, nil
 }
 
-var errThrottled = errors.New("platform's rate limit is reached")
+// errThrottled is a call that the platform refused for its rate. It had no
+// effect.
+type errThrottled struct{ wait time.Duration }
+
+// Error implements error.
+func (errThrottled) Error() string { return "platform's rate limit is reached" }
 
-// call makes one bounded call and maps its status to an error.
+// Is reports a throttled call as an unavailable platform.
+func (errThrottled) Is(target error) bool { return target == ErrUnavailable }
+
+// call makes a call and repeats it, later, while the platform refuses it for
+// its rate.
 func (c *Client) call(ctx context.Context, method, target string, body []byte, header http.Header, out any) error {
+	backoff := settleBackoff
+	for try := 1; ; try++ {
+		err := c.callOnce(ctx, method, target, body, header, out)
+		var throttled errThrottled
+		if !errors.As(err, &throttled) || try >= throttleTries {
+			return err
+		}
+		wait := max(throttled.wait, backoff/2+rand.N(backoff))
+		if !c.sleep(ctx, min(wait, throttleWaitMax)) {
+			return err
+		}
+		backoff = min(2*backoff, settleBackoffMax)
+	}
+}
+
+// callOnce makes one bounded call and maps its status to an error.
+func (c *Client) callOnce(ctx context.Context, method, target string, body []byte, header http.Header, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
@@ -288,12 +249,20 @@
 	case resp.StatusCode == http.StatusGone:
 		return ErrExpired
 	case resp.StatusCode == http.StatusTooManyRequests:
-		return errThrottled
+		return errThrottled{wait: retryAfter(resp.Header)}
 	}
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 	return errors.Wrapf(ErrUnavailable, "status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 }
 
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,265 @@
+package platform_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"pgregory.net/rapid"
+
+	"github.com/masticscale/masticscale/internal/emulator/fault"
+	"github.com/masticscale/masticscale/internal/emulator/objectapi"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+const (
+	testKind = platform.KindClaim
+	testName = "object"
+	endName  = "end"
+)
+
+// lossy loses the answers of writes after they took effect, and lets others act
+// before the writer learns of the loss.
+type lossy struct {
+	next  http.RoundTripper
+	lose  int
+	after func()
+}
+
+func (l *lossy) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := l.next.RoundTrip(r)
+	if err != nil || r.Method == http.MethodGet || l.lose == 0 {
+		return resp, err
+	}
+	l.lose--
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	l.after()
+	return nil, io.ErrUnexpectedEOF
+}
+
+func noWait(ctx context.Context, _ time.Duration) bool { return ctx.Err() == nil }
+
+type bench struct {
+	server *objectapi.Server
+	url    string
+	nextID int
+}
+
+type value struct {
+	ID int `json:"id"`
+}
+
+func newBench(tb interface{ Cleanup(func()) }) *bench {
+	server := objectapi.New()
+	web := httptest.NewServer(server.Handler())
+	tb.Cleanup(web.Close)
+	return &bench{server: server, url: web.URL}
+}
+
+func (b *bench) client(name string, after func()) (*platform.Client, *lossy) {
+	c := platform.NewClient(b.url, name)
+	l := &lossy{next: http.DefaultTransport, after: after}
+	c.SetTransport(l)
+	c.SetSleep(noWait)
+	return c, l
+}
+
+func (b *bench) value() value {
+	b.nextID++
+	return value{ID: b.nextID}
+}
+
+// applied lists the versions at which each value was written, from the store's
+// own history.
+func (b *bench) applied(t interface{ Fatalf(string, ...any) }) map[int][]int64 {
+	c, _ := b.client("reader", func() {})
+	ctx := context.Background()
+	if _, err := c.Create(ctx, testKind, endName, value{}); err != nil {
+		t.Fatalf("write the end: %v", err)
+	}
+	w, err := c.Watch(ctx, testKind, 0)
+	if err != nil {
+		t.Fatalf("watch: %v", err)
+	}
+	defer w.Close()
+	versions := map[int][]int64{}
+	for {
+		e, err := w.Next()
+		if err != nil {
+			t.Fatalf("watch: %v", err)
+		}
+		if e.Object.Name == endName {
+			return versions
+		}
+		var v value
+		if e.Type == platform.EventPut {
+			if err := e.Object.Decode(&v); err != nil {
+				t.Fatalf("decode: %v", err)
+			}
+			versions[v.ID] = append(versions[v.ID], e.Object.Version)
+		}
+	}
+}
+
+// overwrite reads the object and writes it again, as another host does.
+func (b *bench) overwrite(c *platform.Client, times int) {
+	ctx := context.Background()
+	for range times {
+		o, err := c.Get(ctx, testKind, testName)
+		if err != nil {
+			return
+		}
+		_, _ = c.Update(ctx, testKind, testName, o.Version, b.value())
+	}
+}
+
+// TestWritesAgainstModel checks what the client reports of each write against
+// the store's own history, with answers lost and other writers in between.
+func TestWritesAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(t)
+		other, _ := b.client("other", func() {})
+		between := 0
+		mine, loss := b.client("mine", func() { b.overwrite(other, between) })
+		results := map[int]report{}
+		ctx := context.Background()
+		for range rapid.IntRange(1, 5).Draw(t, "writes") {
+			between = rapid.IntRange(0, 6).Draw(t, "writes between")
+			stale := rapid.Bool().Draw(t, "stale")
+			current, err := mine.Get(ctx, testKind, testName)
+			if stale {
+				b.overwrite(other, 1)
+			}
+			v := b.value()
+			loss.lose = rapid.IntRange(0, 2).Draw(t, "lost")
+			var o platform.Object
+			if errors.Is(err, platform.ErrNotFound) {
+				o, err = mine.Create(ctx, testKind, testName, v)
+			} else {
+				o, err = mine.Update(ctx, testKind, testName, current.Version, v)
+			}
+			loss.lose = 0
+			results[v.ID] = report{err, o.Version}
+		}
+		versions := b.applied(t)
+		for id, r := range results {
+			checkReport(t, id, r, versions[id])
+		}
+	})
+}
+
+// report is what the client said of a write.
+type report struct {
+	err     error
+	version int64
+}
+
+func checkReport(t *rapid.T, id int, r report, applied []int64) {
+	switch {
+	case r.err == nil && len(applied) != 1:
+		t.Fatalf("write %d was reported as written and took effect %d times", id, len(applied))
+	case r.err == nil && applied[0] != r.version:
+		t.Fatalf("write %d was reported at version %d and took effect at %d", id, r.version, applied[0])
+	case errors.Is(r.err, platform.ErrConflict) && len(applied) != 0:
+		t.Fatalf("write %d was reported as a conflict and took effect", id)
+	case errors.Is(r.err, platform.ErrUnavailable) && len(applied) != 0:
+		t.Fatalf("write %d was reported as not written and took effect", id)
+	case len(applied) > 1:
+		t.Fatalf("write %d took effect %d times", id, len(applied))
+	}
+}
+
+func TestLostCreateThenOverwritten(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t)
+	other, _ := b.client("other", func() {})
+	mine, loss := b.client("mine", func() { b.overwrite(other, 1) })
+	loss.lose = 1
+	_, err := mine.Create(context.Background(), testKind, testName, b.value())
+	c.Assert(err, qt.IsNil)
+}
+
+func TestLostWriteBeyondHistoryIsAmbiguous(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t)
+	other, _ := b.client("other", func() {})
+	mine, loss := b.client("mine", func() { b.overwrite(other, 20) })
+	loss.lose = 1
+	_, err := mine.Create(context.Background(), testKind, testName, b.value())
+	c.Assert(errors.Is(err, platform.ErrAmbiguous), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func TestLostDelete(t *testing.T) {
+	ctx := context.Background()
+	for name, between := range map[string]func(*bench, *platform.Client){
+		"alone":     func(*bench, *platform.Client) {},
+		"recreated": func(b *bench, o *platform.Client) { _, _ = o.Create(ctx, testKind, testName, b.value()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(t)
+			other, _ := b.client("other", func() {})
+			mine, loss := b.client("mine", func() { between(b, other) })
+			o, err := mine.Create(ctx, testKind, testName, b.value())
+			c.Assert(err, qt.IsNil)
+			loss.lose = 1
+			c.Assert(mine.Delete(ctx, testKind, testName, o.Version), qt.IsNil)
+			_, err = other.Get(ctx, testKind, testName)
+			c.Assert(errors.Is(err, platform.ErrNotFound), qt.Equals, name == "alone")
+		})
+	}
+}
+
+// TestThrottledCallsWait checks that a call which the platform refuses for its
+// rate is sent again and never counted as written.
+func TestThrottledCallsWait(t *testing.T) {
+	c := qt.New(t)
+	refusals := 3
+	server := objectapi.New()
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refusals > 0 {
+			refusals--
+			w.Header().Set("Retry-After", "2")
+			http.Error(w, "too many calls", http.StatusTooManyRequests)
+			return
+		}
+		server.Handler().ServeHTTP(w, r)
+	}))
+	defer web.Close()
+	client := platform.NewClient(web.URL, "mine")
+	var waited []time.Duration
+	client.SetSleep(func(_ context.Context, d time.Duration) bool {
+		waited = append(waited, d)
+		return true
+	})
+	_, err := client.Create(context.Background(), testKind, testName, value{ID: 1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(waited, qt.HasLen, 3)
+	for _, d := range waited {
+		c.Assert(d >= 2*time.Second, qt.IsTrue, qt.Commentf("waited %v", d))
+	}
+	refusals = 1
+	_, err = client.Get(context.Background(), testKind, testName)
+	c.Assert(err, qt.IsNil)
+	refusals = 1 << 20
+	_, err = client.Create(context.Background(), testKind, "refused", value{ID: 2})
+	c.Assert(errors.Is(err, platform.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func TestOutageIsNotWritten(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t)
+	mine, _ := b.client("mine", func() {})
+	b.server.Faults.Put(fault.Set{Down: true})
+	_, err := mine.Create(context.Background(), testKind, testName, b.value())
+	// A 503 does not prove that nothing was written.
+	c.Assert(errors.Is(err, platform.ErrAmbiguous), qt.IsTrue, qt.Commentf("%v", err))
+	b.server.Faults.Put(fault.Set{})
+	c.Assert(b.applied(t), qt.DeepEquals, map[int][]int64{})
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -126,17 +126,14 @@
 // to it, newest first, so that a write whose answer was lost and which was then
 // overwritten can still be recognised.
 type envelope struct {
-	Writers []string        `json:"writers"`
+	Writers []writer        `json:"writers"`
 	Spec    json.RawMessage `json:"spec"`
 }
 
-func (e envelope) writtenBy(attempt string) bool {
-	for _, w := range e.Writers {
-		if w == attempt {
-			return true
-		}
-	}
-	return false
+// writer is one attempt that took effect, and the version that it replaced.
+type writer struct {
+	Attempt string `json:"attempt"`
+	On      int64  `json:"on"` // zero for a create
 }
 
 // Decode reads the object's value into out.
--- /dev/null
+++ b/internal/platform/settle.go
@@ -0,0 +1,144 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-faster/errors"
+)
+
+// attempt is one write. It is sent again only after a read has shown that it
+// has not taken effect; a late first copy then fails its own condition, so both
+// are harmless together.
+type attempt struct {
+	kind    Kind
+	name    string
+	version int64 // the version that it replaces; zero for a create
+	id      string
+	spec    []byte
+	writers []writer
+	body    []byte
+}
+
+func (a attempt) String() string { return string(a.kind) + " " + a.name }
+
+// settle sends the attempt until it is known how it ended. Its error is
+// ErrConflict only when the attempt did not take effect, ErrUnavailable only
+// when it cannot have, and ErrAmbiguous where that was not learned. One case is
+// not told apart: a create whose object was deleted and created again by others
+// before the read counts as a conflict.
+func (c *Client) settle(ctx context.Context, a attempt) (Object, error) {
+	backoff := settleBackoff
+	sent := false
+	for try := 1; ; try++ {
+		var o Object
+		err := c.call(ctx, http.MethodPut, c.objectURL(a.kind, a.name), a.body, conditionFor(a.version, a.id), &o)
+		if err == nil {
+			return c.written(a, o.Version), nil
+		}
+		if errors.Is(err, ErrTooLarge) {
+			return Object{}, errors.Wrapf(err, "write %s", a)
+		}
+		refused := errors.Is(err, ErrConflict) || errors.Is(err, ErrNotFound)
+		if refused && !sent {
+			return Object{}, errors.Wrapf(ErrConflict, "write %s", a)
+		}
+		sent = sent || !refused && !isThrottled(err)
+		if sent {
+			done, o, serr := c.readBack(ctx, a)
+			if done {
+				return o, serr
+			}
+		}
+		if try >= settleAttempts || !c.sleep(ctx, backoff) {
+			return Object{}, unsettled(a, sent, err)
+		}
+		backoff = min(2*backoff, settleBackoffMax)
+	}
+}
+
+func isThrottled(err error) bool {
+	var throttled errThrottled
+	return errors.As(err, &throttled)
+}
+
+// written returns the object as the attempt left it.
+func (c *Client) written(a attempt, version int64) Object {
+	c.history.remember(a.kind, a.name, version, a.writers)
+	return Object{Kind: a.kind, Name: a.name, Version: version, Value: a.spec}
+}
+
+func unsettled(a attempt, sent bool, cause error) error {
+	if sent {
+		return errors.Wrapf(ErrAmbiguous, "write %s (%v)", a, cause)
+	}
+	return errors.Wrapf(ErrUnavailable, "write %s (%v)", a, cause)
+}
+
+// readBack reports whether the attempt is settled, and how.
+func (c *Client) readBack(ctx context.Context, a attempt) (bool, Object, error) {
+	o, writers, err := c.get(ctx, a.kind, a.name)
+	if errors.Is(err, ErrNotFound) && a.version != 0 {
+		return true, Object{}, errors.Wrapf(ErrAmbiguous, "%s is gone", a)
+	}
+	if err != nil {
+		return false, Object{}, nil
+	}
+	verdict, version := judge(o.Version, writers, a.id, a.version)
+	switch verdict {
+	case applied:
+		return true, c.written(a, version), nil
+	case superseded:
+		return true, Object{}, errors.Wrapf(ErrConflict, "write %s", a)
+	case untold:
+		return true, Object{}, errors.Wrapf(ErrAmbiguous, "%s was written by many others", a)
+	default:
+		return false, Object{}, nil
+	}
+}
+
+// Delete implements Store. An object that is already gone counts as deleted.
+func (c *Client) Delete(ctx context.Context, kind Kind, name string, version int64) error {
+	a := attempt{kind: kind, name: name, version: version, id: c.nextAttempt()}
+	backoff := settleBackoff
+	sent := false
+	for try := 1; ; try++ {
+		err := c.call(ctx, http.MethodDelete, c.objectURL(kind, name), nil, conditionFor(version, a.id), nil)
+		if err == nil || errors.Is(err, ErrNotFound) {
+			return nil
+		}
+		if errors.Is(err, ErrConflict) && !sent {
+			return errors.Wrapf(ErrConflict, "delete %s", a)
+		}
+		sent = sent || !errors.Is(err, ErrConflict) && !isThrottled(err)
+		if sent {
+			done, serr := c.deleted(ctx, a)
+			if done {
+				return serr
+			}
+		}
+		if try >= settleAttempts || !c.sleep(ctx, backoff) {
+			return unsettled(a, sent, err)
+		}
+		backoff = min(2*backoff, settleBackoffMax)
+	}
+}
+
+// deleted reports whether a delete is settled, and how. An object whose history
+// begins after the deleted version was created anew.
+func (c *Client) deleted(ctx context.Context, a attempt) (bool, error) {
+	o, writers, err := c.get(ctx, a.kind, a.name)
+	if errors.Is(err, ErrNotFound) {
+		return true, nil
+	}
+	if err != nil || o.Version == a.version {
+		return false, nil
+	}
+	if verdict, _ := judge(o.Version, writers, a.id, a.version); verdict == superseded {
+		return true, errors.Wrapf(ErrConflict, "delete %s", a)
+	}
+	if reachesCreation(writers) {
+		return true, nil
+	}
+	return true, errors.Wrapf(ErrAmbiguous, "%s was written by many others", a)
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -35,10 +35,11 @@
 	}
 	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(nil, watchLineMaxByte)
-	return &watcher{body: resp.Body, lines: scanner, cancel: cancel, idle: idle}, nil
+	return &watcher{client: c, body: resp.Body, lines: scanner, cancel: cancel, idle: idle}, nil
 }
 
 type watcher struct {
+	client *Client
 	body   io.ReadCloser
 	lines  *bufio.Scanner
 	cancel context.CancelFunc
@@ -61,7 +62,7 @@
 	if e.Type != EventPut {
 		return e, nil
 	}
-	_, err := unwrap(&e.Object)
+	_, err := w.client.unwrap(&e.Object)
 	return e, err
 }
 
