Run chunks under a term of the host lease and end jobs by their chunks

The first runner checked its host lease only when it looked for work, so a host that had been paused dispatched items of chunks that others had taken; a cancel was acknowledged while owners still dispatched; results above the platform's value limit were committed for ever; a chunk whose owners died was claimed without bound; the scan read every job's chunks twice a second.

A run now holds its claim for one term of the lease (no gap between two looks longer than other hosts wait) and claims again, conditionally, after a gap. A claim is followed by a read of the job, and a cancel by a read of the claims, so one of them sees the other; a job is cancelled only when each claimed chunk is done. Each job has one host that looks after it; chunks are read after changes and every 30 s. Uploads and results stream. A file is created before its parts, so that broken uploads can be removed.

--- a/internal/batch/executor.go
+++ b/internal/batch/executor.go
@@ -19,10 +19,14 @@
 
 const (
 	itemTimeout    = 5 * time.Minute
-	maxAnswerBytes = 16 << 20
+	maxAnswerBytes = 1 << 20 // of one item; bounds what a chunk holds in memory
 	bytesPerToken  = 4
 )
 
+// ErrBusy means that the upstream turned an item away for now. It does not count
+// as a failed attempt.
+var ErrBusy = errors.New("the upstream is busy")
+
 // PathExecutor runs items through admission and dispatch, as batch work.
 type PathExecutor struct {
 	catalog *catalog.Catalog
@@ -36,7 +40,7 @@
 
 // Execute implements Executor.
 func (e *PathExecutor) Execute(ctx context.Context, j job.Job, item job.Item) (job.ResultLine, error) {
-	service, err := e.serviceOf(item)
+	service, err := e.serviceOf(j, item)
 	if err != nil {
 		return refusedLine(item, err), nil
 	}
@@ -53,29 +57,50 @@
 	if err != nil {
 		return job.ResultLine{}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	answer.End(dispatch.Ending{Failed: err != nil})
 	if err != nil {
-		return job.ResultLine{}, errors.Wrap(err, "the answer broke off")
+		return job.ResultLine{}, apierr.New(apierr.UpstreamError, "the upstream's answer broke off", "").MayHaveRun().WithCause(err)
 	}
-	if answer.Status >= 500 {
-		return job.ResultLine{}, errors.Errorf("the upstream answered %d", answer.Status)
+	return resultOf(item, answer.Status, body)
+}
+
+// resultOf turns an upstream's whole answer into the item's result. An answer
+// that refuses the item for good is its result too.
+func resultOf(item job.Item, status int, body []byte) (job.ResultLine, error) {
+	switch {
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return job.ResultLine{}, errors.Wrapf(ErrBusy, "the upstream answered %d", status)
+	case status >= 500:
+		return job.ResultLine{}, errors.Errorf("the upstream answered %d", status)
+	case len(body) > maxAnswerBytes:
+		return job.NewFailure(item.CustomID, job.CodeTooLarge, "the answer exceeds a megabyte; ask for fewer tokens"), nil
 	}
 	if !json.Valid(body) {
-		return job.ResultLine{}, errors.New("the upstream's answer is not JSON")
+		text, err := json.Marshal(string(body))
+		if err != nil || status < 300 {
+			return job.ResultLine{}, errors.New("the upstream's answer is not JSON")
+		}
+		body = text
 	}
-	id := compactUUID()
-	return job.ResultLine{ID: "item_" + id, CustomID: item.CustomID,
-		Response: &job.Response{StatusCode: answer.Status, RequestID: "req_" + id, Body: body}}, nil
+	return job.ResultLine{ID: job.NewItemID(), CustomID: item.CustomID,
+		Response: &job.Response{StatusCode: status, RequestID: "req_" + job.CompactUUID(), Body: body}}, nil
 }
 
-func (e *PathExecutor) serviceOf(item job.Item) (string, error) {
+func (e *PathExecutor) serviceOf(j job.Job, item job.Item) (string, error) {
 	var body struct {
-		Model string `json:"model"`
+		Model  string `json:"model"`
+		Stream bool   `json:"stream"`
 	}
 	if err := json.Unmarshal(item.Body, &body); err != nil {
 		return "", apierr.Newf(apierr.Invalid, "mend the line", "the item's body cannot be read: %v", err)
 	}
+	if body.Stream {
+		return "", apierr.New(apierr.Invalid, "an item of a batch cannot be streamed", `leave out "stream"`)
+	}
+	if item.URL != j.Endpoint {
+		return "", apierr.Newf(apierr.Invalid, "give every line the endpoint of its job", "the item's url %q is not the job's endpoint %q", item.URL, j.Endpoint)
+	}
 	service, ok := e.catalog.Current().Models[body.Model]
 	if !ok {
 		return "", apierr.Newf(apierr.NotFound, "/v1/models lists the models", "model %q does not exist", body.Model)
@@ -85,6 +110,5 @@
 
 func refusedLine(item job.Item, err error) job.ResultLine {
 	e := apierr.From(err)
-	return job.ResultLine{ID: "item_" + compactUUID(), CustomID: item.CustomID,
-		Error: &job.ResultError{Code: string(e.Kind), Message: e.Message + "; " + e.Remedy}}
+	return job.NewFailure(item.CustomID, string(e.Kind), e.Message+"; "+e.Remedy)
 }
--- /dev/null
+++ b/internal/batch/finish.go
@@ -0,0 +1,32 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/masticscale/masticscale/internal/job"
+)
+
+// endJob ends a job whose chunks allow it, and reports whether it has ended. The
+// job is read before its chunks: once it is seen as cancelling, no chunk that
+// is not yet claimed can be dispatched, because a host reads the job after it
+// has claimed a chunk.
+func endJob(ctx context.Context, repo job.Repository, id string) (job.Job, bool, error) {
+	j, version, err := repo.Job(ctx, id)
+	if err != nil || j.State.Terminal() {
+		return j, err == nil, err
+	}
+	chunks, err := repo.Chunks(ctx, id)
+	if err != nil {
+		return j, false, err
+	}
+	counts, final := j.Final(chunks)
+	if !final {
+		return j, false, nil
+	}
+	ended := j.End(time.Now().UTC(), counts)
+	if err := repo.UpdateJob(ctx, ended, version); err != nil {
+		return j, false, err
+	}
+	return ended, true, nil
+}
--- a/internal/batch/repository.go
+++ b/internal/batch/repository.go
@@ -26,6 +26,8 @@
 		return errors.Wrap(job.ErrNotFound, err.Error())
 	case errors.Is(err, platform.ErrConflict):
 		return errors.Wrap(job.ErrConflict, err.Error())
+	case errors.Is(err, platform.ErrAmbiguous):
+		return errors.Wrap(job.ErrAmbiguous, err.Error())
 	}
 	return err
 }
@@ -39,22 +41,58 @@
 	return v, job.Version(o.Version), o.Decode(&v)
 }
 
+func list[T any](ctx context.Context, store platform.Store, kind platform.Kind) ([]T, error) {
+	objects, _, err := store.List(ctx, kind, "")
+	if err != nil {
+		return nil, translate(err)
+	}
+	values := make([]T, len(objects))
+	for i, o := range objects {
+		if err := o.Decode(&values[i]); err != nil {
+			return nil, err
+		}
+	}
+	return values, nil
+}
+
 func (r repository) create(ctx context.Context, kind platform.Kind, name string, v any) error {
 	_, err := r.store.Create(ctx, kind, name, v)
 	return translate(err)
 }
 
-func (r repository) CreateFile(ctx context.Context, f job.File) error {
-	return r.create(ctx, platform.KindFile, f.ID, f)
+func (r repository) CreateFile(ctx context.Context, f job.File) (job.Version, error) {
+	o, err := r.store.Create(ctx, platform.KindFile, f.ID, f)
+	return job.Version(o.Version), translate(err)
+}
+
+func (r repository) UpdateFile(ctx context.Context, f job.File, v job.Version) error {
+	_, err := r.store.Update(ctx, platform.KindFile, f.ID, int64(v), f)
+	return translate(err)
+}
+
+func (r repository) File(ctx context.Context, id string) (job.File, job.Version, error) {
+	return read[job.File](ctx, r.store, platform.KindFile, id)
+}
+
+func (r repository) Files(ctx context.Context) ([]job.File, error) {
+	return list[job.File](ctx, r.store, platform.KindFile)
+}
+
+func (r repository) DeleteFile(ctx context.Context, id string, v job.Version) error {
+	return translate(r.store.Delete(ctx, platform.KindFile, id, int64(v)))
 }
 
 func (r repository) CreatePart(ctx context.Context, file string, index int, p job.FilePart) error {
 	return r.create(ctx, platform.KindFilePart, indexed(file, index), p)
 }
 
-func (r repository) File(ctx context.Context, id string) (job.File, error) {
-	f, _, err := read[job.File](ctx, r.store, platform.KindFile, id)
-	return f, err
+// DeletePart returns ErrNotFound when there is no such part.
+func (r repository) DeletePart(ctx context.Context, file string, index int) error {
+	o, err := r.store.Get(ctx, platform.KindFilePart, indexed(file, index))
+	if err != nil {
+		return translate(err)
+	}
+	return translate(r.store.Delete(ctx, platform.KindFilePart, o.Name, o.Version))
 }
 
 func (r repository) Part(ctx context.Context, file string, index int) (job.FilePart, error) {
@@ -71,17 +109,7 @@
 }
 
 func (r repository) Jobs(ctx context.Context) ([]job.Job, error) {
-	objects, _, err := r.store.List(ctx, platform.KindJob, "")
-	if err != nil {
-		return nil, translate(err)
-	}
-	jobs := make([]job.Job, len(objects))
-	for i, o := range objects {
-		if err := o.Decode(&jobs[i]); err != nil {
-			return nil, err
-		}
-	}
-	return jobs, nil
+	return list[job.Job](ctx, r.store, platform.KindJob)
 }
 
 func (r repository) UpdateJob(ctx context.Context, j job.Job, v job.Version) error {
@@ -93,19 +121,19 @@
 	return read[job.Chunk](ctx, r.store, platform.KindChunk, indexed(id, index))
 }
 
-func (r repository) Chunks(ctx context.Context, id string) (map[int]job.Chunk, error) {
+func (r repository) Chunks(ctx context.Context, id string) (map[int]job.StoredChunk, error) {
 	objects, _, err := r.store.List(ctx, platform.KindChunk, id+".")
 	if err != nil {
 		return nil, translate(err)
 	}
-	chunks := make(map[int]job.Chunk, len(objects))
+	chunks := make(map[int]job.StoredChunk, len(objects))
 	for _, o := range objects {
 		index, err := strconv.Atoi(strings.TrimPrefix(o.Name, id+"."))
 		if err != nil {
 			return nil, errors.Wrapf(err, "chunk name %q", o.Name)
 		}
-		var c job.Chunk
-		if err := o.Decode(&c); err != nil {
+		c := job.StoredChunk{Version: job.Version(o.Version)}
+		if err := o.Decode(&c.Chunk); err != nil {
 			return nil, err
 		}
 		chunks[index] = c
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/job"
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/platform"
@@ -17,15 +15,13 @@
 )
 
 const (
-	scanInterval    = 500 * time.Millisecond
-	chunksAtOnce    = 4
-	itemsAtOnce     = 32 // of one chunk
-	commitBackoff   = 250 * time.Millisecond
-	maxItemAttempts = 5
+	scanInterval = 500 * time.Millisecond
+	chunksAtOnce = 8
+	itemsAtOnce  = 32 // of one chunk
 )
 
-// Executor runs one item to its end. An error means that the item must be run
-// again later.
+// Executor runs one item to its end. An error means that the item has no result
+// yet.
 type Executor interface {
 	Execute(ctx context.Context, j job.Job, item job.Item) (job.ResultLine, error)
 }
@@ -38,20 +34,18 @@
 	members  membership.Feed
 	metrics  *telemetry.Metrics
 	log      logrus.FieldLogger
+	tenure   *tenure
+	wake     chan struct{}
 
-	mu      sync.Mutex
-	jobs    map[string]job.Job
-	cancels map[string]context.CancelFunc // by job, for items that run
-	active  map[string]bool               // chunk names this host runs
-	wake    chan struct{}
+	mu    sync.Mutex
+	board *board
 }
 
 // NewRunner returns a runner.
 func NewRunner(repo job.Repository, store platform.Store, e Executor, members membership.Feed, m *telemetry.Metrics, log logrus.FieldLogger) *Runner {
 	return &Runner{
 		repo: repo, store: store, executor: e, members: members, metrics: m, log: log,
-		jobs: map[string]job.Job{}, cancels: map[string]context.CancelFunc{}, active: map[string]bool{},
-		wake: make(chan struct{}, 1),
+		tenure: &tenure{feed: members}, board: newBoard(), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -59,11 +53,12 @@
 func (r *Runner) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { platform.Follow(ctx, r.store, platform.KindJob, r.reset, r.apply) })
+	wg.Go(func() { r.sweepFiles(ctx) })
 	slots := make(chan struct{}, chunksAtOnce)
 	ticker := time.NewTicker(scanInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		r.scan(ctx, slots, &wg)
+		r.schedule(ctx, slots, &wg)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -77,11 +72,13 @@
 	for _, o := range objects {
 		r.note(o)
 	}
+	r.poke()
 }
 
 func (r *Runner) apply(e platform.Event) {
 	if e.Type == platform.EventPut {
 		r.note(e.Object)
+		r.poke()
 	}
 }
 
@@ -94,278 +91,149 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if j.State.Terminal() {
-		delete(r.jobs, j.ID)
-	} else {
-		r.jobs[j.ID] = j
+	e := r.board.note(j)
+	if e == nil || j.State == job.Running {
+		return
 	}
-	if j.State != job.Running {
-		if cancel := r.cancels[j.ID]; cancel != nil {
-			cancel()
-		}
+	for _, u := range e.running {
+		u.cancel()
 	}
+}
+
+func (r *Runner) poke() {
 	select {
 	case r.wake <- struct{}{}:
 	default:
 	}
 }
 
-// unfinished returns the jobs to work on, earliest deadline first.
-func (r *Runner) unfinished() []job.Job {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var jobs []job.Job
-	for _, j := range r.jobs {
-		jobs = append(jobs, j)
-	}
-	sort.Slice(jobs, func(a, b int) bool { return jobs[a].Deadline.Before(jobs[b].Deadline) })
-	return jobs
+func (r *Runner) owner() membership.Owner {
+	self := r.members.Self()
+	return membership.Owner{Host: self.Name, Epoch: self.Epoch}
 }
 
-func (r *Runner) scan(ctx context.Context, slots chan struct{}, wg *sync.WaitGroup) {
-	if !r.members.Owns() || r.members.Self().State != membership.Live {
+// schedule reads what has to be read again and fills the free slots.
+func (r *Runner) schedule(ctx context.Context, slots chan struct{}, wg *sync.WaitGroup) {
+	if _, held := r.tenure.check(); !held || r.members.Self().State != membership.Live {
 		return
 	}
-	for _, j := range r.unfinished() {
-		chunks, err := r.repo.Chunks(ctx, j.ID)
-		if err != nil {
-			return
-		}
-		if r.finish(ctx, j, chunks) {
-			continue
-		}
-		if !r.takeChunks(ctx, j, chunks, slots, wg) {
+	r.mu.Lock()
+	r.board.meet(r.owner(), r.members.Members())
+	due := r.board.due(time.Now())
+	r.mu.Unlock()
+	for _, id := range due {
+		if !r.read(ctx, id) {
 			return
 		}
 	}
-}
-
-// takeChunks starts the free chunks of a job while slots last.
-func (r *Runner) takeChunks(ctx context.Context, j job.Job, chunks map[int]job.Chunk, slots chan struct{}, wg *sync.WaitGroup) bool {
-	for i := range j.Lines {
-		if c, ok := chunks[i]; ok && (c.Done() || c.Owner != r.owner() && !r.members.Lapsed(c.Owner)) {
-			continue
-		}
-		if r.running(j.ID, i) {
-			continue
-		}
+	for ctx.Err() == nil {
 		select {
 		case slots <- struct{}{}:
 		default:
-			return false
+			return
+		}
+		u, ok := r.take(ctx)
+		if !ok {
+			<-slots
+			return
 		}
-		r.setRunning(j.ID, i, true)
 		wg.Go(func() {
-			defer func() {
-				r.setRunning(j.ID, i, false)
-				<-slots
-				r.poke()
-			}()
-			r.runChunk(ctx, j, i)
+			u.do(ctx)
+			r.mu.Lock()
+			r.board.end(u)
+			r.mu.Unlock()
+			<-slots
+			r.poke()
 		})
 	}
-	return true
-}
-
-func (r *Runner) poke() {
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
 }
 
-func (r *Runner) running(id string, index int) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.active[indexed(id, index)]
-}
-
-func (r *Runner) setRunning(id string, index int, on bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if on {
-		r.active[indexed(id, index)] = true
-		return
+// take picks the chunk to run next.
+func (r *Runner) take(ctx context.Context) (*run, bool) {
+	for {
+		r.mu.Lock()
+		t, unread, ok := r.board.next()
+		var u *run
+		if ok && unread == "" {
+			u = newRun(r, t)
+			r.board.start(u)
+		}
+		r.mu.Unlock()
+		if u != nil || !ok {
+			return u, ok
+		}
+		if !r.read(ctx, unread) {
+			return nil, false
+		}
 	}
-	delete(r.active, indexed(id, index))
 }
 
-// runChunk claims a chunk, runs its items and commits their results.
-func (r *Runner) runChunk(ctx context.Context, j job.Job, index int) {
-	chunk, version, err := r.claim(ctx, j.ID, index)
-	if err != nil || chunk.Done() {
-		return
-	}
-	part, err := r.repo.Part(ctx, j.File, index)
+// read takes over the chunks of a job, frees those that a cancel left behind,
+// and ends the job when it can end. It reports false when the platform did not
+// answer.
+func (r *Runner) read(ctx context.Context, id string) bool {
+	chunks, err := r.repo.Chunks(ctx, id)
 	if err != nil {
-		return
-	}
-	items, err := part.Items()
-	if err != nil {
-		r.log.WithError(err).WithFields(logrus.Fields{"event": "chunk_invalid", "job": j.ID}).Error("chunk cannot be read")
-		return
-	}
-	lines, ok := r.runItems(ctx, j, items)
-	if !ok {
-		return
-	}
-	r.commit(ctx, j, index, chunk, version, lines)
-}
-
-func (r *Runner) claim(ctx context.Context, id string, index int) (job.Chunk, job.Version, error) {
-	chunk, version, err := r.repo.Chunk(ctx, id, index)
-	if err != nil && !errors.Is(err, job.ErrNotFound) {
-		return chunk, 0, err
-	}
-	if chunk.Done() {
-		return chunk, version, nil
-	}
-	if version != 0 && !r.members.Lapsed(chunk.Owner) && chunk.Owner != r.owner() {
-		return chunk, 0, job.ErrConflict
+		return false
 	}
-	chunk.Owner = r.owner()
-	chunk.Claims++
-	version, err = r.repo.PutChunk(ctx, id, index, chunk, version)
-	return chunk, version, err
-}
-
-func (r *Runner) owner() membership.Owner {
-	self := r.members.Self()
-	return membership.Owner{Host: self.Name, Epoch: self.Epoch}
-}
-
-// runItems runs every item to its end. It reports false when the host stops.
-func (r *Runner) runItems(ctx context.Context, j job.Job, items []job.Item) ([]job.ResultLine, bool) {
-	itemCtx := r.jobContext(ctx, j.ID)
-	lines := make([]job.ResultLine, len(items))
-	limit := make(chan struct{}, itemsAtOnce)
-	var wg sync.WaitGroup
-	for i, item := range items {
-		limit <- struct{}{}
-		wg.Go(func() {
-			defer func() { <-limit }()
-			lines[i] = r.runItem(itemCtx, j, item)
-		})
-	}
-	wg.Wait()
-	return lines, ctx.Err() == nil
-}
-
-// jobContext ends when the job is cancelled or the host stops.
-func (r *Runner) jobContext(ctx context.Context, id string) context.Context {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	jobCtx, cancel := context.WithCancel(ctx)
-	if j, known := r.jobs[id]; !known || j.State != job.Running {
-		cancel()
+	r.board.list(id, time.Now(), chunks, r.members.Lapsed)
+	e, known := r.board.jobs[id]
+	var j job.Job
+	var open []int
+	if known {
+		j, open = e.job, e.open
 	}
-	earlier := r.cancels[id]
-	r.cancels[id] = func() {
-		cancel()
-		if earlier != nil {
-			earlier()
-		}
+	r.mu.Unlock()
+	if !known || j.State.Terminal() {
+		return true
 	}
-	return jobCtx
-}
-
-func (r *Runner) runItem(ctx context.Context, j job.Job, item job.Item) job.ResultLine {
-	for attempt := 1; ; attempt++ {
-		if ctx.Err() != nil {
-			return cancelledLine(item)
-		}
-		line, err := r.executor.Execute(ctx, j, item)
-		if err == nil {
-			return line
-		}
-		if errors.Is(err, dispatch.ErrYielded) {
-			attempt--
-		}
-		if attempt >= maxItemAttempts {
-			return failedLine(item, err)
+	if j.State == job.Cancelling && r.stopOpen(ctx, j, chunks, open) {
+		if chunks, err = r.repo.Chunks(ctx, id); err != nil {
+			return false
 		}
-		pause(ctx, commitBackoff*time.Duration(attempt))
 	}
-}
-
-const codeCancelled = "batch_cancelled"
-
-func cancelledLine(item job.Item) job.ResultLine {
-	return job.ResultLine{ID: "item_" + compactUUID(), CustomID: item.CustomID,
-		Error: &job.ResultError{Code: codeCancelled, Message: "the job was cancelled before this item ran"}}
-}
-
-func failedLine(item job.Item, err error) job.ResultLine {
-	return job.ResultLine{ID: "item_" + compactUUID(), CustomID: item.CustomID,
-		Error: &job.ResultError{Code: "item_failed", Message: err.Error()}}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	if _, final := j.Final(chunks); !final {
+		return true
 	}
-}
-
-// commit writes the results, then the chunk on the condition that this host
-// still owns it. It goes on through an outage until the chunk is settled.
-func (r *Runner) commit(ctx context.Context, j job.Job, index int, chunk job.Chunk, version job.Version, lines []job.ResultLine) {
-	segment, err := job.NewSegment(lines)
-	if err != nil {
-		r.log.WithError(err).WithField("event", "segment_invalid").Error("results cannot be packed")
-		return
+	ended, done, err := endJob(ctx, r.repo, id)
+	if err != nil && !errors.Is(err, job.ErrConflict) && !errors.Is(err, job.ErrNotFound) {
+		r.retryLater(id)
+		return false
 	}
-	name := segmentName(j.ID, index)
-	chunk.Segment = name
-	chunk.Counts = countLines(lines)
-	for ctx.Err() == nil {
-		err = r.repo.CreateSegment(ctx, name, segment)
-		if err == nil || errors.Is(err, job.ErrConflict) {
-			_, err = r.repo.PutChunk(ctx, j.ID, index, chunk, version)
-		}
-		if err == nil || errors.Is(err, job.ErrConflict) {
-			break
-		}
-		pause(ctx, commitBackoff)
-	}
-	if err == nil {
-		r.metrics.Items.WithLabelValues("completed").Add(float64(chunk.Counts.Completed))
-		r.metrics.Items.WithLabelValues("failed").Add(float64(chunk.Counts.Failed))
+	if done {
+		r.ended(ended)
 	}
+	return true
 }
 
-func countLines(lines []job.ResultLine) job.Counts {
-	counts := job.Counts{Total: len(lines)}
-	for _, line := range lines {
-		switch {
-		case line.Error != nil && line.Error.Code == codeCancelled:
-			counts.Cancelled++
-		case line.Failed():
-			counts.Failed++
-		default:
-			counts.Completed++
-		}
+func (r *Runner) retryLater(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e, known := r.board.jobs[id]; known {
+		e.stale = true
 	}
-	return counts
 }
 
-// finish ends a job whose chunks are all committed, and reports whether it is.
-func (r *Runner) finish(ctx context.Context, j job.Job, chunks map[int]job.Chunk) bool {
-	for i := range j.Lines {
-		if c, ok := chunks[i]; !ok || !c.Done() {
-			return false
+func (r *Runner) ended(j job.Job) {
+	r.mu.Lock()
+	r.board.note(j)
+	r.mu.Unlock()
+	r.log.WithFields(logrus.Fields{"event": "job_ended", "job": j.ID, "state": j.State,
+		"completed": j.Counts.Completed, "failed": j.Counts.Failed, "cancelled": j.Counts.Cancelled}).Info("job ended")
+}
+
+// stopOpen stops the claimed chunks of a cancelled job that nobody runs any
+// more, and reports whether it wrote any. The write fences their old owners off.
+func (r *Runner) stopOpen(ctx context.Context, j job.Job, chunks map[int]job.StoredChunk, open []int) bool {
+	wrote := false
+	for _, i := range open {
+		c, claimed := chunks[i]
+		if !claimed {
+			continue
 		}
+		_, err := r.repo.PutChunk(ctx, j.ID, i, c.Stop(j.Lines[i]), c.Version)
+		wrote = wrote || err == nil
 	}
-	current, version, err := r.repo.Job(ctx, j.ID)
-	if err != nil || current.State.Terminal() {
-		return err == nil
-	}
-	ended := current.End(time.Now().UTC(), sum(chunks))
-	if err := r.repo.UpdateJob(ctx, ended, version); err == nil {
-		r.log.WithFields(logrus.Fields{"event": "job_ended", "job": j.ID, "state": ended.State,
-			"completed": ended.Counts.Completed, "failed": ended.Counts.Failed}).Info("job ended")
-	}
-	return true
+	return wrote
 }
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -1,10 +1,11 @@
 package gateway
 
 import (
-	"bytes"
 	"encoding/json"
 	"io"
+	"mime/multipart"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/masticscale/masticscale/internal/apierr"
@@ -13,13 +14,18 @@
 )
 
 const (
-	maxFileBytes   = 256 << 20
-	multipartBytes = 8 << 20 // kept in memory while a form is read
-	batchClass     = "batch"
+	maxFileBytes     = 256 << 20
+	maxFieldBytes    = 1 << 10
+	defaultPage      = 20
+	maxPage          = 100
+	batchClass       = "batch"
+	linesContentType = "application/jsonl"
 )
 
 func (g *Gateway) addBatchRoutes(mux *http.ServeMux) {
 	mux.HandleFunc("POST /v1/files", g.asTeam(g.uploadFile))
+	mux.HandleFunc("GET /v1/files", g.asTeam(g.listFiles))
+	mux.HandleFunc("DELETE /v1/files/{id}", g.asTeam(g.deleteFile))
 	mux.HandleFunc("GET /v1/files/{id}", g.asTeam(g.getFile))
 	mux.HandleFunc("GET /v1/files/{id}/content", g.asTeam(g.fileContent))
 	mux.HandleFunc("POST /v1/batches", g.asTeam(g.createBatch))
@@ -54,29 +60,128 @@
 	return fileObject{f.ID, "file", f.Bytes, f.Created.Unix(), f.Filename, f.Purpose}
 }
 
+// uploadFile reads the form as it arrives; the file is never held whole.
 func (g *Gateway) uploadFile(w http.ResponseWriter, r *http.Request, who caller) error {
 	r.Body = http.MaxBytesReader(w, r.Body, maxFileBytes)
-	if err := r.ParseMultipartForm(multipartBytes); err != nil {
-		return apierr.New(apierr.Invalid, "the form cannot be read", "send multipart/form-data with file and purpose").WithCause(err)
+	reader, err := r.MultipartReader()
+	if err != nil {
+		return unreadableForm(err)
 	}
-	defer func() { _ = r.MultipartForm.RemoveAll() }()
-	part, header, err := r.FormFile("file")
+	f := form{reader: reader}
+	file, err := f.next()
 	if err != nil {
+		return err
+	}
+	if file == nil {
 		return apierr.New(apierr.Invalid, "the form has no file", `add the field "file"`)
 	}
-	defer func() { _ = part.Close() }()
-	text, err := io.ReadAll(part)
+	if f.purpose != "" && f.purpose != batchClass {
+		return f.checkPurpose()
+	}
+	kept, err := g.batches.Upload(r.Context(), batch.Upload{
+		Team: who.team, Filename: file.FileName(), Purpose: batchClass,
+		MaxLines: g.catalog.Current().Limits.MaxItemsPerJob, Confirm: f.finish,
+	}, file)
 	if err != nil {
-		return apierr.New(apierr.Invalid, "the file did not arrive whole", "send it again").WithCause(err)
+		return err
 	}
-	if purpose := r.FormValue("purpose"); purpose != "batch" {
-		return apierr.Newf(apierr.Invalid, `use the purpose "batch"`, "purpose %q is not served", purpose)
+	writeJSON(w, fileOf(kept))
+	return nil
+}
+
+func unreadableForm(err error) error {
+	return apierr.New(apierr.Invalid, "the form cannot be read", "send multipart/form-data with file and purpose").WithCause(err)
+}
+
+// form reads the fields of an upload in the order in which they come.
+type form struct {
+	reader  *multipart.Reader
+	purpose string
+}
+
+// next returns the file, or nil at the end of the form.
+func (f *form) next() (*multipart.Part, error) {
+	for {
+		p, err := f.reader.NextPart()
+		if err == io.EOF {
+			return nil, nil
+		}
+		if err != nil {
+			return nil, unreadableForm(err)
+		}
+		switch p.FormName() {
+		case "file":
+			return p, nil
+		case "purpose":
+			text, err := io.ReadAll(io.LimitReader(p, maxFieldBytes))
+			if err != nil {
+				return nil, unreadableForm(err)
+			}
+			f.purpose = string(text)
+		}
 	}
-	f, err := g.batches.Upload(r.Context(), who.team, header.Filename, "batch", text)
+}
+
+// finish reads the fields behind the file.
+func (f *form) finish() error {
+	second, err := f.next()
 	if err != nil {
 		return err
 	}
-	writeJSON(w, fileOf(f))
+	if second != nil {
+		return apierr.New(apierr.Invalid, "the form has two files", "send one file at a time")
+	}
+	return f.checkPurpose()
+}
+
+func (f *form) checkPurpose() error {
+	if f.purpose != batchClass {
+		return apierr.Newf(apierr.Invalid, `use the purpose "batch"`, "purpose %.64q is not served", f.purpose)
+	}
+	return nil
+}
+
+func (g *Gateway) listFiles(w http.ResponseWriter, r *http.Request, who caller) error {
+	after, limit, err := pageOf(r)
+	if err != nil {
+		return err
+	}
+	files, more, err := g.batches.Files(r.Context(), who.team, after, limit)
+	if err != nil {
+		return err
+	}
+	list := listObject[fileObject]{Object: "list", Data: []fileObject{}, HasMore: more}
+	for _, f := range files {
+		list.Data = append(list.Data, fileOf(f))
+	}
+	writeJSON(w, list)
+	return nil
+}
+
+// pageOf reads which page of a list is asked for.
+func pageOf(r *http.Request) (after string, limit int, err error) {
+	limit = defaultPage
+	if text := r.FormValue("limit"); text != "" {
+		limit, err = strconv.Atoi(text)
+		if err != nil || limit < 1 || limit > maxPage {
+			return "", 0, apierr.Newf(apierr.Invalid, "give a number from 1 to 100", "limit %.16q is out of range", text)
+		}
+	}
+	return r.FormValue("after"), limit, nil
+}
+
+type deletedObject struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Deleted bool   `json:"deleted"`
+}
+
+func (g *Gateway) deleteFile(w http.ResponseWriter, r *http.Request, who caller) error {
+	id := r.PathValue("id")
+	if err := g.batches.DeleteFile(r.Context(), who.team, id); err != nil {
+		return err
+	}
+	writeJSON(w, deletedObject{ID: id, Object: "file", Deleted: true})
 	return nil
 }
 
@@ -89,14 +194,38 @@
 	return nil
 }
 
+// fileContent sends a file part by part. A file that cannot be read to its end
+// ends with a broken connection, never as if it were whole.
 func (g *Gateway) fileContent(w http.ResponseWriter, r *http.Request, who caller) error {
-	var text bytes.Buffer
-	if err := g.batches.WriteContent(r.Context(), who.team, r.PathValue("id"), &text); err != nil {
+	content, err := g.batches.Open(r.Context(), who.team, r.PathValue("id"))
+	if err != nil {
 		return err
 	}
-	w.Header().Set("Content-Type", "application/jsonl")
-	_, _ = text.WriteTo(w)
-	return nil
+	out := &lateWriter{w: w}
+	err = content.WriteTo(r.Context(), out)
+	if err != nil && out.started {
+		infoOf(r.Context()).log.WithError(err).WithField("event", "content_cut").Warn("file could not be sent whole")
+		panic(http.ErrAbortHandler)
+	}
+	if err == nil && !out.started {
+		w.Header().Set("Content-Type", linesContentType)
+	}
+	return err
+}
+
+// lateWriter sends the header with the first byte.
+type lateWriter struct {
+	w       http.ResponseWriter
+	started bool
+}
+
+// Write implements io.Writer.
+func (l *lateWriter) Write(p []byte) (int, error) {
+	if !l.started {
+		l.started = true
+		l.w.Header().Set("Content-Type", linesContentType)
+	}
+	return l.w.Write(p)
 }
 
 type batchRequest struct {
@@ -120,6 +249,7 @@
 	CompletedAt      int64             `json:"completed_at,omitempty"`
 	CancellingAt     int64             `json:"cancelling_at,omitempty"`
 	CancelledAt      int64             `json:"cancelled_at,omitempty"`
+	ExpectedEndAt    int64             `json:"expected_end_at,omitempty"`
 	RequestCounts    batchCounts       `json:"request_counts"`
 	Metadata         map[string]string `json:"metadata,omitempty"`
 }
@@ -134,11 +264,14 @@
 func batchOf(j job.Job) batchObject {
 	o := batchObject{
 		ID: j.ID, Object: "batch", Endpoint: j.Endpoint, InputFileID: j.File,
-		CompletionWindow: j.Deadline.Sub(j.Created).String(), Status: j.State,
+		CompletionWindow: windowText(j.Window), Status: j.State,
 		OutputFileID: batch.OutputFile(j.ID), ErrorFileID: batch.ErrorFile(j.ID),
 		CreatedAt: j.Created.Unix(), ExpiresAt: j.Deadline.Unix(),
 		RequestCounts: batchCounts(j.Counts), Metadata: j.Metadata,
 	}
+	if end, known := j.ExpectedEnd(time.Now()); known {
+		o.ExpectedEndAt = end.Unix()
+	}
 	if j.Cancelled != nil {
 		o.CancellingAt = j.Cancelled.Unix()
 	}
@@ -175,6 +308,14 @@
 	return nil
 }
 
+// windowText writes whole hours as the API does.
+func windowText(d time.Duration) string {
+	if d%time.Hour == 0 {
+		return strconv.Itoa(int(d/time.Hour)) + "h"
+	}
+	return d.String()
+}
+
 func windowOf(text string) (time.Duration, error) {
 	if text == "" {
 		return 0, nil
@@ -187,11 +328,15 @@
 }
 
 func (g *Gateway) listBatches(w http.ResponseWriter, r *http.Request, who caller) error {
-	jobs, err := g.batches.Jobs(r.Context(), who.team)
+	after, limit, err := pageOf(r)
+	if err != nil {
+		return err
+	}
+	jobs, more, err := g.batches.JobPage(r.Context(), who.team, after, limit)
 	if err != nil {
 		return err
 	}
-	list := listObject[batchObject]{Object: "list", Data: []batchObject{}}
+	list := listObject[batchObject]{Object: "list", Data: []batchObject{}, HasMore: more}
 	for _, j := range jobs {
 		list.Data = append(list.Data, batchOf(j))
 	}
--- a/internal/job/codec.go
+++ b/internal/job/codec.go
@@ -52,16 +52,42 @@
 	return items, nil
 }
 
-// NewSegment packs results.
-func NewSegment(lines []ResultLine) (Segment, error) {
+// MaxSegmentBytes bounds the compressed bytes of one segment. Stored as base64
+// in an object it stays under the platform's limit for a value.
+const MaxSegmentBytes = 640 << 10
+
+// NewSegments packs results into as few segments as they fit in. A result that
+// does not fit in a segment of its own is replaced by an error.
+func NewSegments(lines []ResultLine) ([]Segment, error) {
+	text, err := encodeLines(lines)
+	if err != nil {
+		return nil, err
+	}
+	data := Compress(text)
+	if len(data) <= MaxSegmentBytes {
+		return []Segment{{Data: data}}, nil
+	}
+	if len(lines) == 1 {
+		return NewSegments([]ResultLine{NewFailure(lines[0].CustomID, CodeTooLarge, "the answer is too large to be kept; ask for fewer tokens")})
+	}
+	half := len(lines) / 2
+	first, err := NewSegments(lines[:half])
+	if err != nil {
+		return nil, err
+	}
+	second, err := NewSegments(lines[half:])
+	return append(first, second...), err
+}
+
+func encodeLines(lines []ResultLine) ([]byte, error) {
 	var text bytes.Buffer
 	enc := json.NewEncoder(&text)
 	for _, line := range lines {
 		if err := enc.Encode(line); err != nil {
-			return Segment{}, errors.Wrap(err, "encode result")
+			return nil, errors.Wrap(err, "encode result")
 		}
 	}
-	return Segment{Data: Compress(text.Bytes())}, nil
+	return text.Bytes(), nil
 }
 
 // Lines reads the results of a segment.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -4,10 +4,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/masticscale/masticscale/internal/apierr"
-	"github.com/masticscale/masticscale/internal/membership"
 )
 
 // State is the state of a job.
@@ -24,15 +24,28 @@
 // Terminal reports whether the state is final.
 func (s State) Terminal() bool { return s == Cancelled || s == Completed }
 
+// FileState is the state of a file.
+type FileState string
+
+// The states of a file. Only a ready file can be read.
+const (
+	Uploading FileState = "uploading"
+	Ready     FileState = "ready"
+	Deleted   FileState = "deleted"
+)
+
 // File is a file of input lines, as the files API holds it.
 type File struct {
-	ID       string    `json:"id"`
-	Team     string    `json:"team"`
-	Filename string    `json:"filename"`
-	Purpose  string    `json:"purpose"`
-	Bytes    int64     `json:"bytes"`
-	Lines    []int     `json:"lines"` // lines in each part
-	Created  time.Time `json:"created"`
+	ID        string     `json:"id"`
+	Team      string     `json:"team"`
+	Filename  string     `json:"filename"`
+	Purpose   string     `json:"purpose"`
+	State     FileState  `json:"state"`
+	Bytes     int64      `json:"bytes"`
+	Digest    string     `json:"digest"` // of the lines, so that the same content is known again
+	Lines     []int      `json:"lines"`  // lines in each part
+	DeletedAt *time.Time `json:"deleted_at,omitempty"`
+	Created   time.Time  `json:"created"`
 }
 
 // TotalLines returns the number of lines in the file.
@@ -54,6 +67,8 @@
 	ID        string            `json:"id"`
 	Team      string            `json:"team"`
 	File      string            `json:"file"`
+	Digest    string            `json:"digest"` // of the file's lines
+	Window    time.Duration     `json:"window"`
 	Endpoint  string            `json:"endpoint"`
 	Lines     []int             `json:"lines"` // items in each chunk
 	Metadata  map[string]string `json:"metadata,omitempty"`
@@ -73,11 +88,53 @@
 	Cancelled int `json:"cancelled"`
 }
 
+// Done returns the items that have ended.
+func (c Counts) Done() int { return c.Completed + c.Failed + c.Cancelled }
+
 // Add returns the sum of two counts.
 func (c Counts) Add(o Counts) Counts {
 	return Counts{c.Total + o.Total, c.Completed + o.Completed, c.Failed + o.Failed, c.Cancelled + o.Cancelled}
 }
 
+// SameAs reports whether the other job asks for the same work, as a submission
+// that is sent again does.
+func (j Job) SameAs(o Job) bool {
+	return j.Team == o.Team && j.Digest == o.Digest && j.Endpoint == o.Endpoint &&
+		j.Window == o.Window && maps.Equal(j.Metadata, o.Metadata)
+}
+
+// Final returns the counts of a job that can end, and whether it can. A running
+// job ends when every chunk is done. One that is being cancelled ends when every
+// chunk that was ever claimed is done; nobody dispatches items of the others any
+// more, so they count as cancelled.
+func (j Job) Final(chunks map[int]StoredChunk) (Counts, bool) {
+	var counts Counts
+	for i, lines := range j.Lines {
+		c, claimed := chunks[i]
+		switch {
+		case c.Done():
+			counts = counts.Add(c.Counts)
+		case claimed || j.State == Running:
+			return Counts{}, false
+		default:
+			counts = counts.Add(Counts{Total: lines, Cancelled: lines})
+		}
+	}
+	return counts, true
+}
+
+// ExpectedEnd extrapolates the pace so far. It reports false before the first
+// item has ended.
+func (j Job) ExpectedEnd(now time.Time) (time.Time, bool) {
+	done := j.Counts.Done()
+	if done == 0 || j.State.Terminal() {
+		return time.Time{}, false
+	}
+	elapsed := now.Sub(j.Created)
+	left := float64(j.Counts.Total-done) / float64(done)
+	return now.Add(time.Duration(float64(elapsed) * left)), true
+}
+
 // Cancel returns the job as it is after a cancel was asked for. A job that has
 // ended stays as it ended.
 func (j Job) Cancel(now time.Time) (Job, error) {
@@ -104,24 +161,6 @@
 	return j
 }
 
-// Chunk is the state of one chunk's run. Segment names the committed results;
-// it is set once, by a write that is conditional on the owner still owning the
-// chunk.
-type Chunk struct {
-	Owner   membership.Owner `json:"owner"`
-	Claims  int              `json:"claims"` // how often the chunk was taken
-	Segment string           `json:"segment,omitempty"`
-	Counts  Counts           `json:"counts"`
-}
-
-// Done reports whether the chunk's results are committed.
-func (c Chunk) Done() bool { return c.Segment != "" }
-
-// Segment is the results of one chunk, in input order, compressed.
-type Segment struct {
-	Data []byte `json:"data"` // zstd of one ResultLine a line
-}
-
 // Item is one line of input.
 type Item struct {
 	CustomID string          `json:"custom_id"`
--- a/internal/job/repository.go
+++ b/internal/job/repository.go
@@ -10,6 +10,8 @@
 var (
 	ErrNotFound = errors.New("not found")
 	ErrConflict = errors.New("changed by another writer")
+	// ErrAmbiguous means that a write may have taken effect.
+	ErrAmbiguous = errors.New("it is not known whether the write took effect")
 )
 
 // Version is the version of a stored object, for conditional writes. Zero means
@@ -19,10 +21,14 @@
 // Repository keeps files, jobs, chunks and segments. Every write is conditional
 // on the version that was read.
 type Repository interface {
-	CreateFile(ctx context.Context, f File) error
+	CreateFile(ctx context.Context, f File) (Version, error)
+	UpdateFile(ctx context.Context, f File, v Version) error
+	File(ctx context.Context, id string) (File, Version, error)
+	Files(ctx context.Context) ([]File, error)
+	DeleteFile(ctx context.Context, id string, v Version) error
 	CreatePart(ctx context.Context, file string, index int, p FilePart) error
-	File(ctx context.Context, id string) (File, error)
 	Part(ctx context.Context, file string, index int) (FilePart, error)
+	DeletePart(ctx context.Context, file string, index int) error
 
 	CreateJob(ctx context.Context, j Job) error
 	Job(ctx context.Context, id string) (Job, Version, error)
@@ -30,7 +36,7 @@
 	UpdateJob(ctx context.Context, j Job, v Version) error
 
 	Chunk(ctx context.Context, job string, index int) (Chunk, Version, error)
-	Chunks(ctx context.Context, job string) (map[int]Chunk, error)
+	Chunks(ctx context.Context, job string) (map[int]StoredChunk, error)
 	PutChunk(ctx context.Context, job string, index int, c Chunk, v Version) (Version, error)
 
 	CreateSegment(ctx context.Context, name string, s Segment) error
