--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,8 +1,9 @@
 // Package admission decides which request runs next.
 //
 // Contract: online requests never wait for batch work. One goroutine owns the
-// queues of each service; requests reach it through a bounded ring, and a full
-// ring or queue is a refusal that tells when to come back.
+// queues of each service; requests reach it through bounded rings, one a class,
+// and a full ring or queue is a refusal that tells when to come back. A request
+// that cannot be served in time is refused at once.
 package admission
 
 import (
@@ -16,14 +17,15 @@
 )
 
 const (
-	ringSize     = 1024
-	retryAfter   = time.Second
-	pollInterval = 200 * time.Millisecond // looks for room that nobody reported
+	ringSize      = 1024
+	minRetryAfter = time.Second
+	pollInterval  = 200 * time.Millisecond // looks for room that nobody reported
 )
 
 // Places hands out places at upstreams.
 type Places interface {
 	Reserve(dispatch.Need) (*dispatch.Place, bool)
+	Availability(service string) dispatch.Availability
 }
 
 // Request is a request that asks to be run.
@@ -40,9 +42,14 @@
 
 // waiter is one request in a queue.
 type waiter struct {
-	req   Request
-	ctx   context.Context
-	grant chan grant // buffered, written once
+	req     Request
+	ctx     context.Context
+	boosted bool       // its deadline is at risk
+	grant   chan grant // buffered, written once
+}
+
+func newWaiter(ctx context.Context, req Request) *waiter {
+	return &waiter{req: req, ctx: ctx, grant: make(chan grant, 1)}
 }
 
 type grant struct {
@@ -92,53 +99,28 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &waiter{req: req, ctx: ctx, grant: make(chan grant, 1)}
-	select {
-	case q.ring <- w:
-	default:
-		return nil, overloaded("the host's queue is full")
-	}
 	waiting := c.metrics.Queued.WithLabelValues(string(req.Class))
 	waiting.Inc()
 	defer waiting.Dec()
-	select {
-	case g := <-w.grant:
-		return g.place, g.err
-	case <-ctx.Done():
-		go releaseLate(w)
-		return nil, gaveUp(ctx)
-	}
-}
-
-// releaseLate frees a place that was granted while its request gave up. The
-// queue always answers a waiter, so this ends.
-func releaseLate(w *waiter) {
-	if g := <-w.grant; g.place != nil {
-		g.place.Release(false)
-	}
-}
-
-func gaveUp(ctx context.Context) error {
-	if ctx.Err() == context.DeadlineExceeded {
-		return apierr.New(apierr.Timeout, "no upstream was free in time", "send it again later").WithRetryAfter(retryAfter)
-	}
-	return apierr.New(apierr.Cancelled, "the caller went away", "")
-}
-
-func overloaded(message string) error {
-	return apierr.New(apierr.Overloaded, message, "send it again after the time in Retry-After").WithRetryAfter(retryAfter)
+	return q.admit(ctx, req)
 }
 
+// queueOf returns the service's queue. Queues exist only for services that have
+// upstreams, so that their number is bounded by the configuration.
 func (c *Controller) queueOf(service string) (*queue, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ctx == nil || c.ctx.Err() != nil {
-		return nil, apierr.New(apierr.Unavailable, "the host is stopping", "send it to another host").WithRetryAfter(retryAfter)
+		return nil, stopping()
 	}
 	if q, ok := c.queues[service]; ok {
 		return q, nil
 	}
-	q := newQueue(c.places)
+	if !c.places.Availability(service).Known {
+		return nil, apierr.Newf(apierr.Unavailable, "ask the operators to add upstreams",
+			"service %q has no upstream", service).WithRetryAfter(minRetryAfter)
+	}
+	q := newQueue(service, c.places)
 	c.queues[service] = q
 	c.wg.Go(func() { q.run(c.ctx) })
 	return q, nil
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -49,6 +49,9 @@
 	registry  *membership.Registry
 	pool      *dispatch.Pool
 	observer  *dispatch.Observer
+	exchange  *dispatch.Exchange
+	suspects  *dispatch.Suspects
+	loads     *peer.LoadServer
 	admission *admission.Controller
 	runner    *batch.Runner
 	gateway   *gateway.Gateway
@@ -116,6 +119,8 @@
 	wg.Go(func() { h.source.Run(ctx) })
 	wg.Go(func() { h.registry.Run(ctx) })
 	wg.Go(func() { h.observer.Run(ctx) })
+	wg.Go(func() { h.exchange.Run(ctx) })
+	wg.Go(func() { h.suspects.Run(ctx) })
 	wg.Go(func() { h.admission.Run(ctx) })
 	runnerDone := make(chan struct{})
 	go func() {
@@ -133,7 +138,7 @@
 	}{
 		{"callers", h.settings.Listen, h.callers()},
 		{"operators", h.settings.AdminListen, h.admin.Handler()},
-		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration())},
+		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration(), h.loads.Registration())},
 	} {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -1,6 +1,8 @@
 package app
 
 import (
+	"crypto/sha256"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/admin"
@@ -28,6 +30,9 @@
 	Registry  *membership.Registry
 	Pool      *dispatch.Pool
 	Observer  *dispatch.Observer
+	Exchange  *dispatch.Exchange
+	Suspects  *dispatch.Suspects
+	Loads     *peer.LoadServer
 	Admission *admission.Controller
 	Runner    *batch.Runner
 	Gateway   *gateway.Gateway
@@ -41,7 +46,7 @@
 func assemble(p parts) *Host {
 	return &Host{
 		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source,
-		registry: p.Registry, pool: p.Pool, observer: p.Observer, admission: p.Admission, runner: p.Runner,
+		registry: p.Registry, pool: p.Pool, observer: p.Observer, exchange: p.Exchange, suspects: p.Suspects, loads: p.Loads, admission: p.Admission, runner: p.Runner,
 		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
 		peerCalls: p.PeerCalls, notReady: make(chan struct{}),
 	}
@@ -65,6 +70,12 @@
 	}, log)
 }
 
+// fingerprintKey is the same on every host, since all share the operators' token.
+func fingerprintKey(s config.Host) dispatch.FingerprintKey {
+	key := sha256.Sum256([]byte("request fingerprint\x00" + s.OperatorToken))
+	return key[:]
+}
+
 func operatorToken(s config.Host) admin.Token { return admin.Token(s.OperatorToken) }
 
 // hostsOfSplit is the number of hosts that the even split counts on.
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -40,18 +40,22 @@
 	registry := newRegistry(client, settings, logger)
 	pool := dispatch.NewPool()
 	engine := httpengine.New()
-	observer := dispatch.NewObserver(pool, engine, client, logger)
+	observer := dispatch.NewObserver(pool, engine, client, registry, logger)
+	dispatchFingerprintKey := fingerprintKey(settings)
+	suspects := dispatch.NewSuspects(dispatchFingerprintKey, client, registry, logger)
+	peerClient := peer.NewClient()
+	exchange := dispatch.NewExchange(pool, suspects, peerClient, registry, logger)
+	loadServer := peer.NewLoadServer(exchange, pool, suspects)
 	controller := admission.NewController(pool, metrics)
 	repository := batch.NewRepository(client)
-	dispatcher := dispatch.NewDispatcher(pool, engine, metrics)
-	path := serving.NewPath(controller, dispatcher, pool, metrics)
+	dispatcher := dispatch.NewDispatcher(pool, engine, suspects, metrics)
+	path := serving.NewPath(controller, dispatcher)
 	pathExecutor := batch.NewPathExecutor(catalogCatalog, path)
 	runner := batch.NewRunner(repository, client, pathExecutor, registry, metrics, logger)
 	limiter := newLimiter()
 	service := batch.NewService(repository)
 	gatewayGateway := gateway.New(catalogCatalog, limiter, path, service, metrics, logger)
 	token := operatorToken(settings)
-	peerClient := peer.NewClient()
 	deps := admin.Deps{
 		Token:   token,
 		Store:   client,
@@ -73,6 +77,9 @@
 		Registry:  registry,
 		Pool:      pool,
 		Observer:  observer,
+		Exchange:  exchange,
+		Suspects:  suspects,
+		Loads:     loadServer,
 		Admission: controller,
 		Runner:    runner,
 		Gateway:   gatewayGateway,
@@ -90,5 +97,5 @@
 
 var hostSet = wire.NewSet(
 	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource,
-	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newLimiter, batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newLimiter, batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/masticscale/masticscale/internal/outcome"
+	"github.com/masticscale/masticscale/internal/telemetry"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+// Answer is the beginning of an upstream's answer. The reader must call End
+// exactly once.
+type Answer struct {
+	*upstream.Answer
+	Upstream upstream.ID
+
+	place     *Place
+	cancel    context.CancelFunc
+	firstByte time.Duration
+	ended     func(failed bool) // tells the dispatcher
+}
+
+// Ending is how the reading of an answer ended.
+type Ending struct {
+	Failed bool          // the answer broke off on the upstream's side
+	Usage  outcome.Usage // tokens that were served; zero where not known
+}
+
+// End closes the answer and frees its place.
+func (a *Answer) End(e Ending) {
+	_ = a.Body.Close()
+	a.cancel()
+	failed := e.Failed && !a.place.Yielded()
+	if !failed {
+		a.place.pool.served(a.place, a.firstByte)
+	}
+	if n := e.Usage.Total(); n > 0 {
+		a.place.Settle(n)
+	}
+	a.place.Release(failed)
+	a.ended(failed)
+}
+
+func (d *Dispatcher) attempt(ctx context.Context, r *run, place *Place, number int) (*Answer, error) {
+	parent := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	ctx, span := telemetry.Tracer().Start(ctx, "upstream")
+	defer span.End()
+	span.SetAttributes(attribute.String("upstream", place.ID.String()), attribute.Int("attempt", number))
+	if !place.run(cancel) {
+		cancel()
+		return nil, &upstream.SendError{Cause: ErrYielded}
+	}
+	call := r.Call
+	call.Header = call.Header.Clone()
+	if call.Header == nil {
+		call.Header = http.Header{}
+	}
+	telemetry.Propagator().Inject(ctx, propagation.HeaderCarrier(call.Header))
+	silence := time.AfterFunc(firstByteBound, cancel)
+	start := time.Now()
+	answer, err := d.engine.Start(ctx, place.Address, call)
+	silence.Stop()
+	if err != nil {
+		cancel()
+		d.metrics.Attempts.WithLabelValues(result(place, "failed")).Inc()
+		span.RecordError(err)
+		return nil, err
+	}
+	d.metrics.Attempts.WithLabelValues("answered").Inc()
+	a := &Answer{Answer: answer, Upstream: place.ID, place: place, cancel: cancel}
+	if strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
+		a.firstByte = time.Since(start)
+	}
+	body := &attemptBody{ReadCloser: answer.Body, place: place}
+	answer.Body = body
+	a.ended = func(failed bool) { d.afterAnswer(parent, r, place, failed && body.broken.Load()) }
+	return a, nil
+}
+
+func result(place *Place, otherwise string) string {
+	if place.Yielded() {
+		return "yielded"
+	}
+	return otherwise
+}
+
+// afterAnswer accuses the request when its upstream died in mid-answer. The
+// answer has begun to reach the caller, so nothing is tried again here.
+func (d *Dispatcher) afterAnswer(ctx context.Context, r *run, place *Place, broken bool) {
+	if !broken || ctx.Err() != nil {
+		return
+	}
+	if d.probe(ctx, place) == upstream.Gone {
+		d.suspects.Accuse(ctx, r.print)
+	}
+}
+
+// attemptBody tells a yielded place from a broken connection.
+type attemptBody struct {
+	io.ReadCloser
+	place  *Place
+	broken atomic.Bool
+}
+
+func (b *attemptBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if b.place.Yielded() {
+		return n, ErrYielded
+	}
+	if err != io.EOF {
+		b.broken.Store(true)
+	}
+	return n, err
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/masticscale/masticscale/internal/apierr"
-	"github.com/masticscale/masticscale/internal/outcome"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
 )
@@ -18,6 +14,7 @@
 const (
 	maxAttempts    = 3
 	firstByteBound = 30 * time.Second
+	probeBound     = 2 * time.Second
 )
 
 // ErrYielded is what reading a batch answer returns after its place was given
@@ -34,85 +31,110 @@
 
 // Dispatcher runs the attempts of a request.
 type Dispatcher struct {
-	pool    *Pool
-	engine  upstream.Engine
-	metrics *telemetry.Metrics
+	pool     *Pool
+	engine   upstream.Engine
+	suspects *Suspects
+	budget   *retryBudget
+	metrics  *telemetry.Metrics
 }
 
 // NewDispatcher returns a dispatcher.
-func NewDispatcher(pool *Pool, engine upstream.Engine, metrics *telemetry.Metrics) *Dispatcher {
-	return &Dispatcher{pool: pool, engine: engine, metrics: metrics}
+func NewDispatcher(pool *Pool, engine upstream.Engine, suspects *Suspects, metrics *telemetry.Metrics) *Dispatcher {
+	return &Dispatcher{pool: pool, engine: engine, suspects: suspects, budget: newRetryBudget(), metrics: metrics}
 }
 
-// Answer is the beginning of an upstream's answer. The reader must call End
-// exactly once.
-type Answer struct {
-	*upstream.Answer
-	Upstream upstream.ID
-
-	place  *Place
-	cancel context.CancelFunc
-}
-
-// Ending is how the reading of an answer ended.
-type Ending struct {
-	Failed bool          // the answer broke off on the upstream's side
-	Usage  outcome.Usage // tokens that were served; zero where not known
+// run is one request on its way through its attempts.
+type run struct {
+	Request
+	print Fingerprint
+	avoid map[upstream.ID]bool
 }
 
-// End closes the answer and frees its place.
-func (a *Answer) End(e Ending) {
-	_ = a.Body.Close()
-	a.cancel()
-	a.place.Release(e.Failed)
+// Check refuses a request that has crashed upstreams before.
+func (d *Dispatcher) Check(req Request) error {
+	if d.suspects.State(FingerprintOf(d.suspects.key, req)) == Condemned {
+		return quarantined()
+	}
+	return nil
 }
 
 // Do runs the request at the reserved place, and again elsewhere when the
-// attempt failed and another one does no harm.
+// attempt failed and another one does no harm. A request whose upstream died
+// runs again only alone.
 func (d *Dispatcher) Do(ctx context.Context, req Request, place *Place) (*Answer, error) {
-	avoid := map[upstream.ID]bool{}
+	r := &run{Request: req, print: FingerprintOf(d.suspects.key, req), avoid: map[upstream.ID]bool{}}
+	d.budget.earn()
+	switch d.suspects.State(r.print) {
+	case Condemned:
+		place.Release(false)
+		return nil, quarantined()
+	case Suspected:
+		place.Release(false)
+		return d.runAlone(ctx, r, place.settle)
+	}
 	for attempt := 1; ; attempt++ {
-		answer, err := d.attempt(ctx, req, place, attempt)
+		answer, err := d.attempt(ctx, r, place, attempt)
 		if err == nil {
 			return answer, nil
 		}
-		place.Release(ctx.Err() == nil)
+		if place.Yielded() {
+			place.Release(false)
+			return nil, ErrYielded
+		}
 		failure := classify(ctx, err)
-		canRepeat := req.Call.Repeatable || failure.Execution == apierr.NotRun
-		if !canRepeat || attempt >= maxAttempts || ctx.Err() != nil {
+		died := d.afterFailure(ctx, r, place, failure)
+		switch {
+		case !d.mayRepeat(ctx, r, failure, attempt):
+			place.Settle(0)
 			return nil, failure
+		case died:
+			return d.runAlone(ctx, r, place.settle)
 		}
-		avoid[place.ID] = true
-		next, ok := d.pool.Reserve(Need{Service: req.Service, Class: req.Class, Avoid: avoid})
+		next, ok := d.pool.Reserve(Need{Service: r.Service, Class: r.Class, Avoid: r.avoid})
 		if !ok {
+			place.Settle(0)
 			return nil, failure
 		}
+		next.settle = place.settle
 		place = next
 	}
 }
 
-func (d *Dispatcher) attempt(ctx context.Context, req Request, place *Place, number int) (*Answer, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	ctx, span := telemetry.Tracer().Start(ctx, "upstream")
-	defer span.End()
-	span.SetAttributes(attribute.String("upstream", place.ID.String()), attribute.Int("attempt", number))
-	call := req.Call
-	call.Header = call.Header.Clone()
-	if call.Header == nil {
-		call.Header = http.Header{}
+// mayRepeat reports whether another attempt does no harm and is affordable.
+func (d *Dispatcher) mayRepeat(ctx context.Context, r *run, failure *apierr.Error, attempt int) bool {
+	if ctx.Err() != nil || attempt >= maxAttempts {
+		return false
 	}
-	telemetry.Propagator().Inject(ctx, propagation.HeaderCarrier(call.Header))
-	silence := time.AfterFunc(firstByteBound, cancel)
-	answer, err := d.engine.Start(ctx, place.Address, call)
-	silence.Stop()
-	if err != nil {
-		cancel()
-		d.metrics.Attempts.WithLabelValues("failed").Inc()
-		span.RecordError(err)
-		return nil, err
+	if !r.Call.Repeatable && failure.Execution != apierr.NotRun {
+		return false
 	}
-	d.metrics.Attempts.WithLabelValues("answered").Inc()
-	return &Answer{Answer: answer, Upstream: place.ID, place: place, cancel: cancel}, nil
+	return d.budget.spend()
+}
+
+// afterFailure frees the place, learns what became of the upstream and accuses
+// the request when the upstream died under it.
+func (d *Dispatcher) afterFailure(ctx context.Context, r *run, place *Place, failure *apierr.Error) bool {
+	if ctx.Err() != nil {
+		place.Release(false)
+		return false
+	}
+	r.avoid[place.ID] = true
+	place.Release(true)
+	health := d.probe(ctx, place)
+	if health != upstream.Gone || failure.Execution == apierr.NotRun {
+		return false
+	}
+	d.suspects.Accuse(ctx, r.print)
+	return true
+}
+
+// probe checks the upstream's health and passes the result on.
+func (d *Dispatcher) probe(ctx context.Context, place *Place) upstream.Health {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeBound)
+	defer cancel()
+	health := upstream.HealthOf(d.engine.Healthy(ctx, place.Address))
+	d.pool.Observe(place.ID, health)
+	return health
 }
 
 // classify turns a failed attempt into the caller's error.
--- /dev/null
+++ b/internal/dispatch/fixture_test.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/service"
+	"github.com/masticscale/masticscale/internal/telemetry"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+const (
+	testService = "aires-lm"
+	testSlots   = 8
+	poison      = "crash-this-engine"
+)
+
+// fleet is the world outside the hosts: engines and the platform's objects.
+type fleet struct {
+	mu       sync.Mutex
+	dead     map[string]bool
+	attempts int
+	flaky    bool              // every attempt breaks, but health checks succeed
+	running  map[string][]stop // by address
+	gate     chan struct{}     // answers wait for it; nil does not wait
+	objects  map[string]platform.Object
+	version  int64
+}
+
+type stop chan struct{}
+
+func newFleet() *fleet {
+	return &fleet{dead: map[string]bool{}, running: map[string][]stop{}, objects: map[string]platform.Object{}}
+}
+
+var errReset = errors.New("connection reset by peer")
+
+// Start implements upstream.Engine. A poison request kills its engine and with
+// it every request that runs there.
+func (f *fleet) Start(ctx context.Context, address string, call upstream.Call) (*upstream.Answer, error) {
+	f.mu.Lock()
+	f.attempts++
+	if f.dead[address] {
+		f.mu.Unlock()
+		return nil, &upstream.SendError{Cause: errors.New("connection refused")}
+	}
+	if f.flaky {
+		f.mu.Unlock()
+		return nil, &upstream.SendError{Sent: true, Cause: errReset}
+	}
+	if strings.Contains(string(call.Body), poison) {
+		f.dead[address] = true
+		for _, s := range f.running[address] {
+			close(s)
+		}
+		f.running[address] = nil
+		f.mu.Unlock()
+		return nil, &upstream.SendError{Sent: true, Cause: errReset}
+	}
+	died := make(stop)
+	f.running[address] = append(f.running[address], died)
+	gate := f.gate
+	f.mu.Unlock()
+	if gate != nil {
+		select {
+		case <-gate:
+		case <-died:
+			return nil, &upstream.SendError{Sent: true, Cause: errReset}
+		case <-ctx.Done():
+			return nil, &upstream.SendError{Sent: true, Cause: ctx.Err()}
+		}
+	}
+	body := io.NopCloser(&ctxReader{ctx, strings.NewReader(string(call.Body))})
+	return &upstream.Answer{Status: http.StatusOK, Header: http.Header{}, Body: body}, nil
+}
+
+type ctxReader struct {
+	ctx context.Context
+	r   io.Reader
+}
+
+func (r *ctxReader) Read(p []byte) (int, error) {
+	if r.ctx.Err() != nil {
+		return 0, r.ctx.Err()
+	}
+	return r.r.Read(p)
+}
+
+// Load implements upstream.Engine.
+func (f *fleet) Load(context.Context, string) (upstream.Load, error) { return upstream.Load{}, nil }
+
+// Healthy implements upstream.Engine.
+func (f *fleet) Healthy(_ context.Context, address string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dead[address] {
+		return errors.New("connection refused")
+	}
+	return nil
+}
+
+func (f *fleet) lost() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.dead)
+}
+
+// Create implements platform.Store.
+func (f *fleet) Create(_ context.Context, kind platform.Kind, name string, value any) (platform.Object, error) {
+	return f.put(kind, name, 0, value)
+}
+
+// Update implements platform.Store.
+func (f *fleet) Update(_ context.Context, kind platform.Kind, name string, version int64, value any) (platform.Object, error) {
+	return f.put(kind, name, version, value)
+}
+
+func (f *fleet) put(kind platform.Kind, name string, version int64, value any) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.objects[name].Version != version {
+		return platform.Object{}, platform.ErrConflict
+	}
+	text, err := json.Marshal(value)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	f.version++
+	f.objects[name] = platform.Object{Kind: kind, Name: name, Version: f.version, Value: text}
+	return f.objects[name], nil
+}
+
+// Get implements platform.Store.
+func (f *fleet) Get(_ context.Context, _ platform.Kind, name string) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o, ok := f.objects[name]; ok {
+		return o, nil
+	}
+	return platform.Object{}, platform.ErrNotFound
+}
+
+// Delete implements platform.Store.
+func (f *fleet) Delete(_ context.Context, _ platform.Kind, name string, version int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.objects[name].Version == version {
+		delete(f.objects, name)
+	}
+	return nil
+}
+
+// List implements platform.Store.
+func (f *fleet) List(context.Context, platform.Kind, string) ([]platform.Object, int64, error) {
+	return nil, 0, platform.ErrUnavailable
+}
+
+// Watch implements platform.Store.
+func (f *fleet) Watch(context.Context, platform.Kind, int64) (platform.Watcher, error) {
+	return nil, platform.ErrUnavailable
+}
+
+// alone implements membership.Feed for one host.
+type alone struct{ name string }
+
+func (a alone) Self() membership.Host          { return membership.Host{Name: a.name, Epoch: 1} }
+func (a alone) Owns() bool                     { return true }
+func (a alone) Members() []membership.Host     { return []membership.Host{a.Self()} }
+func (a alone) Lapsed(o membership.Owner) bool { return false }
+
+// testHost is the dispatching part of one host.
+type testHost struct {
+	pool       *Pool
+	dispatcher *Dispatcher
+	suspects   *Suspects
+}
+
+// newHosts returns hosts whose verdicts reach each other at once.
+func newHosts(f *fleet, hosts int, upstreams ...string) []*testHost {
+	var all []*testHost
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range hosts {
+		p := NewPool()
+		p.Apply(snapshotOf(upstreams...))
+		s := NewSuspects(FingerprintKey("k"), f, alone{name: string(rune('a' + i))}, log)
+		all = append(all, &testHost{pool: p, suspects: s, dispatcher: NewDispatcher(p, f, s, telemetry.NewMetrics())})
+	}
+	for _, h := range all {
+		h.suspects.OnVerdict(func(_ context.Context, list []Suspicion) {
+			for _, other := range all {
+				for _, x := range list {
+					other.suspects.Learn(x)
+				}
+			}
+		})
+	}
+	return all
+}
+
+func snapshotOf(upstreams ...string) *catalog.Snapshot {
+	specs := map[string]upstream.Spec{}
+	for _, name := range upstreams {
+		specs[name] = upstream.Spec{Address: "http://" + name, Slots: testSlots}
+	}
+	return &catalog.Snapshot{Services: map[string]service.Spec{testService: {Kind: service.Engine, Upstreams: specs}}}
+}
+
+func idOf(name string) upstream.ID { return upstream.ID{Service: testService, Name: name} }
+
+// run sends one request through the host and returns its whole answer.
+func (h *testHost) run(ctx context.Context, class Class, body string) (string, error) {
+	req := Request{Team: "t", Service: testService, Class: class, Call: upstream.Call{Body: []byte(body), Repeatable: true}}
+	if err := h.dispatcher.Check(req); err != nil {
+		return "", err
+	}
+	place, ok := h.pool.Reserve(Need{Service: testService, Class: class})
+	if !ok {
+		return "", errors.New("no place")
+	}
+	answer, err := h.dispatcher.Do(ctx, req, place)
+	if err != nil {
+		return "", err
+	}
+	text, err := io.ReadAll(answer.Body)
+	answer.End(Ending{Failed: err != nil})
+	return string(text), err
+}
+
+func reserve(t *testing.T, p *Pool, class Class, n int) []*Place {
+	var out []*Place
+	for range n {
+		place, ok := p.Reserve(Need{Service: testService, Class: class})
+		qt.Assert(t, ok, qt.IsTrue)
+		out = append(out, place)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+// Place is a reserved place at one upstream.
+type Place struct {
+	ID      upstream.ID
+	Address string
+	Class   Class
+
+	pool   *Pool
+	target *target
+	start  time.Time
+	trial  bool
+
+	once    sync.Once
+	mu      sync.Mutex
+	yielded bool
+	cancel  context.CancelFunc // of the attempt that runs here
+	settle  func(tokens int)
+}
+
+// Release frees the place. Failed says that the upstream broke the attempt off;
+// it is then checked before it gets new work.
+func (p *Place) Release(failed bool) {
+	p.once.Do(func() { p.pool.release(p, failed && !p.Yielded()) })
+}
+
+// OnSettle registers the function that learns how many tokens were served.
+func (p *Place) OnSettle(f func(tokens int)) { p.settle = f }
+
+// Settle reports the tokens that were served at the place.
+func (p *Place) Settle(tokens int) {
+	if p.settle != nil {
+		p.settle(tokens)
+	}
+}
+
+// Yielded reports whether the place was given to online work.
+func (p *Place) Yielded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.yielded
+}
+
+// run ties the attempt to the place: cancel is called when the place is given
+// away. It reports false when that has already happened.
+func (p *Place) run(cancel context.CancelFunc) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cancel = cancel
+	return !p.yielded
+}
+
+// yield stops the attempt that runs at the place.
+func (p *Place) yield() {
+	p.mu.Lock()
+	p.yielded = true
+	cancel := p.cancel
+	p.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func cancelAll(places []*Place) {
+	for _, p := range places {
+		p.yield()
+	}
+}
+
+// Yield stops that many of this host's batch requests at the upstream, newest
+// first, because another host has online work for it.
+func (p *Pool) Yield(id upstream.ID, n int) {
+	p.mu.Lock()
+	var yields []*Place
+	if t, ok := p.targets[id]; ok {
+		yields = t.takeYields(n)
+	}
+	p.mu.Unlock()
+	cancelAll(yields)
+}
--- /dev/null
+++ b/internal/dispatch/poison_test.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+)
+
+func TestPoisonRequestIsContained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet()
+		f.gate = make(chan struct{})
+		hosts := newHosts(f, 4, "e1", "e2", "e3", "e4", "e5", "e6")
+		var wg sync.WaitGroup
+		answers := make([]string, 40)
+		failures := make([]error, len(answers))
+		for i := range answers {
+			wg.Go(func() {
+				answers[i], failures[i] = hosts[i%len(hosts)].run(context.Background(), Online, fmt.Sprintf("innocent %d", i))
+			})
+		}
+		synctest.Wait()
+		go func() {
+			time.Sleep(time.Second)
+			close(f.gate)
+		}()
+		for _, h := range hosts {
+			_, err := h.run(context.Background(), Online, poison)
+			c.Assert(apierr.IsKind(err, apierr.Quarantined), qt.IsTrue, qt.Commentf("%v", err))
+		}
+		wg.Wait()
+		c.Assert(f.lost() <= 2, qt.IsTrue, qt.Commentf("%d upstreams lost", f.lost()))
+		for i := range answers {
+			c.Assert(failures[i], qt.IsNil)
+			c.Assert(answers[i], qt.Equals, fmt.Sprintf("innocent %d", i))
+		}
+		c.Assert(len(f.objects), qt.Equals, 1, qt.Commentf("%v", f.objects))
+	})
+}
+
+func TestBrokenConnectionAccusesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet()
+		f.flaky = true
+		h := newHosts(f, 1, "e1", "e2", "e3", "e4")[0]
+		for range 3 {
+			_, err := h.run(context.Background(), Online, "hello")
+			c.Assert(apierr.IsKind(err, apierr.UpstreamError), qt.IsTrue, qt.Commentf("%v", err))
+			time.Sleep(time.Minute)
+		}
+		f.flaky = false
+		text, err := h.run(context.Background(), Online, "hello")
+		c.Assert(err, qt.IsNil)
+		c.Assert(text, qt.Equals, "hello")
+		c.Assert(f.objects, qt.HasLen, 0)
+	})
+}
+
+func TestTrialIsHeldFleetWide(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet()
+	hosts := newHosts(f, 2, "e1", "e2")
+	ctx := context.Background()
+	a, b := Fingerprint{1}, Fingerprint{2}
+	release, err := hosts[0].suspects.Hold(ctx, a, idOf("e1"))
+	c.Assert(err, qt.IsNil)
+	_, err = hosts[1].suspects.Hold(ctx, a, idOf("e2"))
+	c.Assert(err, qt.IsNotNil) // the same suspect
+	_, err = hosts[1].suspects.Hold(ctx, b, idOf("e1"))
+	c.Assert(err, qt.IsNotNil) // the same upstream
+	release()
+	release, err = hosts[1].suspects.Hold(ctx, b, idOf("e1"))
+	c.Assert(err, qt.IsNil)
+	release()
+	c.Assert(f.objects, qt.HasLen, 0)
+}
+
+func TestFingerprintsDifferByTeamAndKey(t *testing.T) {
+	c := qt.New(t)
+	a, b := Request{Team: "a"}, Request{Team: "b"}
+	k, l := FingerprintKey("k"), FingerprintKey("l")
+	c.Assert(FingerprintOf(k, a), qt.Equals, FingerprintOf(k, a))
+	c.Assert(FingerprintOf(k, a), qt.Not(qt.Equals), FingerprintOf(k, b))
+	c.Assert(FingerprintOf(k, a), qt.Not(qt.Equals), FingerprintOf(l, a))
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -1,12 +1,12 @@
 // Package dispatch chooses an upstream for a request and runs its attempts.
 //
 // Contract: filter, score, pick. A place at an upstream is reserved before an
-// attempt and freed after it. A failure is reported as not run only when no
-// byte can have reached an upstream.
+// attempt and freed after it. Online requests take the places of batch
+// requests, never the other way round. A failure is reported as not run only
+// when no byte can have reached an upstream.
 package dispatch
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,61 +23,34 @@
 	Batch  Class = "batch"
 )
 
-const (
-	failurePause   = 2 * time.Second // no new work after a failed attempt
-	batchHeadroom  = 0.25            // part of an upstream's slots that batch leaves free
-	reportLifetime = 10 * time.Second
-)
-
-// target is one upstream as this host sees it.
-type target struct {
-	id         upstream.ID
-	spec       upstream.Spec
-	online     int // own attempts in progress
-	batch      int
-	reported   upstream.Load
-	reportedAt time.Time
-	pausedTo   time.Time // after failures
-	leaving    bool
-}
-
-func (t *target) own() int { return t.online + t.batch }
-
-// load is the lag-corrected number of requests at the upstream: its last report
-// or this host's own requests, whichever is more.
-func (t *target) load(now time.Time) int {
-	reported := 0
-	if now.Sub(t.reportedAt) < reportLifetime {
-		reported = t.reported.Running + t.reported.Waiting
-	}
-	return max(reported, t.own())
-}
-
-// Place is a reserved place at one upstream.
-type Place struct {
-	ID      upstream.ID
-	Address string
+// Need describes the place that a request needs.
+type Need struct {
+	Service string
 	Class   Class
-
-	pool *Pool
-	once sync.Once
-}
-
-// Release frees the place. Failed keeps new work away for a moment.
-func (p *Place) Release(failed bool) {
-	p.once.Do(func() { p.pool.release(p, failed) })
+	Avoid   map[upstream.ID]bool // upstreams that failed this request
+	Trial   bool                 // the request runs alone among this host's requests
 }
 
-// Pool holds the upstreams of all services.
+// Pool holds the upstreams of all services. Its methods may be called from any
+// goroutine; functions that it calls are called without its lock.
 type Pool struct {
 	mu      sync.Mutex
 	targets map[upstream.ID]*target
-	freed   func() // called after a place was freed or an upstream was added
+	shares  shares
+	freed   func()                 // called after a place may have become free
+	crowded func(upstream.ID, int) // called when other hosts' batch stands in the way
+	suspect func(upstream.ID)      // called when an attempt failed and a probe is due
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{targets: map[upstream.ID]*target{}, freed: func() {}}
+	return &Pool{
+		targets: map[upstream.ID]*target{},
+		shares:  newShares(),
+		freed:   func() {},
+		crowded: func(upstream.ID, int) {},
+		suspect: func(upstream.ID) {},
+	}
 }
 
 // OnFreed registers the function that is told when a place may be free.
@@ -87,11 +60,26 @@
 	p.freed = f
 }
 
+// OnCrowded registers the function that is told when an online request found an
+// upstream full because of that many batch requests of other hosts.
+func (p *Pool) OnCrowded(f func(upstream.ID, int)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crowded = f
+}
+
+// OnSuspect registers the function that is told when an upstream failed an
+// attempt and its health is to be checked.
+func (p *Pool) OnSuspect(f func(upstream.ID)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspect = f
+}
+
 // Apply takes over the upstreams of a snapshot. Upstreams that are gone get no
 // new work; their running requests end by themselves.
 func (p *Pool) Apply(s *catalog.Snapshot) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	seen := map[upstream.ID]bool{}
 	for service, spec := range s.Services {
 		for name, u := range spec.Upstreams {
@@ -102,11 +90,13 @@
 	}
 	for id, t := range p.targets {
 		if !seen[id] {
-			t.leaving = true
+			delete(p.shares.divided, t)
 			delete(p.targets, id)
 		}
 	}
-	go p.freed()
+	freed := p.freed
+	p.mu.Unlock()
+	freed()
 }
 
 func (p *Pool) put(id upstream.ID, spec upstream.Spec) {
@@ -114,135 +104,107 @@
 		t.spec = spec
 		return
 	}
-	p.targets[id] = &target{id: id, spec: spec}
+	p.targets[id] = newTarget(id, spec)
 }
 
-// Need describes the place that a request needs.
-type Need struct {
-	Service string
-	Class   Class
-	Avoid   map[upstream.ID]bool // upstreams that failed this request
-}
-
-// Reserve picks an upstream with room, by two random choices, and reserves a
-// place there.
+// Reserve picks an upstream with room and reserves a place there. For an online
+// request it takes the place of a batch request where nothing else is free.
 func (p *Pool) Reserve(n Need) (*Place, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	now := time.Now()
-	candidates := p.filter(n, now)
-	if len(candidates) == 0 {
+	p.mu.Lock()
+	p.shares.noteDemand(n, now)
+	c := p.choose(n, now)
+	if c.target == nil {
+		p.mu.Unlock()
 		return nil, false
 	}
-	best := pickOfTwo(candidates, now)
-	if n.Class == Batch {
-		best.batch++
-	} else {
-		best.online++
-	}
-	return &Place{ID: best.id, Address: best.spec.Address, Class: n.Class, pool: p}, true
-}
-
-// filter returns the upstreams that can take the request now.
-func (p *Pool) filter(n Need, now time.Time) []*target {
-	var out []*target
-	for _, t := range p.targets {
-		if t.id.Service == n.Service && !t.leaving && !n.Avoid[t.id] && now.After(t.pausedTo) && hasRoom(t, n.Class, now) {
-			out = append(out, t)
-		}
+	place := p.place(c.target, n, now)
+	yields := c.target.takeYields(c.yields)
+	crowded := p.crowded
+	p.mu.Unlock()
+	cancelAll(yields)
+	if c.foreign > 0 {
+		crowded(place.ID, c.foreign)
 	}
-	return out
+	return place, true
 }
 
-// hasRoom reports whether a request of the class fits. Batch leaves headroom,
-// so that an online request always finds a slot.
-func hasRoom(t *target, class Class, now time.Time) bool {
-	slots := t.spec.EffectiveSlots()
-	if class == Online {
-		return t.online < slots
+// place books a place; the caller holds mu.
+func (p *Pool) place(t *target, n Need, now time.Time) *Place {
+	place := &Place{ID: t.id, Address: t.spec.Address, Class: n.Class, pool: p, target: t, start: now, trial: n.Trial}
+	if n.Class == Batch {
+		t.batch[place] = struct{}{}
+	} else {
+		t.online++
 	}
-	limit := int(float64(slots) * (1 - batchHeadroom))
-	return t.load(now) < max(limit, 1)
-}
-
-func pickOfTwo(candidates []*target, now time.Time) *target {
-	a := candidates[rand.IntN(len(candidates))]
-	b := candidates[rand.IntN(len(candidates))]
-	if relativeLoad(b, now) < relativeLoad(a, now) {
-		return b
+	if n.Trial {
+		t.trial = true
 	}
-	return a
+	return place
 }
 
-func relativeLoad(t *target, now time.Time) float64 {
-	return float64(t.load(now)) / float64(t.spec.EffectiveSlots())
+// Availability says whether a service can take work at all.
+type Availability struct {
+	Known   bool          // the service has upstreams
+	Usable  bool          // at least one of them takes work, now or when it is less busy
+	RetryIn time.Duration // until the next check of one that failed
 }
 
-func (p *Pool) release(place *Place, failed bool) {
+// Availability returns whether any upstream of the service takes work.
+func (p *Pool) Availability(service string) Availability {
+	now := time.Now()
 	p.mu.Lock()
-	if t, ok := p.targets[place.ID]; ok {
-		if place.Class == Batch {
-			t.batch--
-		} else {
-			t.online--
+	defer p.mu.Unlock()
+	a := Availability{RetryIn: maxPause}
+	for id, t := range p.targets {
+		if id.Service != service {
+			continue
 		}
-		if failed {
-			t.pausedTo = time.Now().Add(failurePause)
+		a.Known = true
+		if t.usable(now) {
+			a.Usable = true
 		}
+		a.RetryIn = min(a.RetryIn, max(t.health.pausedTo.Sub(now), minRetryIn))
 	}
-	freed := p.freed
-	p.mu.Unlock()
-	freed()
+	return a
 }
 
 // Exists reports whether the service has any upstream.
-func (p *Pool) Exists(service string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id := range p.targets {
-		if id.Service == service {
-			return true
-		}
-	}
-	return false
-}
+func (p *Pool) Exists(service string) bool { return p.Availability(service).Known }
 
-// Status is one upstream as operators see it.
-type Status struct {
-	Service    string `json:"service"`
-	Name       string `json:"name"`
-	Address    string `json:"address"`
-	DataCentre string `json:"data_centre"`
-	Slots      int    `json:"slots"`
-	Online     int    `json:"online"`
-	Batch      int    `json:"batch"`
-	Reported   int    `json:"reported"`
-	State      string `json:"state"`
-}
-
-// Statuses returns the state of every upstream.
-func (p *Pool) Statuses() []Status {
+// release frees a place.
+func (p *Pool) release(place *Place, failed bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	var out []Status
-	for _, t := range p.targets {
-		out = append(out, Status{
-			Service: t.id.Service, Name: t.id.Name, Address: t.spec.Address, DataCentre: t.spec.DataCentre,
-			Slots: t.spec.EffectiveSlots(), Online: t.online, Batch: t.batch,
-			Reported: t.reported.Running + t.reported.Waiting, State: stateOf(t, now),
-		})
+	t := place.target
+	if place.Class == Online {
+		t.online--
 	}
-	return out
+	delete(t.batch, place)
+	if place.trial {
+		t.trial = false
+	}
+	if failed {
+		t.health.fail(time.Now())
+	}
+	freed, suspect := p.freed, p.suspect
+	p.mu.Unlock()
+	if failed {
+		suspect(place.ID)
+	}
+	freed()
 }
 
-func stateOf(t *target, now time.Time) string {
-	switch {
-	case t.leaving:
-		return "leaving"
-	case now.Before(t.pausedTo):
-		return "paused"
-	default:
-		return "live"
+// update changes a target under the lock and then looks for waiting requests.
+func (p *Pool) update(id upstream.ID, change func(*target)) {
+	p.mu.Lock()
+	t, ok := p.targets[id]
+	var yields []*Place
+	if ok {
+		change(t)
+		yields = t.takeYields(t.excess(time.Now()))
 	}
+	freed := p.freed
+	p.mu.Unlock()
+	cancelAll(yields)
+	freed()
 }
--- /dev/null
+++ b/internal/dispatch/pool_test.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+func newTestPool(upstreams ...string) *Pool {
+	p := NewPool()
+	p.Apply(snapshotOf(upstreams...))
+	return p
+}
+
+func TestNewestBatchRequestYieldsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newTestPool("e1")
+		var batch []*Place
+		for range 6 {
+			batch = append(batch, reserve(t, p, Batch, 1)...)
+			time.Sleep(time.Second)
+		}
+		reserve(t, p, Online, 2)
+		c.Assert(batch[5].Yielded(), qt.IsFalse)
+		reserve(t, p, Online, 1)
+		c.Assert(batch[5].Yielded(), qt.IsTrue)
+		c.Assert(batch[4].Yielded(), qt.IsFalse)
+	})
+}
+
+func TestBatchGivesUpAYoungPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newTestPool("e1")
+		for _, o := range reserve(t, p, Online, 1) {
+			p.served(o, 2*time.Second) // the usual time to the first byte: 0.2 s
+			o.Release(false)
+		}
+		old := reserve(t, p, Batch, 1)[0]
+		time.Sleep(time.Second)
+		young := reserve(t, p, Batch, 1)[0]
+		time.Sleep(time.Millisecond)
+		reserve(t, p, Online, 1)
+		c.Assert(young.Yielded(), qt.IsTrue)
+		c.Assert(old.Yielded(), qt.IsFalse)
+	})
+}
+
+func TestYieldedAnswerIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet()
+		f.gate = make(chan struct{})
+		h := newHosts(f, 1, "e1")[0]
+		ended := make(chan error, 1)
+		go func() {
+			_, err := h.run(context.Background(), Batch, "item")
+			ended <- err
+		}()
+		synctest.Wait()
+		reserve(t, h.pool, Online, testSlots)
+		c.Assert(<-ended, qt.ErrorIs, ErrYielded)
+		c.Assert(h.pool.Statuses()[0].State, qt.Equals, "live")
+		c.Assert(f.attempts, qt.Equals, 1)
+	})
+}
+
+func TestBatchCountsOtherHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newTestPool("e1")
+		p.ReportPeer("other", idOf("e1"), PeerLoad{Batch: 4, At: time.Now()})
+		reserve(t, p, Batch, 2)
+		_, ok := p.Reserve(Need{Service: testService, Class: Batch})
+		c.Assert(ok, qt.IsFalse)
+		time.Sleep(2 * peerLifetime)
+		reserve(t, p, Batch, 4)
+	})
+}
+
+func TestAsksOtherHostsForRoom(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool("e1")
+	asked := 0
+	p.OnCrowded(func(_ upstream.ID, n int) { asked += n })
+	p.ReportPeer("other", idOf("e1"), PeerLoad{Batch: testSlots, At: time.Now()})
+	reserve(t, p, Online, 1)
+	c.Assert(asked, qt.Equals, 1)
+}
+
+func TestBusyReportMakesBatchYield(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool("e1")
+	batch := reserve(t, p, Batch, 4)
+	p.ReportAt(idOf("e1"), upstream.Load{Running: testSlots, Waiting: 3}, time.Now())
+	yielded := 0
+	for _, b := range batch {
+		if b.Yielded() {
+			yielded++
+		}
+	}
+	c.Assert(yielded, qt.Equals, 4)
+}
+
+func TestLoadIsCorrectedForLag(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool("e1")
+	p.ReportAt(idOf("e1"), upstream.Load{Running: 6}, time.Now())
+	places := reserve(t, p, Online, 2)
+	_, ok := p.Reserve(Need{Service: testService, Class: Online})
+	c.Assert(ok, qt.IsFalse)
+	places[0].Release(false)
+	reserve(t, p, Online, 1)
+}
+
+func TestSharesNeverExceedTheSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var hosts []string
+		for i := range rapid.IntRange(1, 48).Draw(t, "hosts") {
+			hosts = append(hosts, fmt.Sprintf("h%d", i))
+		}
+		slots := rapid.IntRange(1, 64).Draw(t, "slots")
+		id := rapid.String().Draw(t, "id")
+		sum, moved := 0, 0
+		for _, h := range hosts {
+			own := share(h, hosts, id, slots)
+			sum += own
+			if h != hosts[0] {
+				moved += max(own-share(h, hosts[1:], id, slots), 0)
+			}
+		}
+		if sum != slots {
+			t.Fatalf("shares sum to %d, want %d", sum, slots)
+		}
+		if moved != 0 {
+			t.Fatalf("a host that left took %d slots of others with it", moved)
+		}
+	})
+}
+
+func TestReleaseAfterTheAddressChanged(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool("e1")
+	place := reserve(t, p, Online, 1)[0]
+	s := snapshotOf("e1")
+	s.Services[testService].Upstreams["e1"] = upstream.Spec{Address: "http://elsewhere", Slots: testSlots}
+	p.Apply(s)
+	place.Release(false)
+	c.Assert(p.Statuses()[0].Online, qt.Equals, 0)
+}
+
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	for name, leave := range map[string]func(*Pool){
+		"host list":    func(p *Pool) { p.MarkLeaving(map[string]bool{"e1": true}) },
+		"health check": func(p *Pool) { p.Observe(idOf("e1"), upstream.Draining) },
+		"peer's hint": func(p *Pool) {
+			p.Absorb(Row{Host: "other", At: time.Now(), Upstreams: []UpstreamRow{{ID: idOf("e1"), Leaving: true}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newTestPool("e1", "e2")
+			held := reserve(t, p, Online, 6)
+			leave(p)
+			for _, class := range []Class{Online, Batch} {
+				for range 4 {
+					place, ok := p.Reserve(Need{Service: testService, Class: class})
+					c.Assert(ok, qt.IsTrue)
+					c.Assert(place.ID, qt.Equals, idOf("e2"))
+					place.Release(false)
+				}
+			}
+			for _, h := range held {
+				c.Assert(h.Yielded(), qt.IsFalse)
+			}
+		})
+	}
+}
+
+func TestHintsAreNotPassedOn(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool("e1")
+	p.HintLeaving(idOf("e1"), time.Now())
+	c.Assert(p.ownRow(time.Now()), qt.HasLen, 0)
+	p.Observe(idOf("e1"), upstream.Draining)
+	c.Assert(p.ownRow(time.Now())[0].Leaving, qt.IsTrue)
+}
+
+func TestRetriesAreAFractionOfTheTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet()
+		f.flaky = true
+		h := newHosts(f, 1, "e1", "e2", "e3")[0]
+		const requests = 1000
+		for range requests {
+			_, err := h.run(context.Background(), Online, "hello")
+			for err != nil && err.Error() == "no place" {
+				time.Sleep(maxPause)
+				_, err = h.run(context.Background(), Online, "hello")
+			}
+			c.Assert(err, qt.IsNotNil)
+		}
+		c.Assert(f.attempts <= requests*11/10+int(retryReserve), qt.IsTrue, qt.Commentf("%d attempts", f.attempts))
+	})
+}
+
+func TestFailingUpstreamPausesLongerEachTime(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(0, 0)
+	var h health
+	var last time.Duration
+	for range 5 {
+		h.fail(now)
+		c.Assert(h.pausedTo.Sub(now) > last, qt.IsTrue)
+		last = h.pausedTo.Sub(now)
+		now = h.pausedTo
+	}
+	for range 20 {
+		h.fail(now)
+	}
+	c.Assert(h.pausedTo.Sub(now), qt.Equals, maxPause)
+	h.served()
+	c.Assert(h.paused(now), qt.IsFalse)
+}
+
+func TestLimitFollowsLatency(t *testing.T) {
+	c := qt.New(t)
+	l := newLimit()
+	for range 2 * limitSamples {
+		l.observe(100 * time.Millisecond)
+	}
+	c.Assert(l.of(32), qt.Equals, 32)
+	for range 50 {
+		l.observe(2 * time.Second)
+	}
+	c.Assert(l.of(32), qt.Equals, 8)
+	for range 100 {
+		l.observe(110 * time.Millisecond)
+	}
+	c.Assert(l.of(32), qt.Equals, 32)
+}
--- /dev/null
+++ b/internal/dispatch/rows.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+// Row is what one host knows of upstreams at first hand.
+type Row struct {
+	Host          string
+	Epoch         int64
+	Sequence      uint64
+	At            time.Time // on this host's clock
+	BatchServices []string
+	Upstreams     []UpstreamRow
+}
+
+// UpstreamRow is one upstream in a row.
+type UpstreamRow struct {
+	ID         upstream.ID
+	Online     int
+	Batch      int
+	Leaving    bool
+	Report     *upstream.Load // nil when the host has no fresh one
+	ReportedAt time.Time
+}
+
+// newer reports whether the row replaces the other one of the same host.
+func (r Row) newer(than Row) bool {
+	if r.Epoch != than.Epoch {
+		return r.Epoch > than.Epoch
+	}
+	return r.Sequence > than.Sequence
+}
+
+// ownRow returns what this host knows at first hand. Upstreams without news are
+// left out, so that the row grows with traffic and not with the fleet.
+func (p *Pool) ownRow(now time.Time) []UpstreamRow {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []UpstreamRow
+	for _, t := range p.targets {
+		row := UpstreamRow{ID: t.id, Online: t.online, Batch: len(t.batch), Leaving: t.leavingListed || t.leavingHealth}
+		if t.reportedHere && now.Sub(t.reportedAt) < reportLifetime {
+			load := t.reported
+			row.Report, row.ReportedAt = &load, t.reportedAt
+		}
+		if row.Online > 0 || row.Batch > 0 || row.Leaving || row.Report != nil {
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
+// Absorb takes over another host's row.
+func (p *Pool) Absorb(r Row) {
+	present := map[upstream.ID]bool{}
+	for _, u := range r.Upstreams {
+		present[u.ID] = true
+		p.ReportPeer(r.Host, u.ID, PeerLoad{Online: u.Online, Batch: u.Batch, At: r.At})
+		if u.Leaving {
+			p.HintLeaving(u.ID, r.At)
+		}
+		if u.Report != nil {
+			p.reportFromPeer(u.ID, *u.Report, u.ReportedAt)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, t := range p.targets {
+		if !present[id] {
+			delete(t.peers, r.Host)
+		}
+	}
+}
+
+// batchHosts returns the hosts that run batch at the upstream, as far as known.
+func (p *Pool) batchHosts(id upstream.ID) []string {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.targets[id]
+	if !ok {
+		return nil
+	}
+	var out []string
+	for host, l := range t.peers {
+		if l.Batch > 0 && now.Sub(l.At) < peerLifetime {
+			out = append(out, host)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dispatch/suspectstore.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+const (
+	printPrefix     = "print." // objects of suspects
+	trialPrefix     = "trial." // objects that hold a suspect or an upstream for a trial
+	releaseBound    = 2 * time.Second
+	cleanupInterval = time.Minute
+)
+
+// suspectRecord is a suspect as the platform keeps it.
+type suspectRecord struct {
+	Verdict Verdict          `json:"verdict"`
+	Owner   membership.Owner `json:"owner"`
+}
+
+// trialRecord holds something for one trial.
+type trialRecord struct {
+	Owner membership.Owner `json:"owner"`
+}
+
+// Run follows the platform's objects until ctx is done.
+func (s *Suspects) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		every(ctx, cleanupInterval, s.cleanUp)
+	}()
+	platform.Follow(ctx, s.store, platform.KindSuspect, s.reset, s.apply)
+	<-done
+}
+
+func (s *Suspects) reset(objects []platform.Object, _ int64) {
+	for _, o := range objects {
+		s.note(o)
+	}
+}
+
+func (s *Suspects) apply(e platform.Event) {
+	if e.Type == platform.EventPut {
+		s.note(e.Object)
+		return
+	}
+	if p, ok := printOf(e.Object.Name); ok && e.Type == platform.EventDelete {
+		s.forget(p)
+	}
+}
+
+func (s *Suspects) note(o platform.Object) {
+	p, ok := printOf(o.Name)
+	var record suspectRecord
+	if !ok || o.Decode(&record) != nil {
+		return
+	}
+	s.Learn(Suspicion{Print: p, Verdict: record.Verdict, Since: time.Now()})
+}
+
+func (s *Suspects) forget(p Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.known, p)
+}
+
+func printOf(name string) (Fingerprint, bool) {
+	text, ok := strings.CutPrefix(name, printPrefix)
+	if !ok {
+		return Fingerprint{}, false
+	}
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(Fingerprint{}) {
+		return Fingerprint{}, false
+	}
+	return Fingerprint(raw), true
+}
+
+// write makes the platform know a verdict, never a milder one than it has.
+func (s *Suspects) write(ctx context.Context, p Fingerprint, v Verdict) {
+	record := suspectRecord{Verdict: v, Owner: s.owner()}
+	name := printPrefix + p.String()
+	_, err := s.store.Create(ctx, platform.KindSuspect, name, record)
+	for errors.Is(err, platform.ErrConflict) && v == Condemned {
+		var o platform.Object
+		if o, err = s.store.Get(ctx, platform.KindSuspect, name); err == nil {
+			_, err = s.store.Update(ctx, platform.KindSuspect, name, o.Version, record)
+		}
+	}
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		s.log.WithError(err).WithField("event", "suspect_not_written").Warn("verdict is known to peers only")
+	}
+}
+
+// Clear notes that the request ran well alone.
+func (s *Suspects) Clear(ctx context.Context, p Fingerprint) {
+	s.forget(p)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseBound)
+	defer cancel()
+	s.remove(ctx, printPrefix+p.String(), func(platform.Object) bool { return true })
+}
+
+// remove deletes an object if it is as expected.
+func (s *Suspects) remove(ctx context.Context, name string, expected func(platform.Object) bool) {
+	o, err := s.store.Get(ctx, platform.KindSuspect, name)
+	if err == nil && expected(o) {
+		err = s.store.Delete(ctx, platform.KindSuspect, name, o.Version)
+	}
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		s.log.WithError(err).WithField("event", "suspect_not_removed").Debug("object is removed later")
+	}
+}
+
+func (s *Suspects) owner() membership.Owner {
+	self := s.members.Self()
+	return membership.Owner{Host: self.Name, Epoch: self.Epoch}
+}
+
+// Hold takes the suspect and the upstream for a trial, fleet-wide. It returns
+// platform.ErrConflict when another trial holds one of them.
+func (s *Suspects) Hold(ctx context.Context, p Fingerprint, id upstream.ID) (func(), error) {
+	names := []string{trialPrefix + p.String(), trialPrefix + id.Service + "." + id.Name}
+	var held []platform.Object
+	release := func() {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseBound)
+		defer cancel()
+		for _, o := range held {
+			_ = s.store.Delete(bounded, platform.KindSuspect, o.Name, o.Version)
+		}
+	}
+	for _, name := range names {
+		o, err := s.hold(ctx, name)
+		if err != nil {
+			release()
+			return nil, err
+		}
+		held = append(held, o)
+	}
+	return release, nil
+}
+
+func (s *Suspects) hold(ctx context.Context, name string) (platform.Object, error) {
+	o, err := s.store.Create(ctx, platform.KindSuspect, name, trialRecord{Owner: s.owner()})
+	if errors.Is(err, platform.ErrConflict) {
+		s.remove(ctx, name, s.abandoned)
+	}
+	return o, err
+}
+
+// abandoned reports whether the holder of a trial is gone.
+func (s *Suspects) abandoned(o platform.Object) bool {
+	var record trialRecord
+	return o.Decode(&record) == nil && s.members.Lapsed(record.Owner)
+}
+
+// cleanUp removes the platform's objects of suspects that this host wrote and
+// has forgotten.
+func (s *Suspects) cleanUp(ctx context.Context) {
+	objects, _, err := s.store.List(ctx, platform.KindSuspect, printPrefix)
+	if err != nil {
+		return
+	}
+	for _, o := range objects {
+		var record suspectRecord
+		p, ok := printOf(o.Name)
+		if !ok || o.Decode(&record) != nil || s.State(p) != Innocent {
+			continue
+		}
+		if record.Owner.Host == s.members.Self().Name || s.members.Lapsed(record.Owner) {
+			_ = s.store.Delete(ctx, platform.KindSuspect, o.Name, o.Version)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/trial.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+const (
+	trialsAtOnce  = 2 // of one host
+	trialInterval = 50 * time.Millisecond
+)
+
+func quarantined() *apierr.Error {
+	return apierr.New(apierr.Quarantined, "upstreams crashed each time they ran this request",
+		"change the request; operators find it in the log as request_quarantined")
+}
+
+func trialUnavailable(cause error) *apierr.Error {
+	return apierr.New(apierr.Unavailable, "an upstream crashed while it ran this request, and it cannot be tried alone now",
+		"send it again after the time in Retry-After").WithRetryAfter(trialRetryAfter).WithCause(cause).MayHaveRun()
+}
+
+const trialRetryAfter = 5 * time.Second
+
+// runAlone runs a suspect: one at a time at an upstream, fleet-wide, and each
+// suspect at one upstream at a time. A second death condemns it.
+func (d *Dispatcher) runAlone(ctx context.Context, r *run, settle func(int)) (*Answer, error) {
+	select {
+	case d.suspects.trials <- struct{}{}:
+	case <-ctx.Done():
+		return nil, classify(ctx, ctx.Err())
+	}
+	done := func() { <-d.suspects.trials }
+	place, release, err := d.enterTrial(ctx, r)
+	if err != nil {
+		done()
+		return nil, err
+	}
+	if place == nil { // cleared meanwhile, by a trial elsewhere
+		done()
+		return d.runCleared(ctx, r, settle)
+	}
+	place.settle = settle
+	answer, err := d.attempt(ctx, r, place, maxAttempts)
+	if err != nil {
+		defer done()
+		defer release()
+		return nil, d.trialFailed(ctx, r, place, err)
+	}
+	answered := answer.Answer.Body.(*attemptBody)
+	answer.ended = func(failed bool) {
+		defer done()
+		defer release()
+		d.trialEnded(ctx, r, place, failed && answered.broken.Load(), failed)
+	}
+	return answer, nil
+}
+
+// runCleared runs a request that is no suspect any more.
+func (d *Dispatcher) runCleared(ctx context.Context, r *run, settle func(int)) (*Answer, error) {
+	place, ok := d.pool.Reserve(Need{Service: r.Service, Class: r.Class, Avoid: r.avoid})
+	if !ok {
+		return nil, trialUnavailable(nil)
+	}
+	place.settle = settle
+	answer, err := d.attempt(ctx, r, place, maxAttempts)
+	if err == nil {
+		return answer, nil
+	}
+	failure := classify(ctx, err)
+	d.afterFailure(ctx, r, place, failure)
+	return nil, failure
+}
+
+// enterTrial waits for an upstream that no other suspect runs at. It returns no
+// place when the request is no suspect any more.
+func (d *Dispatcher) enterTrial(ctx context.Context, r *run) (*Place, func(), error) {
+	for {
+		switch d.suspects.State(r.print) {
+		case Condemned:
+			return nil, nil, quarantined().MayHaveRun()
+		case Innocent:
+			return nil, nil, nil
+		}
+		if place, ok := d.pool.Reserve(Need{Service: r.Service, Class: r.Class, Avoid: r.avoid, Trial: true}); ok {
+			release, err := d.suspects.Hold(ctx, r.print, place.ID)
+			if err == nil {
+				return place, release, nil
+			}
+			place.Release(false)
+			if !errors.Is(err, platform.ErrConflict) {
+				return nil, nil, trialUnavailable(err)
+			}
+		}
+		if !sleep(ctx, trialInterval) {
+			return nil, nil, classify(ctx, ctx.Err())
+		}
+	}
+}
+
+func (d *Dispatcher) trialFailed(ctx context.Context, r *run, place *Place, err error) error {
+	if place.Yielded() {
+		place.Release(false)
+		return ErrYielded
+	}
+	failure := classify(ctx, err)
+	if ctx.Err() != nil {
+		place.Release(false)
+		return failure
+	}
+	place.Release(true)
+	if d.probe(ctx, place) == upstream.Gone && failure.Execution != apierr.NotRun {
+		d.suspects.Condemn(ctx, r.print)
+		return quarantined().MayHaveRun().WithCause(err)
+	}
+	return failure
+}
+
+// trialEnded judges a trial whose answer had begun.
+func (d *Dispatcher) trialEnded(ctx context.Context, r *run, place *Place, broken, failed bool) {
+	switch {
+	case broken && ctx.Err() == nil && d.probe(ctx, place) == upstream.Gone:
+		d.suspects.Condemn(ctx, r.print)
+	case !failed && ctx.Err() == nil && !place.Yielded():
+		d.suspects.Clear(ctx, r.print)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/peer/load.go
@@ -0,0 +1,151 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/masticscale/masticscale/internal/dispatch"
+	"github.com/masticscale/masticscale/internal/membership"
+	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
+	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+const maxYields = 256 // batch requests that one call may stop
+
+// LoadServer answers the calls of peers about upstreams.
+type LoadServer struct {
+	exchange *dispatch.Exchange
+	pool     *dispatch.Pool
+	suspects *dispatch.Suspects
+}
+
+// NewLoadServer returns a server.
+func NewLoadServer(x *dispatch.Exchange, p *dispatch.Pool, s *dispatch.Suspects) *LoadServer {
+	return &LoadServer{exchange: x, pool: p, suspects: s}
+}
+
+// Registration returns the service for NewHandler.
+func (s *LoadServer) Registration() Registration {
+	path, handler := peerv1connect.NewLoadServiceHandler(s)
+	return Registration{Path: path, Handler: handler}
+}
+
+// Exchange implements peerv1connect.LoadServiceHandler.
+func (s *LoadServer) Exchange(_ context.Context, r *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	now := time.Now()
+	s.exchange.Absorb(rowsFrom(r.Msg.Rows, now))
+	return connect.NewResponse(&peerv1.ExchangeResponse{Rows: rowsTo(s.exchange.Rows(), now)}), nil
+}
+
+// Yield implements peerv1connect.LoadServiceHandler.
+func (s *LoadServer) Yield(_ context.Context, r *connect.Request[peerv1.YieldRequest]) (*connect.Response[peerv1.YieldResponse], error) {
+	s.pool.Yield(upstream.ID{Service: r.Msg.Service, Name: r.Msg.Name}, int(min(r.Msg.Count, maxYields)))
+	return connect.NewResponse(&peerv1.YieldResponse{}), nil
+}
+
+// Judge implements peerv1connect.LoadServiceHandler.
+func (s *LoadServer) Judge(_ context.Context, r *connect.Request[peerv1.JudgeRequest]) (*connect.Response[peerv1.JudgeResponse], error) {
+	for _, x := range r.Msg.Suspicions {
+		if len(x.Fingerprint) != len(dispatch.Fingerprint{}) {
+			continue
+		}
+		verdict := dispatch.Suspected
+		if x.Condemned {
+			verdict = dispatch.Condemned
+		}
+		s.suspects.Learn(dispatch.Suspicion{Print: dispatch.Fingerprint(x.Fingerprint), Verdict: verdict, Since: time.Now()})
+	}
+	return connect.NewResponse(&peerv1.JudgeResponse{}), nil
+}
+
+func (c *Client) loads(host membership.Host) peerv1connect.LoadServiceClient {
+	return peerv1connect.NewLoadServiceClient(c.http, c.scheme+"://"+host.PeerAddress)
+}
+
+// Exchange implements dispatch.Peers.
+func (c *Client) Exchange(ctx context.Context, host membership.Host, rows []dispatch.Row) ([]dispatch.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.loads(host).Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{Rows: rowsTo(rows, time.Now())}))
+	if err != nil {
+		return nil, err
+	}
+	return rowsFrom(resp.Msg.Rows, time.Now()), nil
+}
+
+// Yield implements dispatch.Peers.
+func (c *Client) Yield(ctx context.Context, host membership.Host, id upstream.ID, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.loads(host).Yield(ctx, connect.NewRequest(&peerv1.YieldRequest{Service: id.Service, Name: id.Name, Count: uint32(n)}))
+	return err
+}
+
+// Judge implements dispatch.Peers.
+func (c *Client) Judge(ctx context.Context, host membership.Host, suspicions []dispatch.Suspicion) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	msg := &peerv1.JudgeRequest{}
+	for _, s := range suspicions {
+		msg.Suspicions = append(msg.Suspicions, &peerv1.Suspicion{Fingerprint: s.Print[:], Condemned: s.Verdict == dispatch.Condemned})
+	}
+	_, err := c.loads(host).Judge(ctx, connect.NewRequest(msg))
+	return err
+}
+
+// Ages travel in place of times, since clocks do not agree.
+func ageOf(at, now time.Time) uint32 { return uint32(max(now.Sub(at), 0).Milliseconds()) }
+
+func timeOf(age uint32, now time.Time) time.Time {
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
+
+func rowsTo(rows []dispatch.Row, now time.Time) []*peerv1.LoadRow {
+	var out []*peerv1.LoadRow
+	for _, r := range rows {
+		row := &peerv1.LoadRow{Host: r.Host, Epoch: r.Epoch, Sequence: r.Sequence, AgeMilliseconds: ageOf(r.At, now), BatchServices: r.BatchServices}
+		for _, u := range r.Upstreams {
+			row.Upstreams = append(row.Upstreams, upstreamTo(u, now))
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+func upstreamTo(u dispatch.UpstreamRow, now time.Time) *peerv1.UpstreamLoad {
+	out := &peerv1.UpstreamLoad{
+		Service: u.ID.Service, Name: u.ID.Name, Online: uint32(u.Online), Batch: uint32(u.Batch), Leaving: u.Leaving,
+	}
+	if u.Report != nil {
+		out.Reported = true
+		out.Running, out.Waiting = uint32(u.Report.Running), uint32(u.Report.Waiting)
+		out.ReportAgeMilliseconds = ageOf(u.ReportedAt, now)
+	}
+	return out
+}
+
+func rowsFrom(rows []*peerv1.LoadRow, now time.Time) []dispatch.Row {
+	var out []dispatch.Row
+	for _, r := range rows {
+		row := dispatch.Row{Host: r.Host, Epoch: r.Epoch, Sequence: r.Sequence, At: timeOf(r.AgeMilliseconds, now), BatchServices: r.BatchServices}
+		for _, u := range r.Upstreams {
+			row.Upstreams = append(row.Upstreams, upstreamFrom(u, now))
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+func upstreamFrom(u *peerv1.UpstreamLoad, now time.Time) dispatch.UpstreamRow {
+	out := dispatch.UpstreamRow{
+		ID: upstream.ID{Service: u.Service, Name: u.Name}, Online: int(u.Online), Batch: int(u.Batch), Leaving: u.Leaving,
+	}
+	if u.Reported {
+		out.Report = &upstream.Load{Running: int(u.Running), Waiting: int(u.Waiting)}
+		out.ReportedAt = timeOf(u.ReportAgeMilliseconds, now)
+	}
+	return out
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/masticscale/masticscale/internal/admission"
-	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
@@ -29,21 +28,19 @@
 type Path struct {
 	admission  *admission.Controller
 	dispatcher *dispatch.Dispatcher
-	pool       *dispatch.Pool
-	metrics    *telemetry.Metrics
 }
 
 // NewPath returns a path.
-func NewPath(a *admission.Controller, d *dispatch.Dispatcher, p *dispatch.Pool, m *telemetry.Metrics) *Path {
-	return &Path{admission: a, dispatcher: d, pool: p, metrics: m}
+func NewPath(a *admission.Controller, d *dispatch.Dispatcher) *Path {
+	return &Path{admission: a, dispatcher: d}
 }
 
 // Run waits for a place and returns the beginning of the answer, whose End must
-// be called.
+// be called. A request that has crashed upstreams is refused before it waits.
 func (p *Path) Run(ctx context.Context, r Request) (*dispatch.Answer, error) {
-	if !p.pool.Exists(r.Service) {
-		return nil, apierr.Newf(apierr.Unavailable, "ask the operators to add upstreams",
-			"service %q has no upstream", r.Service).WithRetryAfter(time.Second)
+	req := dispatch.Request{Team: r.Team, Service: r.Service, Class: r.Class, Call: r.Call}
+	if err := p.dispatcher.Check(req); err != nil {
+		return nil, err
 	}
 	place, err := p.admission.Admit(ctx, admission.Request{
 		Team: r.Team, Weight: r.Weight, Service: r.Service, Class: r.Class,
@@ -54,5 +51,5 @@
 	}
 	ctx, span := telemetry.Tracer().Start(ctx, "dispatch")
 	defer span.End()
-	return p.dispatcher.Do(ctx, dispatch.Request{Team: r.Team, Service: r.Service, Class: r.Class, Call: r.Call}, place)
+	return p.dispatcher.Do(ctx, req, place)
 }
--- a/internal/upstream/httpengine/httpengine.go
+++ b/internal/upstream/httpengine/httpengine.go
@@ -138,7 +138,7 @@
 	resp.Body = &cancelBody{resp.Body, cancel}
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
-		return nil, errors.Errorf("%s answered %s", target, resp.Status)
+		return nil, errors.Wrap(&upstream.StatusError{Status: resp.StatusCode}, target)
 	}
 	return resp, nil
 }
