Prove online first, leaving and poison requests with processes

Scenarios: online through a fleet full of batch, yielded items that complete, every upstream down, leaving by health check and by a list that one host never hears, a poison request sent again through every host, a poison batch item.

Hosts remember their peers beyond the lease, so that those cut off from the platform still hear each other.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -43,7 +43,7 @@
 func chooseOnline(eligible []*target, now time.Time) choice {
 	free := keep(eligible, func(t *target) bool { return t.load(now) < t.slots() })
 	if t := pickOfTwo(free, now); t != nil {
-		return choice{target: t, yields: t.prefilling(now)}
+		return choice{target: t, yields: max(t.prefilling(now), t.crowding(now))}
 	}
 	own := keep(eligible, func(t *target) bool { return len(t.batch) > 0 })
 	if t := pickOfTwo(own, now); t != nil {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -19,6 +19,7 @@
 	relayedUpstreams = 64
 	relayedRows      = 16
 	rowLifetime      = 5 * time.Second
+	knownLifetime    = 10 * time.Minute
 	yieldBound       = time.Second
 	crowdQueue       = 64
 	distantOdds      = 8 // one round in so many goes to another data centre
@@ -45,6 +46,14 @@
 	mu       sync.Mutex
 	rows     map[string]Row
 	sequence uint64
+	known    map[string]acquaintance // by host
+}
+
+// acquaintance is a host that was a member lately. It is remembered beyond its
+// lease, so that hosts cut off from the platform still hear each other.
+type acquaintance struct {
+	host membership.Host
+	last time.Time // when it was a member or answered
 }
 
 // crowd asks for batch places of other hosts.
@@ -57,7 +66,7 @@
 func NewExchange(pool *Pool, suspects *Suspects, peers Peers, members membership.Feed, log logrus.FieldLogger) *Exchange {
 	x := &Exchange{
 		pool: pool, suspects: suspects, peers: peers, members: members, log: log,
-		crowds: make(chan crowd, crowdQueue), rows: map[string]Row{},
+		crowds: make(chan crowd, crowdQueue), rows: map[string]Row{}, known: map[string]acquaintance{},
 	}
 	pool.OnCrowded(x.noteCrowd)
 	suspects.OnVerdict(x.judge)
@@ -77,23 +86,52 @@
 	for _, peer := range x.pick() {
 		rows, err := x.peers.Exchange(ctx, peer, x.Rows())
 		if err == nil {
+			x.meet(peer)
 			x.Absorb(rows)
 		}
 	}
 	x.share()
 }
 
+// meet remembers a host that is alive.
+func (x *Exchange) meet(hosts ...membership.Host) {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, h := range hosts {
+		x.known[h.Name] = acquaintance{host: h, last: now}
+	}
+}
+
+// others returns the other hosts that this one can call, in name order.
+func (x *Exchange) others() []membership.Host {
+	x.meet(x.members.Members()...)
+	self := x.members.Self().Name
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []membership.Host
+	for name, a := range x.known {
+		if time.Since(a.last) > knownLifetime {
+			delete(x.known, name)
+			continue
+		}
+		if name != self && a.host.PeerAddress != "" {
+			out = append(out, a.host)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
 // pick chooses the peers of a round: mostly of the own data centre.
 func (x *Exchange) pick() []membership.Host {
 	self := x.members.Self()
 	var near, far []membership.Host
-	for _, m := range x.members.Members() {
-		switch {
-		case m.Name == self.Name || m.PeerAddress == "":
-		case m.DataCentre == self.DataCentre:
-			near = append(near, m)
-		default:
-			far = append(far, m)
+	for _, h := range x.others() {
+		if h.DataCentre == self.DataCentre {
+			near = append(near, h)
+		} else {
+			far = append(far, h)
 		}
 	}
 	from := near
@@ -169,9 +207,9 @@
 	}
 	x.mu.Unlock()
 	hosts := map[string][]BatchHost{}
-	for _, m := range x.members.Members() {
-		for _, service := range demand[m.Name] {
-			hosts[service] = append(hosts[service], BatchHost{m.Name, m.DataCentre})
+	for _, h := range append(x.others(), self) {
+		for _, service := range demand[h.Name] {
+			hosts[service] = append(hosts[service], BatchHost{h.Name, h.DataCentre})
 		}
 	}
 	x.pool.SetHosts(self.Name, hosts)
@@ -216,9 +254,9 @@
 }
 
 func (x *Exchange) member(name string) (membership.Host, bool) {
-	for _, m := range x.members.Members() {
-		if m.Name == name {
-			return m, true
+	for _, h := range x.others() {
+		if h.Name == name {
+			return h, true
 		}
 	}
 	return membership.Host{}, false
@@ -227,13 +265,9 @@
 // judge tells every other host of a verdict. Verdicts are rare, so this call
 // may reach the whole fleet.
 func (x *Exchange) judge(ctx context.Context, suspicions []Suspicion) {
-	self := x.members.Self().Name
 	var wg sync.WaitGroup
-	for _, m := range x.members.Members() {
-		if m.Name == self || m.PeerAddress == "" {
-			continue
-		}
-		wg.Go(func() { _ = x.peers.Judge(ctx, m, suspicions) })
+	for _, h := range x.others() {
+		wg.Go(func() { _ = x.peers.Judge(ctx, h, suspicions) })
 	}
 	wg.Wait()
 }
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -99,13 +99,18 @@
 	return max(int(float64(t.slots())*(1-batchHeadroom)), 1)
 }
 
+// highWater is the load above which batch requests yield to online ones.
+func (t *target) highWater() int {
+	return max(int(float64(t.slots())*(1-shedHeadroom)), 1)
+}
+
 // excess is the number of own batch requests that have to yield because the
 // upstream has become busier than batch work may make it.
 func (t *target) excess(now time.Time) int {
 	if len(t.batch) == 0 {
 		return 0
 	}
-	over := t.load(now) - int(float64(t.slots())*(1-shedHeadroom))
+	over := t.load(now) - t.highWater()
 	if over <= 0 {
 		return 0
 	}
@@ -130,6 +135,14 @@
 	return n
 }
 
+// crowding is the number of own batch requests that have to yield when one more
+// online request comes. It begins before the last slot is taken, since other
+// hosts may be taking the same one.
+func (t *target) crowding(now time.Time) int {
+	over := t.load(now) + 1 - t.highWater()
+	return min(max(over, 0), len(t.batch))
+}
+
 // takeYields removes the newest batch attempts, which have the least work to
 // lose, and marks them as yielded.
 func (t *target) takeYields(n int) []*Place {
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -38,6 +38,7 @@
 	slots   chan struct{}
 	running atomic.Int64
 	waiting atomic.Int64
+	arrived atomic.Int64
 	started atomic.Int64
 	done    atomic.Int64
 	aborted atomic.Int64
@@ -102,6 +103,7 @@
 		return
 	}
 	prompt := req.promptText()
+	s.arrived.Add(1)
 	s.remember(r, body, prompt)
 	f := s.Faults.Get()
 	if f.Crash || strings.Contains(prompt, crashMarker) {
@@ -200,6 +202,7 @@
 	_, _ = fmt.Fprintf(w, "engine_requests_running %d\n", s.running.Load())
 	_, _ = fmt.Fprintf(w, "engine_requests_waiting %d\n", s.waiting.Load())
 	_, _ = fmt.Fprintf(w, "engine_slots %d\n", s.options.Slots)
+	_, _ = fmt.Fprintf(w, "engine_requests_arrived_total %d\n", s.arrived.Load())
 	_, _ = fmt.Fprintf(w, "engine_requests_started_total %d\n", s.started.Load())
 	_, _ = fmt.Fprintf(w, "engine_requests_finished_total %d\n", s.done.Load())
 	_, _ = fmt.Fprintf(w, "engine_requests_aborted_total %d\n", s.aborted.Load())
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -28,6 +28,7 @@
 	mu     sync.Mutex
 	all    map[string]*process
 	relays map[string]*relay
+	sprays sync.Map // name to *spray
 }
 
 func newProcesses(dir string) *processes {
