--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -47,6 +47,9 @@
 	registry  *membership.Registry
 	pool      *dispatch.Pool
 	observer  *dispatch.Observer
+	exchange  *dispatch.Exchange
+	suspects  *dispatch.Suspects
+	loads     *peer.LoadServer
 	admission *admission.Controller
 	runner    *batch.Runner
 	gateway   *gateway.Gateway
@@ -116,6 +119,8 @@
 	wg.Go(func() { h.registry.Run(ctx) })
 	wg.Go(func() { h.rates.Run(ctx) })
 	wg.Go(func() { h.observer.Run(ctx) })
+	wg.Go(func() { h.exchange.Run(ctx) })
+	wg.Go(func() { h.suspects.Run(ctx) })
 	wg.Go(func() { h.admission.Run(ctx) })
 	runnerDone := make(chan struct{})
 	go func() {
@@ -133,7 +138,7 @@
 	}{
 		{"callers", h.settings.Listen, h.callers()},
 		{"operators", h.settings.AdminListen, h.admin.Handler()},
-		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration(), h.ratePeers.Registration())},
+		{"peers", h.settings.PeerListen, h.peerServices()},
 	} {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -147,6 +152,15 @@
 	return all, nil
 }
 
+// peerServices returns the services of every duty that peers call.
+func (h *Host) peerServices() http.Handler {
+	return peer.NewHandler(
+		h.peers.Registration(),
+		h.ratePeers.Registration(),
+		h.loads.Registration(),
+	)
+}
+
 func (h *Host) newServer(handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -1,6 +1,8 @@
 package app
 
 import (
+	"crypto/sha256"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/admin"
@@ -29,6 +31,9 @@
 	Registry  *membership.Registry
 	Pool      *dispatch.Pool
 	Observer  *dispatch.Observer
+	Exchange  *dispatch.Exchange
+	Suspects  *dispatch.Suspects
+	Loads     *peer.LoadServer
 	Admission *admission.Controller
 	Runner    *batch.Runner
 	Gateway   *gateway.Gateway
@@ -44,7 +49,7 @@
 func assemble(p parts) *Host {
 	return &Host{
 		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source,
-		registry: p.Registry, pool: p.Pool, observer: p.Observer, admission: p.Admission, runner: p.Runner,
+		registry: p.Registry, pool: p.Pool, observer: p.Observer, exchange: p.Exchange, suspects: p.Suspects, loads: p.Loads, admission: p.Admission, runner: p.Runner,
 		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
 		peerCalls: p.PeerCalls, rates: p.Rates, ratePeers: p.RatePeers, drain: newDrain(),
 	}
@@ -68,6 +73,12 @@
 	}, log)
 }
 
+// fingerprintKey is the same on every host, since all share the operators' token.
+func fingerprintKey(s config.Host) dispatch.FingerprintKey {
+	key := sha256.Sum256([]byte("request fingerprint\x00" + s.OperatorToken))
+	return key[:]
+}
+
 func operatorToken(s config.Host) admin.Token { return admin.Token(s.OperatorToken) }
 
 func newRateMetrics(m *telemetry.Metrics) *ratelimit.Metrics {
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -29,6 +29,7 @@
 	all     map[string]*process
 	relays  map[string]*relay
 	traffic *traffic
+	sprays  sync.Map // name to *spray
 }
 
 func newProcesses(dir string) *processes {
