Report a call as not sent only when no byte of it was written

Cause: a connection that was obtained counted as sent, and nothing kept a cancelled call from being written after its error was returned. Change: connections watch for the first byte of a call and are sealed when the call fails. Each attempt carries an id; an answer that echoes another attempt's id is refused as crossed. Ruled out: judging by the transport's error texts, which change.

--- /dev/null
+++ b/internal/upstream/httpengine/conn.go
@@ -0,0 +1,104 @@
+package httpengine
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http/httptrace"
+	"sync"
+)
+
+// guardedConn knows whether a byte of the current request was written, and can
+// be sealed so that none is written from then on.
+type guardedConn struct {
+	net.Conn
+
+	mu     sync.Mutex
+	armed  bool
+	begun  bool
+	sealed bool
+}
+
+// Write implements net.Conn.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	if !c.begin() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *guardedConn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return false
+	}
+	c.begun = c.begun || c.armed
+	return true
+}
+
+// arm starts to watch for a new request's first byte.
+func (c *guardedConn) arm() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.armed = true
+	c.begun = false
+}
+
+// seal forbids further writes and reports whether any had begun.
+func (c *guardedConn) seal() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.begun
+}
+
+func guardedDial(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &guardedConn{Conn: conn}, nil
+	}
+}
+
+// sending follows the connections that one call was given.
+type sending struct {
+	mu      sync.Mutex
+	conn    *guardedConn
+	unknown bool // a connection whose writes cannot be watched, or an earlier one with writes
+}
+
+func (s *sending) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { s.use(info.Conn) }}
+}
+
+func (s *sending) use(conn net.Conn) {
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil && s.conn.seal() {
+		s.unknown = true
+	}
+	guarded, ok := conn.(*guardedConn)
+	if !ok {
+		s.unknown = true
+		return
+	}
+	s.conn = guarded
+	guarded.arm()
+}
+
+// stop makes sure that nothing more is written for a call that failed, and
+// reports whether any byte of it can have been sent.
+func (s *sending) stop() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil && s.conn.seal() {
+		return true
+	}
+	return s.unknown
+}
--- a/internal/upstream/httpengine/httpengine.go
+++ b/internal/upstream/httpengine/httpengine.go
@@ -2,7 +2,9 @@
 //
 // Contract: a call that may not be repeated is sent at most once. The standard
 // transport repeats some requests by itself when a kept connection breaks, so
-// such calls always use a fresh connection, on which it never does.
+// such calls always use a fresh connection, on which it never does. A failed
+// call is reported as not sent only when no byte of it was written and none can
+// be written any more.
 package httpengine
 
 import (
@@ -12,7 +14,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -31,19 +32,20 @@
 
 // Engine implements upstream.Engine.
 type Engine struct {
-	kept  *http.Client // keeps connections; for calls that may be repeated
-	fresh *http.Client // one connection a call
+	kept     *http.Client // keeps connections; for calls that may be repeated
+	fresh    *http.Client // one connection a call
+	attempts *attemptIDs
 }
 
 // New returns an engine.
 func New() *Engine {
-	return &Engine{kept: client(false), fresh: client(true)}
+	return &Engine{kept: client(false), fresh: client(true), attempts: newAttemptIDs()}
 }
 
 func client(fresh bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         guardedDial(&net.Dialer{Timeout: dialTimeout}),
 			MaxIdleConnsPerHost: maxIdlePerServer,
 			IdleConnTimeout:     idleTimeout,
 			DisableKeepAlives:   fresh,
@@ -61,15 +63,32 @@
 
 // Start implements upstream.Engine.
 func (e *Engine) Start(ctx context.Context, address string, call upstream.Call) (*upstream.Answer, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var sent sending
+	req, err := newRequest(httptrace.WithClientTrace(ctx, sent.trace()), address, call)
+	if err != nil {
+		return nil, &upstream.SendError{Cause: errors.Wrap(err, "build request")}
+	}
+	id := e.attempts.next()
+	req.Header.Set(attemptHeader, id)
+	resp, err := e.clientFor(call).Do(req)
+	if err != nil {
+		return nil, &upstream.SendError{Sent: sent.stop(), Cause: err}
+	}
+	if err := checkEcho(resp.Header, id); err != nil {
+		_ = resp.Body.Close()
+		return nil, &upstream.SendError{Sent: true, Cause: err}
+	}
+	return &upstream.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+}
+
+func newRequest(ctx context.Context, address string, call upstream.Call) (*http.Request, error) {
 	target := address + call.Path
 	if call.RawQuery != "" {
 		target += "?" + call.RawQuery
 	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, target, bytes.NewReader(call.Body))
+	req, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
 	if err != nil {
-		return nil, &upstream.SendError{Cause: errors.Wrap(err, "build request")}
+		return nil, err
 	}
 	req.Header = call.Header.Clone()
 	if req.Header == nil {
@@ -78,11 +97,7 @@
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header.Set("User-Agent", "masticscale")
 	}
-	resp, err := e.clientFor(call).Do(req)
-	if err != nil {
-		return nil, &upstream.SendError{Sent: connected.Load(), Cause: err}
-	}
-	return &upstream.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+	return req, nil
 }
 
 func (e *Engine) clientFor(call upstream.Call) *http.Client {
--- /dev/null
+++ b/internal/upstream/httpengine/httpengine_test.go
@@ -0,0 +1,271 @@
+package httpengine_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/masticscale/masticscale/internal/upstream"
+	"github.com/masticscale/masticscale/internal/upstream/httpengine"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rawUpstream hands each accepted connection to a script.
+type rawUpstream struct {
+	socket net.Listener
+	wg     sync.WaitGroup
+	bytes  atomic.Int64 // received on all connections
+	heads  atomic.Int64 // request lines received
+}
+
+func newRawUpstream(c *qt.C, script func(u *rawUpstream, conn net.Conn)) *rawUpstream {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	u := &rawUpstream{socket: socket}
+	u.wg.Go(func() {
+		for {
+			conn, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			u.wg.Go(func() {
+				defer func() { _ = conn.Close() }()
+				script(u, conn)
+			})
+		}
+	})
+	c.Cleanup(func() {
+		_ = socket.Close()
+		u.wg.Wait()
+	})
+	return u
+}
+
+func (u *rawUpstream) url() string { return "http://" + u.socket.Addr().String() }
+
+// read counts bytes and request heads as they come.
+func (u *rawUpstream) read(conn net.Conn, n int) int {
+	buf := make([]byte, n)
+	got, _ := io.ReadFull(conn, buf)
+	u.bytes.Add(int64(got))
+	u.heads.Add(int64(strings.Count(string(buf[:got]), " HTTP/1.1\r\n")))
+	return got
+}
+
+// readRequest reads one whole request.
+func (u *rawUpstream) readRequest(in *bufio.Reader) error {
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		return err
+	}
+	u.heads.Add(1)
+	_, err = io.Copy(io.Discard, req.Body)
+	return err
+}
+
+const wholeRequest = -1
+
+// arrive counts a request once some bytes of it, or all of it, have come.
+func (u *rawUpstream) arrive(in *bufio.Reader, read int) {
+	if read == wholeRequest {
+		_ = u.readRequest(in)
+		return
+	}
+	if got, _ := in.Peek(max(read, 1)); len(got) > 0 {
+		u.heads.Add(1)
+	}
+}
+
+const answerHead = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n"
+
+func newEngine(c *qt.C) *httpengine.Engine {
+	e := httpengine.New()
+	c.Cleanup(e.Close)
+	return e
+}
+
+var call = upstream.Call{
+	Method: http.MethodPost, Path: "/disputes", Body: []byte(strings.Repeat("x", 4000)),
+	Header: http.Header{"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}},
+}
+
+// TestNotSentIsTrue closes the connection at each point of a call. "Not sent"
+// may be said only where the upstream received no byte.
+func TestNotSentIsTrue(t *testing.T) {
+	points := []struct {
+		name   string
+		script func(u *rawUpstream, conn net.Conn)
+	}{
+		{"after headers", func(u *rawUpstream, conn net.Conn) { u.read(conn, 120) }},
+		{"after half the body", func(u *rawUpstream, conn net.Conn) { u.read(conn, 2000) }},
+		{"after the body", func(u *rawUpstream, conn net.Conn) { _ = u.readRequest(bufio.NewReader(conn)) }},
+		{"after answer headers", func(u *rawUpstream, conn net.Conn) {
+			_ = u.readRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, answerHead)
+		}},
+	}
+	for _, repeatable := range []bool{false, true} {
+		for _, p := range points {
+			t.Run(fmt.Sprintf("%s, repeatable %v", p.name, repeatable), func(t *testing.T) {
+				c := qt.New(t)
+				u := newRawUpstream(c, p.script)
+				call := call
+				call.Repeatable = repeatable
+				_, err := newEngine(c).Start(t.Context(), u.url(), call)
+				c.Assert(err, qt.IsNotNil)
+				c.Assert(upstream.CanHaveRun(err), qt.IsTrue)
+			})
+		}
+	}
+	t.Run("before accept", func(t *testing.T) {
+		c := qt.New(t)
+		u := newRawUpstream(c, nil)
+		_ = u.socket.Close()
+		_, err := newEngine(c).Start(t.Context(), u.url(), call)
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(upstream.CanHaveRun(err), qt.IsFalse)
+	})
+	t.Run("after accept, before reading", func(t *testing.T) {
+		c := qt.New(t)
+		u := newRawUpstream(c, func(_ *rawUpstream, conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) })
+		for range 50 {
+			_, err := newEngine(c).Start(t.Context(), u.url(), call)
+			c.Assert(err, qt.IsNotNil)
+		}
+		c.Assert(u.heads.Load(), qt.Equals, int64(0))
+	})
+}
+
+// TestCancelledCallIsSealed cancels calls at many moments around the
+// connection's making. Where "not sent" is reported, nothing arrives, also
+// later.
+func TestCancelledCallIsSealed(t *testing.T) {
+	c := qt.New(t)
+	const calls = 400
+	u := newRawUpstream(c, func(u *rawUpstream, conn net.Conn) {
+		if u.read(conn, 64) > 0 {
+			_, _ = io.Copy(io.Discard, conn)
+		}
+	})
+	engine := newEngine(c)
+	sent := 0
+	for i := range calls {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i)*2*time.Microsecond)
+		_, err := engine.Start(ctx, u.url(), call)
+		cancel()
+		c.Assert(err, qt.IsNotNil)
+		if upstream.CanHaveRun(err) {
+			sent++
+		}
+	}
+	_ = u.socket.Close()
+	u.wg.Wait()
+	c.Assert(int(u.heads.Load()) <= sent, qt.IsTrue, qt.Commentf("%d arrived, %d reported as sent", u.heads.Load(), sent))
+}
+
+// TestNoReplayOfUnrepeatable keeps a connection alive, then closes it at the
+// next request's every point. The request must arrive at most once, whatever
+// its method and headers invite the transport to do.
+func TestNoReplayOfUnrepeatable(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPost, http.MethodPut} {
+		for _, read := range []int{0, 1, 60, wholeRequest} {
+			t.Run(fmt.Sprintf("%s closed after %d bytes", method, read), func(t *testing.T) {
+				c := qt.New(t)
+				var warmed atomic.Bool
+				u := newRawUpstream(c, func(u *rawUpstream, conn net.Conn) {
+					in := bufio.NewReader(conn)
+					if !warmed.Swap(true) {
+						_ = u.readRequest(in)
+						_, _ = io.WriteString(conn, answerHead+"\r\ngood")
+						if read == 0 {
+							return
+						}
+					}
+					u.arrive(in, read)
+				})
+				engine := newEngine(c)
+				warm := upstream.Call{Method: http.MethodPost, Path: "/warm", Repeatable: true}
+				answer, err := engine.Start(t.Context(), u.url(), warm)
+				c.Assert(err, qt.IsNil)
+				_, _ = io.Copy(io.Discard, answer.Body)
+				_ = answer.Body.Close()
+				call := call
+				call.Method = method
+				if method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions {
+					call.Body = nil
+				}
+				_, err = engine.Start(t.Context(), u.url(), call)
+				c.Assert(err, qt.IsNotNil)
+				c.Assert(u.heads.Load(), qt.Equals, int64(2), qt.Commentf("the warm-up and one arrival"))
+			})
+		}
+	}
+}
+
+// TestDoubledAndCrossedAnswers sends every answer twice on kept connections.
+// The second copy is never taken for the next request's answer.
+func TestDoubledAndCrossedAnswers(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		t.Run(fmt.Sprintf("late %v", late), func(t *testing.T) {
+			c := qt.New(t)
+			u := newRawUpstream(c, func(_ *rawUpstream, conn net.Conn) {
+				in := bufio.NewReader(conn)
+				kept := ""
+				for {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					answer := answerHead + "X-Request-Id: " + req.Header.Get("X-Request-Id") + "\r\n\r\n" + req.URL.Path[1:]
+					if late { // the copy comes once the next request is there
+						_, _ = io.WriteString(conn, kept+answer)
+						kept = answer
+						continue
+					}
+					_, _ = io.WriteString(conn, answer+answer)
+				}
+			})
+			engine := newEngine(c)
+			for i := range 40 {
+				path := fmt.Sprintf("%04d", i)
+				answer, err := engine.Start(t.Context(), u.url(), upstream.Call{Method: http.MethodPost, Path: "/" + path, Repeatable: true})
+				if err != nil {
+					c.Assert(upstream.CanHaveRun(err), qt.IsTrue)
+					continue
+				}
+				body, err := io.ReadAll(answer.Body)
+				_ = answer.Body.Close()
+				c.Assert(err, qt.IsNil)
+				c.Assert(string(body), qt.Equals, path)
+			}
+		})
+	}
+}
+
+// TestRedirectIsNotFollowed passes the redirect to the caller.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	c := qt.New(t)
+	u := newRawUpstream(c, func(u *rawUpstream, conn net.Conn) {
+		_ = u.readRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n")
+	})
+	answer, err := newEngine(c).Start(t.Context(), u.url(), call)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = answer.Body.Close() }()
+	c.Assert(answer.Status, qt.Equals, http.StatusTemporaryRedirect)
+	c.Assert(answer.Header.Get("Location"), qt.Equals, "/elsewhere")
+	c.Assert(u.heads.Load(), qt.Equals, int64(1))
+}
