Take idempotency claims and bound every answer at the gateway

Cause: a request that may not be repeated was protected on one connection only; a resend by its caller ran it again. A refusal after a second attempt that was never sent forgot the first one that was. Change: a claim object stands before the first byte goes out and ends as answered, unknown or released; every request notes whether any attempt was sent; answers are read whole or end with a visible error; keys are refused in paths, headers and bodies and left out of queries.

--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -19,21 +19,22 @@
 
 // The kinds of error.
 const (
-	Invalid       Kind = "invalid_request"
-	Unauthorized  Kind = "invalid_api_key"
-	Forbidden     Kind = "permission_denied"
-	NotFound      Kind = "not_found"
-	Conflict      Kind = "conflict"
-	TooLarge      Kind = "request_too_large"
-	RateLimited   Kind = "rate_limit_exceeded"
-	Overloaded    Kind = "overloaded"
-	Unavailable   Kind = "unavailable"
-	Timeout       Kind = "timeout"
-	Unknown       Kind = "outcome_unknown"
-	Quarantined   Kind = "request_quarantined"
-	UpstreamError Kind = "upstream_error"
-	Cancelled     Kind = "cancelled"
-	Internal      Kind = "internal_error"
+	Invalid          Kind = "invalid_request"
+	Unauthorized     Kind = "invalid_api_key"
+	Forbidden        Kind = "permission_denied"
+	NotFound         Kind = "not_found"
+	Conflict         Kind = "conflict"
+	MethodNotAllowed Kind = "method_not_allowed"
+	TooLarge         Kind = "request_too_large"
+	RateLimited      Kind = "rate_limit_exceeded"
+	Overloaded       Kind = "overloaded"
+	Unavailable      Kind = "unavailable"
+	Timeout          Kind = "timeout"
+	Unknown          Kind = "outcome_unknown"
+	Quarantined      Kind = "request_quarantined"
+	UpstreamError    Kind = "upstream_error"
+	Cancelled        Kind = "cancelled"
+	Internal         Kind = "internal_error"
 )
 
 // Execution says whether the request can have run at an upstream.
@@ -116,6 +117,8 @@
 		return http.StatusForbidden
 	case NotFound:
 		return http.StatusNotFound
+	case MethodNotAllowed:
+		return http.StatusMethodNotAllowed
 	case Conflict:
 		return http.StatusConflict
 	case TooLarge:
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -17,6 +17,7 @@
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
@@ -52,6 +53,7 @@
 	admission *admission.Controller
 	runner    *batch.Runner
 	gateway   *gateway.Gateway
+	claims    *keeper.Keeper
 	admin     *admin.API
 	peers     *peer.Server
 	client    *platform.Client
@@ -116,6 +118,7 @@
 	wg.Go(func() { h.source.Run(ctx) })
 	wg.Go(func() { h.registry.Run(ctx) })
 	wg.Go(func() { h.observer.Run(ctx) })
+	wg.Go(func() { h.claims.Run(ctx) })
 	wg.Go(func() { h.admission.Run(ctx) })
 	runnerDone := make(chan struct{})
 	go func() {
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -7,6 +7,7 @@
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
@@ -31,6 +32,7 @@
 	Admission *admission.Controller
 	Runner    *batch.Runner
 	Gateway   *gateway.Gateway
+	Claims    *keeper.Keeper
 	Admin     *admin.API
 	Peers     *peer.Server
 	Client    *platform.Client
@@ -42,7 +44,7 @@
 	return &Host{
 		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source,
 		registry: p.Registry, pool: p.Pool, observer: p.Observer, admission: p.Admission, runner: p.Runner,
-		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
+		gateway: p.Gateway, claims: p.Claims, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
 		peerCalls: p.PeerCalls, notReady: make(chan struct{}),
 	}
 }
--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -10,6 +10,8 @@
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/claimstore"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
@@ -44,7 +46,7 @@
 	newLimiter,
 	batch.NewRepository, batch.NewService, batch.NewRunner,
 	batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)),
-	gateway.New,
+	claimstore.New, keeper.New, gateway.New,
 	peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)),
 	operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -12,6 +12,8 @@
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/claimstore"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
@@ -49,7 +51,9 @@
 	runner := batch.NewRunner(repository, client, pathExecutor, registry, metrics, logger)
 	limiter := newLimiter()
 	service := batch.NewService(repository)
-	gatewayGateway := gateway.New(catalogCatalog, limiter, path, service, metrics, logger)
+	claimRepository := claimstore.New(client)
+	keeperKeeper := keeper.New(claimRepository, registry, logger)
+	gatewayGateway := gateway.New(catalogCatalog, limiter, path, service, keeperKeeper, metrics, logger)
 	token := operatorToken(settings)
 	peerClient := peer.NewClient()
 	deps := admin.Deps{
@@ -76,6 +80,7 @@
 		Admission: controller,
 		Runner:    runner,
 		Gateway:   gatewayGateway,
+		Claims:    keeperKeeper,
 		Admin:     api,
 		Peers:     server,
 		Client:    client,
@@ -90,5 +95,5 @@
 
 var hostSet = wire.NewSet(
 	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource,
-	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newLimiter, batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newLimiter, batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), claimstore.New, keeper.New, gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,8 +32,10 @@
 type Limits struct {
 	MaxBodyBytes          int64   `json:"max_body_bytes,omitempty"`
 	RequestTimeoutSeconds float64 `json:"request_timeout_seconds,omitempty"`
-	MaxQueuedPerTeam      int     `json:"max_queued_per_team,omitempty"`
-	MaxItemsPerJob        int     `json:"max_items_per_job,omitempty"`
+	// AnswerSilenceSeconds bounds the time in which a begun answer sends nothing.
+	AnswerSilenceSeconds float64 `json:"answer_silence_seconds,omitempty"`
+	MaxQueuedPerTeam     int     `json:"max_queued_per_team,omitempty"`
+	MaxItemsPerJob       int     `json:"max_items_per_job,omitempty"`
 	// MaxKnowledgeAgeSeconds refuses callers when the host has not heard from
 	// the platform or a peer for so long. 0 serves on without bound.
 	MaxKnowledgeAgeSeconds float64 `json:"max_knowledge_age_seconds,omitempty"`
@@ -43,6 +45,7 @@
 const (
 	DefaultMaxBodyBytes     = 4 << 20
 	DefaultRequestTimeout   = 60 * time.Second
+	DefaultAnswerSilence    = 30 * time.Second
 	DefaultMaxQueuedPerTeam = 256
 	DefaultMaxItemsPerJob   = 100_000
 )
@@ -55,6 +58,9 @@
 	if l.RequestTimeoutSeconds == 0 {
 		l.RequestTimeoutSeconds = DefaultRequestTimeout.Seconds()
 	}
+	if l.AnswerSilenceSeconds == 0 {
+		l.AnswerSilenceSeconds = DefaultAnswerSilence.Seconds()
+	}
 	if l.MaxQueuedPerTeam == 0 {
 		l.MaxQueuedPerTeam = DefaultMaxQueuedPerTeam
 	}
@@ -69,6 +75,11 @@
 	return time.Duration(l.RequestTimeoutSeconds * float64(time.Second))
 }
 
+// AnswerSilence returns the time in which a begun answer may send nothing.
+func (l Limits) AnswerSilence() time.Duration {
+	return time.Duration(l.AnswerSilenceSeconds * float64(time.Second))
+}
+
 // Host is the part that one process reads at its start.
 type Host struct {
 	Name          string `json:"name,omitempty"`
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -1,15 +1,19 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/outcome"
 	"github.com/masticscale/masticscale/internal/serving"
@@ -38,47 +42,164 @@
 	return len(body)/bytesPerToken + generated
 }
 
+// maxRuns bounds how often a request runs whose answers break off before a byte
+// of one went out.
+const maxRuns = 2
+
+// completion is a request for a model that passed all checks.
+type completion struct {
+	who     caller
+	key     string // Idempotency-Key; empty when none came
+	request serving.Request
+}
+
 // complete serves chat completions and completions.
 func (g *Gateway) complete(w http.ResponseWriter, r *http.Request) {
 	const class = string(dispatch.Online)
-	who, err := g.authenticate(r)
+	snapshot := g.catalog.Current()
+	c, err := g.acceptCompletion(w, r, snapshot)
 	if err != nil {
-		g.fail(w, r, class, "", err)
+		g.fail(w, r, class, c.who.team, err)
 		return
 	}
-	snapshot := g.catalog.Current()
-	body, err := readBody(w, r, snapshot.Limits.MaxBodyBytes)
-	if err != nil {
-		g.fail(w, r, class, who.team, err)
+	if c.key == "" {
+		g.end(r, class, c.who.team, g.runCompletion(r.Context(), w, snapshot, c))
 		return
 	}
-	req, service, err := parseCompletion(snapshot, body)
+	g.end(r, class, c.who.team, g.joinCompletion(w, r, snapshot, c))
+}
+
+// acceptCompletion checks a request and charges its team.
+func (g *Gateway) acceptCompletion(w http.ResponseWriter, r *http.Request, s *catalog.Snapshot) (completion, error) {
+	var c completion
+	var err error
+	if c.who, err = g.authenticate(r); err != nil {
+		return c, err
+	}
+	body, err := readBody(w, r, s.Limits.MaxBodyBytes)
 	if err != nil {
-		g.fail(w, r, class, who.team, err)
-		return
+		return c, err
 	}
-	if err := g.limiter.Take(r.Context(), who.team, who.spec); err != nil {
-		g.fail(w, r, class, who.team, err)
-		return
+	req, service, err := parseCompletion(s, body)
+	if err != nil {
+		return c, err
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), snapshot.Limits.RequestTimeout())
+	if c.key, err = idempotencyKey(r); err != nil {
+		return c, err
+	}
+	c.request = serving.Request{
+		Team: c.who.team, Weight: c.who.spec.EffectiveWeight(), Service: service, Class: dispatch.Online,
+		Tokens: req.tokens(body), MaxQueue: s.Limits.MaxQueuedPerTeam,
+		Call: upstream.Call{Method: r.Method, Path: r.URL.Path, Header: engineHeader(), Body: body, Repeatable: true},
+	}
+	if err := checkNoSecret(r, c.request.Call.Header, body, c.who.secret); err != nil {
+		return c, err
+	}
+	return c, g.limiter.Take(r.Context(), c.who.team, c.who.spec)
+}
+
+// joinCompletion runs a keyed request once on this host; its resends share the
+// answer.
+func (g *Gateway) joinCompletion(w http.ResponseWriter, r *http.Request, s *catalog.Snapshot, c completion) outcome.Outcome {
+	name := claim.NameOf(c.who.team, c.key)
+	call := c.request.Call
+	print := claim.FingerprintOf(call.Method, call.Path, "", "", call.Body)
+	for {
+		shared, first := g.flights.join(name, print)
+		if first {
+			return g.fly(w, r, s, c, name, shared)
+		}
+		if shared.fingerprint != print {
+			return refuse(w, apierr.New(apierr.Conflict, "the Idempotency-Key was used for a request with other content", "use a new key for a new request"))
+		}
+		kept, err := shared.wait(r.Context())
+		if err != nil {
+			return callerGone(err)
+		}
+		if kept != nil {
+			return replay(w, r, kept)
+		}
+	}
+}
+
+// fly runs the first request of a key to its end, also when its caller goes
+// away, so that a resend gets the same answer.
+func (g *Gateway) fly(w http.ResponseWriter, r *http.Request, s *catalog.Snapshot, c completion, name string, shared *flight) outcome.Outcome {
+	var kept *claim.Answer
+	defer func() { g.flights.land(name, shared, kept) }()
+	rec := &recorder{ResponseWriter: w}
+	o := g.runCompletion(context.WithoutCancel(r.Context()), rec, s, c)
+	if rec.whole && rec.status < http.StatusInternalServerError {
+		kept = rec.kept()
+	}
+	return o
+}
+
+// runCompletion runs the request, and once more where an answer broke off before
+// any of it went out.
+func (g *Gateway) runCompletion(ctx context.Context, w http.ResponseWriter, s *catalog.Snapshot, c completion) outcome.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, s.Limits.RequestTimeout())
 	defer cancel()
-	answer, err := g.path.Run(ctx, serving.Request{
-		Team: who.team, Weight: who.spec.EffectiveWeight(), Service: service, Class: dispatch.Online,
-		Tokens: req.tokens(body), MaxQueue: snapshot.Limits.MaxQueuedPerTeam,
-		Call: upstream.Call{
-			Method: r.Method, Path: r.URL.Path, Header: engineHeader(r.Header), Body: body, Repeatable: true,
-		},
-	})
+	for run := 1; ; run++ {
+		answer, err := g.run(ctx, c.request)
+		if err != nil {
+			if run > 1 {
+				err = apierr.From(err).MayHaveRun()
+			}
+			return refuse(w, err)
+		}
+		o, delivered := g.deliver(ctx, w, answer, s.Limits.AnswerSilence(), c.key != "")
+		if delivered {
+			return o
+		}
+		if run >= maxRuns || ctx.Err() != nil {
+			return refuse(w, o.Err)
+		}
+	}
+}
+
+// deliver passes the answer on. It reports false when the answer broke off
+// before any of it went out.
+func (g *Gateway) deliver(ctx context.Context, w http.ResponseWriter, answer *dispatch.Answer, silence time.Duration, keepOn bool) (outcome.Outcome, bool) {
+	if isEventStream(answer.Header) {
+		s, err := beginStream(w, answer, silence)
+		if err != nil {
+			return undelivered(ctx, answer, err)
+		}
+		o := s.relay(ctx, keepOn)
+		markWhole(w, o.Err == nil || o.Err.Kind == apierr.Cancelled && keepOn && ctx.Err() == nil)
+		return o, true
+	}
+	a, err := readWhole(answer, silence)
+	if err == nil && (a.more || !a.complete()) {
+		err = errors.New("the answer is not one whole JSON document")
+	}
 	if err != nil {
-		g.fail(w, r, class, who.team, err)
-		return
+		return undelivered(ctx, answer, err)
+	}
+	usage := usageIn(a.body)
+	answer.End(dispatch.Ending{Usage: usage})
+	markWhole(w, true)
+	a.write(w, http.MethodPost)
+	return outcome.Outcome{State: outcome.Answered, Status: a.status, Tokens: usage}, true
+}
+
+func undelivered(ctx context.Context, answer *dispatch.Answer, cause error) (outcome.Outcome, bool) {
+	answer.End(dispatch.Ending{Failed: ctx.Err() == nil})
+	return outcome.FromError(brokenAnswer(cause)), false
+}
+
+func markWhole(w http.ResponseWriter, whole bool) {
+	if rec, ok := w.(*recorder); ok {
+		rec.whole = whole
 	}
-	g.end(r, class, who.team, g.relay(ctx, w, answer))
 }
 
 func parseCompletion(s *catalog.Snapshot, body []byte) (completionRequest, string, error) {
 	var req completionRequest
+	if err := checkMembers(body); err != nil {
+		return req, "", err
+	}
 	if err := json.Unmarshal(body, &req); err != nil {
 		return req, "", apierr.Newf(apierr.Invalid, "send one JSON object", "the body cannot be read: %v", err)
 	}
@@ -92,7 +213,44 @@
 	return req, service, nil
 }
 
+// readMembers are the members that this host reads. The engine must read the
+// same, so each may stand once and in its own spelling only.
+var readMembers = []string{"model", "stream", "max_tokens"}
+
+// checkMembers refuses a body in which the host and the engine could read
+// different values.
+func checkMembers(body []byte) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if t, err := dec.Token(); err != nil || t != json.Delim('{') {
+		return apierr.New(apierr.Invalid, "the body is not a JSON object", "send one JSON object")
+	}
+	seen := map[string]bool{}
+	for dec.More() {
+		t, err := dec.Token()
+		name, ok := t.(string)
+		if err != nil || !ok {
+			return nil // json.Unmarshal says what is wrong
+		}
+		for _, m := range readMembers {
+			if strings.EqualFold(name, m) && (name != m || seen[m]) {
+				return apierr.Newf(apierr.Invalid, "write each member once, in lower case", "the member %q is given twice or in another spelling", name)
+			}
+		}
+		seen[name] = true
+		var skipped json.RawMessage
+		if dec.Decode(&skipped) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// bodyBound is the time in which a caller must send its whole body.
+const bodyBound = 60 * time.Second
+
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyBound))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -102,18 +260,11 @@
 	case err != nil:
 		return nil, apierr.New(apierr.Invalid, "the body did not arrive whole", "send the request again").WithCause(err)
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
-// engineHeader is the allow-list of headers for engines.
-func engineHeader(http.Header) http.Header {
+// engineHeader is all that engines get of a request's headers.
+func engineHeader() http.Header {
 	return http.Header{"Content-Type": {"application/json"}}
 }
-
-// relay passes the answer on and returns the request's outcome.
-func (g *Gateway) relay(ctx context.Context, w http.ResponseWriter, answer *dispatch.Answer) outcome.Outcome {
-	if isEventStream(answer.Header) {
-		return g.relayStream(ctx, w, answer)
-	}
-	return g.relayWhole(w, answer)
-}
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/masticscale/masticscale/internal/apierr"
@@ -56,3 +57,9 @@
 func retryAfterSeconds(d time.Duration) string {
 	return strconv.Itoa(max(1, int(math.Ceil(d.Seconds()))))
 }
+
+// methodNotAllowed is the error of a path that exists under other methods.
+func methodNotAllowed(w http.ResponseWriter, r *http.Request, methods []string) error {
+	w.Header().Set("Allow", strings.Join(methods, ", "))
+	return apierr.Newf(apierr.MethodNotAllowed, "use one of the methods in the Allow header", "%s does not take %s", loggedPath(r), r.Method)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/key"
 	"github.com/masticscale/masticscale/internal/outcome"
 	"github.com/masticscale/masticscale/internal/ratelimit"
@@ -34,13 +35,15 @@
 	limiter ratelimit.Limiter
 	path    *serving.Path
 	batches *batch.Service
+	claims  *keeper.Keeper
+	flights *flights
 	metrics *telemetry.Metrics
 	log     logrus.FieldLogger
 }
 
 // New returns a gateway.
-func New(c *catalog.Catalog, l ratelimit.Limiter, p *serving.Path, b *batch.Service, m *telemetry.Metrics, log logrus.FieldLogger) *Gateway {
-	return &Gateway{catalog: c, limiter: l, path: p, batches: b, metrics: m, log: log}
+func New(c *catalog.Catalog, l ratelimit.Limiter, p *serving.Path, b *batch.Service, k *keeper.Keeper, m *telemetry.Metrics, log logrus.FieldLogger) *Gateway {
+	return &Gateway{catalog: c, limiter: l, path: p, batches: b, claims: k, flights: newFlights(), metrics: m, log: log}
 }
 
 // Handler returns the HTTP surface.
@@ -53,8 +56,9 @@
 	g.addBatchRoutes(mux)
 	mux.HandleFunc("/v1/", g.unknownPath)
 	mux.HandleFunc("/", g.plain)
+	handler := refuseOddPaths(g, mux)
 	chain := negroni.New(negroni.HandlerFunc(g.identify))
-	chain.UseHandler(mux)
+	chain.UseHandler(handler)
 	return chain
 }
 
@@ -84,8 +88,9 @@
 
 // caller is the team that a request runs for.
 type caller struct {
-	team string
-	spec team.Spec
+	team   string
+	spec   team.Spec
+	secret string // never leaves the host
 }
 
 // authenticate finds the team of the key that came with the request.
@@ -103,29 +108,7 @@
 	if !exists {
 		return caller{}, apierr.Newf(apierr.Forbidden, "ask your operators to create it again", "team %q no longer exists", k.Team)
 	}
-	return caller{team: k.Team, spec: spec}, nil
-}
-
-// secretOf reads the key from the headers that SDKs use. Two different keys are
-// an error, since it is not known which one is meant.
-func secretOf(h http.Header) (string, error) {
-	var found []string
-	for _, v := range h.Values("Authorization") {
-		if secret, ok := strings.CutPrefix(v, "Bearer "); ok {
-			found = append(found, strings.TrimSpace(secret))
-		}
-	}
-	found = append(found, h.Values("X-Api-Key")...)
-	found = append(found, h.Values("Api-Key")...)
-	for _, other := range found {
-		if other != found[0] {
-			return "", apierr.New(apierr.Unauthorized, "the request carries two different keys", "send one key, in the Authorization header")
-		}
-	}
-	if len(found) == 0 || found[0] == "" {
-		return "", apierr.New(apierr.Unauthorized, "the request carries no key", `send "Authorization: Bearer KEY"`)
-	}
-	return found[0], nil
+	return caller{team: k.Team, spec: spec, secret: secret}, nil
 }
 
 // end records the outcome of a request.
@@ -136,7 +119,7 @@
 	g.metrics.Duration.WithLabelValues(class).Observe(elapsed.Seconds())
 	fields := logrus.Fields{
 		"event": "request", "class": class, "team": team, "outcome": o.State, "status": o.Status,
-		"ms": elapsed.Milliseconds(), "method": r.Method, "path": r.URL.Path,
+		"ms": elapsed.Milliseconds(), "method": r.Method, "path": loggedPath(r),
 	}
 	if o.Err != nil {
 		fields["kind"] = o.Err.Kind
@@ -157,6 +140,19 @@
 	g.end(r, class, team, o)
 }
 
+// apiMethods are the methods of the model API's fixed paths.
+var apiMethods = map[string]string{
+	"/v1/chat/completions": http.MethodPost,
+	"/v1/completions":      http.MethodPost,
+	"/v1/models":           http.MethodGet,
+	"/v1/files":            http.MethodPost,
+	"/v1/batches":          http.MethodGet + ", " + http.MethodPost,
+}
+
 func (g *Gateway) unknownPath(w http.ResponseWriter, r *http.Request) {
-	g.fail(w, r, "online", "", apierr.Newf(apierr.NotFound, "see /v1/models and the API's documentation", "%s %s does not exist", r.Method, r.URL.Path))
+	if methods, ok := apiMethods[r.URL.Path]; ok {
+		g.fail(w, r, "online", "", methodNotAllowed(w, r, []string{methods}))
+		return
+	}
+	g.fail(w, r, "online", "", apierr.Newf(apierr.NotFound, "see /v1/models and the API's documentation", "%s %s does not exist", r.Method, loggedPath(r)))
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -17,12 +17,16 @@
 )
 
 const (
-	maxAnswerBytes   = 64 << 20
-	eventSilence     = 30 * time.Second // between events, before the stream counts as broken
 	relayBufferBytes = 32 << 10
+	drainBound       = 100 * time.Millisecond // for the end of a stream after its terminal event
+	drainBytes       = 4 << 10
 )
 
-var terminalEvent = []byte("data: [DONE]")
+var (
+	dataField    = []byte("data:")
+	terminalData = []byte("[DONE]")
+	usageField   = []byte(`"usage"`)
+)
 
 func isEventStream(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
@@ -39,58 +43,144 @@
 	}
 }
 
-// relayWhole reads the whole answer before the first byte goes out, so that a
-// broken one becomes an error and never a short answer.
-func (g *Gateway) relayWhole(w http.ResponseWriter, answer *dispatch.Answer) outcome.Outcome {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
-	answer.End(dispatch.Ending{Failed: err != nil})
-	if err != nil {
-		o := outcome.FromError(brokenAnswer(err))
-		writeError(w, o.Err)
-		return o
-	}
-	copyHeader(w, answer.Header)
-	w.WriteHeader(answer.Status)
-	_, _ = w.Write(body)
-	return outcome.Outcome{State: outcome.Answered, Status: answer.Status}
-}
-
 func brokenAnswer(cause error) *apierr.Error {
 	return apierr.New(apierr.UpstreamError, "the upstream's answer broke off", "send the request again if running it twice does no harm").
 		MayHaveRun().WithCause(cause).WithRetryAfter(time.Second)
 }
 
-// relayStream passes events on as they come. A stream without its terminal
-// event ends with an error event, never as if it were complete.
-func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, answer *dispatch.Answer) outcome.Outcome {
-	copyHeader(w, answer.Header)
-	w.WriteHeader(answer.Status)
-	flush := http.NewResponseController(w).Flush
-	silence := time.AfterFunc(eventSilence, func() { _ = answer.Body.Close() })
-	defer silence.Stop()
-	lines := bufio.NewReaderSize(answer.Body, relayBufferBytes)
+// stream relays one event stream.
+type stream struct {
+	w       http.ResponseWriter
+	answer  *dispatch.Answer
+	silence time.Duration
+	watch   *silenceWatch
+	lines   *bufio.Reader
+	usage   outcome.Usage
+	counted int
+	partial bool // the last piece did not end its line
+}
+
+// beginStream waits for the first byte of the answer's body. Until then nothing
+// has gone out and the request may run elsewhere.
+func beginStream(w http.ResponseWriter, answer *dispatch.Answer, silence time.Duration) (*stream, error) {
+	watch := watchSilence(answer.Body, silence)
+	s := &stream{w: w, answer: answer, silence: silence, watch: watch, lines: bufio.NewReaderSize(watch, relayBufferBytes)}
+	if _, err := s.lines.Peek(1); err != nil {
+		watch.stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+// relay passes events on as they come. A stream without its terminal event ends
+// with an error event, never as if it were complete. With keepOn the stream is
+// read to its end when the caller goes away.
+func (s *stream) relay(ctx context.Context, keepOn bool) outcome.Outcome {
+	defer s.watch.stop()
+	copyHeader(s.w, s.answer.Header)
+	s.w.WriteHeader(s.answer.Status)
+	var gone error
 	for {
-		line, err := lines.ReadSlice('\n')
+		line, err := s.lines.ReadSlice('\n')
 		if err != nil && err != bufio.ErrBufferFull {
-			return g.truncated(ctx, w, answer, err)
+			return s.truncated(ctx, err)
 		}
-		silence.Reset(eventSilence)
-		if _, werr := w.Write(line); werr != nil {
-			answer.End(dispatch.Ending{})
-			return callerGone(werr)
+		if gone == nil || keepOn {
+			gone = firstOf(gone, s.pass(line))
 		}
-		if bytes.HasPrefix(line, terminalEvent) {
-			_, _ = w.Write([]byte("\n"))
-			_ = flush()
-			answer.End(dispatch.Ending{})
-			return outcome.Outcome{State: outcome.Answered, Status: answer.Status}
+		if gone != nil && !keepOn {
+			s.end(false)
+			return callerGone(gone)
 		}
-		if len(line) <= 1 {
-			_ = flush()
+		if s.observe(line, err == nil) {
+			return s.finish(gone, keepOn)
 		}
 	}
 }
 
+// pass writes a line, and flushes at the end of an event.
+func (s *stream) pass(line []byte) error {
+	if len(line) > 0 && !s.partial && len(bytes.TrimRight(line, "\r\n")) == 0 {
+		extendWrite(s.w)
+		if _, err := s.w.Write(line); err != nil {
+			return err
+		}
+		return http.NewResponseController(s.w).Flush()
+	}
+	_, err := s.w.Write(line)
+	return err
+}
+
+// observe counts events, reads the usage, and reports the terminal event.
+func (s *stream) observe(line []byte, whole bool) bool {
+	startsLine := !s.partial
+	s.partial = !whole
+	data, ok := bytes.CutPrefix(line, dataField)
+	if !ok || !startsLine {
+		return false
+	}
+	data = bytes.TrimSpace(data)
+	if bytes.Equal(data, terminalData) {
+		return true
+	}
+	s.counted++
+	if whole && bytes.Contains(data, usageField) {
+		s.readUsage(data)
+	}
+	return false
+}
+
+func (s *stream) readUsage(data []byte) {
+	if u := usageIn(data); u.Total() > 0 {
+		s.usage = u
+	}
+}
+
+// usageIn reads the tokens that an answer or a chunk reports.
+func usageIn(data []byte) outcome.Usage {
+	var chunk struct {
+		Usage struct {
+			Prompt    int `json:"prompt_tokens"`
+			Generated int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	_ = json.Unmarshal(data, &chunk)
+	return outcome.Usage{Prompt: max(chunk.Usage.Prompt, 0), Generated: max(chunk.Usage.Generated, 0)}
+}
+
+func (s *stream) end(failed bool) outcome.Usage {
+	u := s.usage
+	if u.Total() == 0 {
+		u.Generated = s.counted
+	}
+	s.answer.End(dispatch.Ending{Failed: failed, Usage: u})
+	return u
+}
+
+// finish ends a whole stream. What follows the terminal event is read for a
+// moment, so that the connection can be kept.
+func (s *stream) finish(gone error, keepOn bool) outcome.Outcome {
+	if gone == nil || keepOn {
+		gone = firstOf(gone, s.pass([]byte("\n")))
+	}
+	s.watch.timer.Reset(drainBound)
+	_, _ = io.CopyN(io.Discard, s.lines, drainBytes)
+	u := s.end(false)
+	if gone != nil {
+		o := callerGone(gone)
+		o.Tokens = u
+		return o
+	}
+	return outcome.Outcome{State: outcome.Answered, Status: s.answer.Status, Tokens: u}
+}
+
+func firstOf(earlier, later error) error {
+	if earlier != nil {
+		return earlier
+	}
+	return later
+}
+
 func callerGone(cause error) outcome.Outcome {
 	e := apierr.New(apierr.Cancelled, "the caller went away", "").MayHaveRun().WithCause(cause)
 	return outcome.Outcome{State: outcome.Truncated, Status: e.Status(), Err: e}
@@ -98,14 +188,19 @@
 
 // truncated tells the caller, in the stream's own form, that the answer is not
 // whole.
-func (g *Gateway) truncated(ctx context.Context, w http.ResponseWriter, answer *dispatch.Answer, cause error) outcome.Outcome {
-	answer.End(dispatch.Ending{Failed: ctx.Err() == nil})
+func (s *stream) truncated(ctx context.Context, cause error) outcome.Outcome {
+	u := s.end(ctx.Err() == nil)
 	if ctx.Err() == context.Canceled {
 		return callerGone(cause)
 	}
 	e := brokenAnswer(cause)
+	if ctx.Err() == context.DeadlineExceeded {
+		e = apierr.New(apierr.Timeout, "the request's time ran out in mid-answer", "ask for fewer tokens, or have the time limit raised").
+			MayHaveRun().WithCause(cause)
+	}
+	extendWrite(s.w)
 	data, _ := json.Marshal(errorBody{Error: detailOf(e)})
-	_, _ = fmt.Fprintf(w, "\nevent: error\ndata: %s\n\n", data)
-	_ = http.NewResponseController(w).Flush()
-	return outcome.Outcome{State: outcome.Truncated, Status: answer.Status, Err: e}
+	_, _ = fmt.Fprintf(s.w, "\n\nevent: error\ndata: %s\n\n", data)
+	_ = http.NewResponseController(s.w).Flush()
+	return outcome.Outcome{State: outcome.Truncated, Status: s.answer.Status, Err: e, Tokens: u}
 }
--- a/internal/upstream/httpengine/httpengine.go
+++ b/internal/upstream/httpengine/httpengine.go
@@ -72,8 +72,13 @@
 	req.Header.Set(attemptHeader, id)
 	resp, err := e.clientFor(call).Do(req)
 	if err != nil {
-		return nil, &upstream.SendError{Sent: sent.stop(), Cause: err}
+		wasSent := sent.stop()
+		if wasSent {
+			upstream.NoteSent(ctx)
+		}
+		return nil, &upstream.SendError{Sent: wasSent, Cause: err}
 	}
+	upstream.NoteSent(ctx)
 	if err := checkEcho(resp.Header, id); err != nil {
 		_ = resp.Body.Close()
 		return nil, &upstream.SendError{Sent: true, Cause: err}
