--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -13,19 +13,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
-	"github.com/masticscale/masticscale/internal/admin"
-	"github.com/masticscale/masticscale/internal/admission"
-	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
-	"github.com/masticscale/masticscale/internal/config"
-	"github.com/masticscale/masticscale/internal/dispatch"
-	"github.com/masticscale/masticscale/internal/gateway"
-	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
-	"github.com/masticscale/masticscale/internal/platform"
-	"github.com/masticscale/masticscale/internal/ratelimit"
 	"github.com/masticscale/masticscale/internal/telemetry"
-	"github.com/masticscale/masticscale/internal/upstream/httpengine"
 )
 
 const (
@@ -39,34 +29,11 @@
 
 // Host is one entry host.
 type Host struct {
-	settings  config.Host
-	log       *logrus.Logger
-	metrics   *telemetry.Metrics
-	catalog   *catalog.Catalog
-	source    *catalog.Source
-	registry  *membership.Registry
-	pool      *dispatch.Pool
-	observer  *dispatch.Observer
-	exchange  *dispatch.Exchange
-	suspects  *dispatch.Suspects
-	loads     *peer.LoadServer
-	admission *admission.Controller
-	runner    *batch.Runner
-	gateway   *gateway.Gateway
-	admin     *admin.API
-	peers     *peer.Server
-	client    *platform.Client
-	engine    *httpengine.Engine
-	peerCalls *peer.Client
-	rates     *ratelimit.Escrow
-	ratePeers *peer.RateLimitServer
+	parts
 
 	drain *drain
 }
 
-// Log returns the host's logger.
-func (h *Host) Log() *logrus.Logger { return h.log }
-
 // listener is one server with its socket.
 type listener struct {
 	name   string
@@ -82,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	flush, err := telemetry.StartTraces(ctx, h.settings.Traces, h.settings.Name)
+	flush, err := telemetry.StartTraces(ctx, h.Settings.Traces, h.Settings.Name)
 	if err != nil {
 		return err
 	}
@@ -93,8 +60,8 @@
 	defer stopRunner()
 	wg, runnerDone := h.startDuties(duties, runnerCtx)
 	failed := h.serve(listeners)
-	h.log.WithFields(logrus.Fields{"event": "host_started", "listen": h.settings.Listen,
-		"admin": h.settings.AdminListen, "peer": h.settings.PeerListen}).Info("host started")
+	h.Log.WithFields(logrus.Fields{"event": "host_started", "listen": h.Settings.Listen,
+		"admin": h.Settings.AdminListen, "peer": h.Settings.PeerListen}).Info("host started")
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
@@ -102,30 +69,31 @@
 	h.stop(force, listeners, stopRunner, runnerDone)
 	stopDuties()
 	wg.Wait()
-	h.client.Close()
-	h.engine.Close()
-	h.peerCalls.Close()
-	h.log.WithField("event", "host_stopped").Info("host stopped")
+	h.Client.Close()
+	h.Engine.Close()
+	h.PeerCalls.Close()
+	h.Log.WithField("event", "host_stopped").Info("host stopped")
 	return err
 }
 
 // startDuties starts a goroutine for each duty.
 func (h *Host) startDuties(ctx, runnerCtx context.Context) (*sync.WaitGroup, <-chan struct{}) {
-	h.pool.OnFreed(h.admission.Wake)
-	h.catalog.OnChange(h.pool.Apply)
-	h.catalog.OnChange(func(s *catalog.Snapshot) { h.metrics.Revision.Set(float64(s.Revision)) })
+	h.Pool.OnFreed(h.Admission.Wake)
+	h.Catalog.OnChange(h.Pool.Apply)
+	h.Catalog.OnChange(func(s *catalog.Snapshot) { h.Metrics.Revision.Set(float64(s.Revision)) })
 	var wg sync.WaitGroup
-	wg.Go(func() { h.source.Run(ctx) })
-	wg.Go(func() { h.registry.Run(ctx) })
-	wg.Go(func() { h.rates.Run(ctx) })
-	wg.Go(func() { h.observer.Run(ctx) })
-	wg.Go(func() { h.exchange.Run(ctx) })
-	wg.Go(func() { h.suspects.Run(ctx) })
-	wg.Go(func() { h.admission.Run(ctx) })
+	wg.Go(func() { h.Source.Run(ctx) })
+	wg.Go(func() { h.Registry.Run(ctx) })
+	wg.Go(func() { h.Rates.Run(ctx) })
+	wg.Go(func() { h.Observer.Run(ctx) })
+	wg.Go(func() { h.Exchange.Run(ctx) })
+	wg.Go(func() { h.Suspects.Run(ctx) })
+	wg.Go(func() { h.Claims.Run(ctx) })
+	wg.Go(func() { h.Admission.Run(ctx) })
 	runnerDone := make(chan struct{})
 	go func() {
 		defer close(runnerDone)
-		h.runner.Run(runnerCtx)
+		h.Runner.Run(runnerCtx)
 	}()
 	return &wg, runnerDone
 }
@@ -136,9 +104,9 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"callers", h.settings.Listen, h.callers()},
-		{"operators", h.settings.AdminListen, h.admin.Handler()},
-		{"peers", h.settings.PeerListen, h.peerServices()},
+		{"callers", h.Settings.Listen, h.callers()},
+		{"operators", h.Settings.AdminListen, h.Admin.Handler()},
+		{"peers", h.Settings.PeerListen, h.peerServices()},
 	} {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -155,9 +123,9 @@
 // peerServices returns the services of every duty that peers call.
 func (h *Host) peerServices() http.Handler {
 	return peer.NewHandler(
-		h.peers.Registration(),
-		h.ratePeers.Registration(),
-		h.loads.Registration(),
+		h.Peers.Registration(),
+		h.RatePeers.Registration(),
+		h.Loads.Registration(),
 	)
 }
 
@@ -180,8 +148,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", h.ready)
-	mux.Handle("GET /metrics", promhttp.HandlerFor(h.metrics.Registry, promhttp.HandlerOpts{}))
-	mux.Handle("/", h.drain.track(h.gateway.Handler()))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(h.Metrics.Registry, promhttp.HandlerOpts{}))
+	mux.Handle("/", h.drain.track(h.Gateway.Handler()))
 	return mux
 }
 
@@ -190,7 +158,7 @@
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
 	}
-	if !h.source.Ready() {
+	if !h.Source.Ready() {
 		http.Error(w, "configuration has not been read yet", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -12,6 +12,8 @@
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/claimstore"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
@@ -57,7 +59,9 @@
 	ratelimitMetrics := newRateMetrics(metrics)
 	escrow := ratelimit.NewEscrow(client, registry, peerClient, specs, ratelimitMetrics, logger)
 	service := batch.NewService(repository)
-	gatewayGateway := gateway.New(catalogCatalog, escrow, path, service, metrics, logger)
+	claimRepository := claimstore.New(client)
+	keeperKeeper := keeper.New(claimRepository, registry, logger)
+	gatewayGateway := gateway.New(catalogCatalog, escrow, path, service, keeperKeeper, metrics, logger)
 	token := operatorToken(settings)
 	deps := admin.Deps{
 		Token:   token,
@@ -87,6 +91,7 @@
 		Admission: controller,
 		Runner:    runner,
 		Gateway:   gatewayGateway,
+		Claims:    keeperKeeper,
 		Admin:     api,
 		Peers:     server,
 		Client:    client,
@@ -103,5 +108,5 @@
 
 var hostSet = wire.NewSet(
 	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource,
-	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), claimstore.New, keeper.New, gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
