Add the demo: a whole small fleet in one process, with an account

Cause: a newcomer had no way to see the promises held without writing a scenario. Change: 'masticscale demo' runs stand-ins, three hosts in two data centres, four teams with one ten times above its rate, a batch job underneath, a host stopped and an engine crashed; it ends with a table of promises and what was seen. Ruled out: printing figures without a verdict; the command fails when a promise does not hold.

--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -70,7 +70,7 @@
 		return errors.Wrapf(errUsage, "%v; see '%s --help'", err, c.CommandPath())
 	})
 	root.AddCommand(newServe(), newEmulate(), newConfig(), newTeam(), newKey(), newRoute(), newService(),
-		newUpstream(), newHost(), newJob(), newLoad(), newVersion())
+		newUpstream(), newHost(), newJob(), newLoad(), newDemo(), newVersion())
 	return root
 }
 
--- a/internal/load/batch.go
+++ b/internal/load/batch.go
@@ -26,6 +26,8 @@
 	Seconds   float64 `json:"seconds"` // from submission to the end
 	During    int     `json:"during"`  // items completed while online load ran
 	Error     string  `json:"error,omitempty"`
+	// OutputFile is the id of the file with the results.
+	OutputFile string `json:"output_file,omitempty"`
 }
 
 // batchRun is a job in progress. A nil run is no job.
@@ -113,6 +115,7 @@
 
 func (b *batchRun) note(job *openai.Batch, first bool) {
 	b.result.Status = string(job.Status)
+	b.result.OutputFile = job.OutputFileID
 	b.result.Completed = int(job.RequestCounts.Completed)
 	b.result.Failed = int(job.RequestCounts.Failed)
 	b.result.Seconds = time.Since(b.started).Seconds()
