--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,6 +6,7 @@
 package admin
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
@@ -19,6 +20,7 @@
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/platform"
@@ -37,10 +39,25 @@
 	pool    *dispatch.Pool
 	members membership.Feed
 	peers   StatusReader
+	source  Adopter
+	relay   Spreader
 	batches *batch.Service
 	log     *logrus.Logger
 }
 
+// Adopter puts an accepted revision in force on this host.
+type Adopter interface {
+	AdoptRevision(config.Revision) bool
+}
+
+// Spreader tells the other hosts of a withdrawal.
+type Spreader interface {
+	// Spread returns the names of the hosts that have not confirmed it.
+	Spread(context.Context, catalog.Withdrawal) []string
+	// Known returns every host that may still serve.
+	Known(context.Context) []membership.Host
+}
+
 // Deps are the parts that the API reads and changes.
 type Deps struct {
 	Token   Token
@@ -49,6 +66,8 @@
 	Pool    *dispatch.Pool
 	Members membership.Feed
 	Peers   StatusReader
+	Source  Adopter
+	Relay   Spreader
 	Batches *batch.Service
 	Log     *logrus.Logger
 }
@@ -59,7 +78,7 @@
 // New returns the API.
 func New(d Deps) *API {
 	return &API{token: string(d.Token), store: d.Store, catalog: d.Catalog, pool: d.Pool,
-		members: d.Members, peers: d.Peers, batches: d.Batches, log: d.Log}
+		members: d.Members, peers: d.Peers, source: d.Source, relay: d.Relay, batches: d.Batches, log: d.Log}
 }
 
 // Handler returns the HTTP surface.
@@ -67,6 +86,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /admin/v1/config", a.handle(a.showConfig))
 	mux.HandleFunc("POST /admin/v1/config", a.handle(a.applyConfig))
+	mux.HandleFunc("GET /admin/v1/config/history", a.handle(a.configHistory))
 	mux.HandleFunc("GET /admin/v1/hosts", a.handle(a.listHosts))
 	mux.HandleFunc("GET /admin/v1/upstreams", a.handle(a.listUpstreams))
 	mux.HandleFunc("GET /admin/v1/keys", a.handle(a.listKeys))
--- a/internal/admin/config.go
+++ b/internal/admin/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -45,7 +46,20 @@
 	if req.Expected != nil {
 		expected = *req.Expected
 	}
-	return catalog.Accept(r.Context(), a.store, req.Bundle, req.Author, req.Note, expected)
+	accepted, err := catalog.Accept(r.Context(), a.store, req.Bundle, req.Author, req.Note, expected)
+	if err != nil {
+		return nil, err
+	}
+	a.source.AdoptRevision(accepted) // the relay tells the other hosts
+	return accepted, nil
+}
+
+func (a *API) configHistory(r *http.Request) (any, error) {
+	entries, err := catalog.History(r.Context(), a.store)
+	if err != nil {
+		return nil, err
+	}
+	return List[catalog.PointerEntry]{Items: entries}, nil
 }
 
 // HostStatus is one host as operators see it.
@@ -62,22 +76,30 @@
 }
 
 func (a *API) listHosts(r *http.Request) (any, error) {
-	members := a.members.Members()
+	members := a.relay.Known(r.Context())
 	list := List[HostStatus]{Items: make([]HostStatus, len(members))}
 	var wg sync.WaitGroup
 	for i, m := range members {
 		wg.Go(func() {
-			status, err := a.peers.Status(r.Context(), m)
-			if err != nil {
-				status = HostStatus{Host: m}
-			}
-			list.Items[i] = status
+			list.Items[i] = a.statusOf(r.Context(), m)
 		})
 	}
 	wg.Wait()
 	return list, nil
 }
 
+func (a *API) statusOf(ctx context.Context, host membership.Host) HostStatus {
+	if self := a.members.Self(); self.Name == host.Name {
+		return HostStatus{Host: self, Reachable: true, Revision: a.catalog.Current().Revision,
+			KnowledgeAgeSeconds: a.catalog.Age(time.Now()).Seconds()}
+	}
+	status, err := a.peers.Status(ctx, host)
+	if err != nil {
+		return HostStatus{Host: host}
+	}
+	return status
+}
+
 func (a *API) listUpstreams(*http.Request) (any, error) {
 	list := List[dispatch.Status]{Items: a.pool.Statuses()}
 	return list, nil
--- a/internal/admin/keys.go
+++ b/internal/admin/keys.go
@@ -1,20 +1,29 @@
 package admin
 
 import (
+	"context"
 	"net/http"
 	"sort"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/catalog"
 	"github.com/masticscale/masticscale/internal/key"
 	"github.com/masticscale/masticscale/internal/platform"
 )
 
+const withdrawAttempts = 5
+
 // Key is a key as operators see it.
 type Key struct {
 	ID     key.ID   `json:"id"`
 	Secret string   `json:"secret,omitempty"` // only in the answer that made it
 	Spec   key.Spec `json:"spec"`
+	// PendingHosts are the known hosts that have not confirmed a withdrawal.
+	// One that is cut off may go on taking the key until it is in touch again.
+	PendingHosts []string `json:"pending_hosts,omitempty"`
 }
 
 // CreateKey asks for a key.
@@ -62,15 +71,37 @@
 		return nil, err
 	}
 	id := key.ID(r.PathValue("id"))
-	stored, err := a.store.Get(r.Context(), platform.KindKey, string(id))
+	spec, err := a.writeWithdrawal(r.Context(), id, req.CutActive)
 	if err != nil {
 		return nil, err
 	}
-	var spec key.Spec
-	if err := stored.Decode(&spec); err != nil {
-		return nil, err
+	late := a.relay.Spread(r.Context(), catalog.Withdrawal{ID: id, At: *spec.Withdrawn, CutActive: spec.CutActive})
+	return Key{ID: id, Spec: spec, PendingHosts: late}, nil
+}
+
+// writeWithdrawal marks the key's object. A withdrawal is idempotent, so one
+// that meets another writer reads again and repeats itself.
+func (a *API) writeWithdrawal(ctx context.Context, id key.ID, cutActive bool) (key.Spec, error) {
+	var err error
+	for range withdrawAttempts {
+		var stored platform.Object
+		if stored, err = a.store.Get(ctx, platform.KindKey, string(id)); err != nil {
+			return key.Spec{}, err
+		}
+		var before key.Spec
+		if err := stored.Decode(&before); err != nil {
+			return key.Spec{}, err
+		}
+		after := before.Withdraw(time.Now().UTC(), cutActive)
+		if after == before {
+			return after, nil
+		}
+		if _, err = a.store.Update(ctx, platform.KindKey, string(id), stored.Version, after); err == nil {
+			return after, nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			break
+		}
 	}
-	spec = spec.Withdraw(time.Now().UTC(), req.CutActive)
-	_, err = a.store.Update(r.Context(), platform.KindKey, string(id), stored.Version, spec)
-	return Key{ID: id, Spec: spec}, err
+	return key.Spec{}, err
 }
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -46,6 +46,8 @@
 	metrics   *telemetry.Metrics
 	catalog   *catalog.Catalog
 	source    *catalog.Source
+	relay     *catalog.Relay
+	catalogs  *peer.CatalogServer
 	registry  *membership.Registry
 	pool      *dispatch.Pool
 	observer  *dispatch.Observer
@@ -112,8 +114,10 @@
 	h.pool.OnFreed(h.admission.Wake)
 	h.catalog.OnChange(h.pool.Apply)
 	h.catalog.OnChange(func(s *catalog.Snapshot) { h.metrics.Revision.Set(float64(s.Revision)) })
+	h.metrics.KnowledgeAge(func() float64 { return h.catalog.Age(time.Now()).Seconds() })
 	var wg sync.WaitGroup
 	wg.Go(func() { h.source.Run(ctx) })
+	wg.Go(func() { h.relay.Run(ctx) })
 	wg.Go(func() { h.registry.Run(ctx) })
 	wg.Go(func() { h.observer.Run(ctx) })
 	wg.Go(func() { h.admission.Run(ctx) })
@@ -133,7 +137,7 @@
 	}{
 		{"callers", h.settings.Listen, h.callers()},
 		{"operators", h.settings.AdminListen, h.admin.Handler()},
-		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration())},
+		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration(), h.catalogs.Registration())},
 	} {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -178,7 +182,7 @@
 		return
 	default:
 	}
-	if !h.source.Ready() {
+	if !h.source.Ready() || !h.relay.Introduced() {
 		http.Error(w, "configuration has not been read yet", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -25,6 +25,7 @@
 	Metrics   *telemetry.Metrics
 	Catalog   *catalog.Catalog
 	Source    *catalog.Source
+	Relay     *catalog.Relay
 	Registry  *membership.Registry
 	Pool      *dispatch.Pool
 	Observer  *dispatch.Observer
@@ -33,6 +34,7 @@
 	Gateway   *gateway.Gateway
 	Admin     *admin.API
 	Peers     *peer.Server
+	Catalogs  *peer.CatalogServer
 	Client    *platform.Client
 	Engine    *httpengine.Engine
 	PeerCalls *peer.Client
@@ -40,7 +42,7 @@
 
 func assemble(p parts) *Host {
 	return &Host{
-		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source,
+		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source, relay: p.Relay, catalogs: p.Catalogs,
 		registry: p.Registry, pool: p.Pool, observer: p.Observer, admission: p.Admission, runner: p.Runner,
 		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
 		peerCalls: p.PeerCalls, notReady: make(chan struct{}),
@@ -55,8 +57,21 @@
 	return platform.NewClient(s.Platform, s.Name)
 }
 
-func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) *catalog.Source {
-	return catalog.NewSource(store, c, s.Site, log)
+func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) (*catalog.Source, error) {
+	source := catalog.NewSource(store, c, s.Site, log)
+	if s.DataFolder == "" {
+		return source, nil
+	}
+	folder, err := catalog.NewFolder(s.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	source.KeepIn(folder)
+	return source, nil
+}
+
+func newRelay(source *catalog.Source, members membership.Feed, peers catalog.Peers, s config.Host, log logrus.FieldLogger) *catalog.Relay {
+	return catalog.NewRelay(source, members, peers, s.Peers, log)
 }
 
 func newRegistry(store platform.Store, s config.Host, log logrus.FieldLogger) *membership.Registry {
--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -35,7 +35,7 @@
 	newPlatformClient,
 	wire.Bind(new(platform.Store), new(*platform.Client)),
 	wire.Bind(new(platform.HostLister), new(*platform.Client)),
-	catalog.New, newSource,
+	catalog.New, newSource, newRelay, peer.NewCatalogServer,
 	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)),
 	httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)),
 	dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher,
@@ -45,6 +45,7 @@
 	batch.NewRepository, batch.NewService, batch.NewRunner,
 	batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)),
 	gateway.New,
-	peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)),
+	peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)),
+	wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)),
 	operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -36,8 +36,13 @@
 	metrics := telemetry.NewMetrics()
 	catalogCatalog := catalog.New()
 	client := newPlatformClient(settings)
-	source := newSource(client, catalogCatalog, settings, logger)
+	source, err := newSource(client, catalogCatalog, settings, logger)
+	if err != nil {
+		return nil, err
+	}
 	registry := newRegistry(client, settings, logger)
+	peerClient := peer.NewClient()
+	relay := newRelay(source, registry, peerClient, settings, logger)
 	pool := dispatch.NewPool()
 	engine := httpengine.New()
 	observer := dispatch.NewObserver(pool, engine, client, logger)
@@ -51,7 +56,6 @@
 	service := batch.NewService(repository)
 	gatewayGateway := gateway.New(catalogCatalog, limiter, path, service, metrics, logger)
 	token := operatorToken(settings)
-	peerClient := peer.NewClient()
 	deps := admin.Deps{
 		Token:   token,
 		Store:   client,
@@ -59,17 +63,21 @@
 		Pool:    pool,
 		Members: registry,
 		Peers:   peerClient,
+		Source:  source,
+		Relay:   relay,
 		Batches: service,
 		Log:     logger,
 	}
 	api := admin.New(deps)
 	server := peer.NewServer(catalogCatalog, registry)
+	catalogServer := peer.NewCatalogServer(relay, catalogCatalog)
 	appParts := parts{
 		Settings:  settings,
 		Log:       logger,
 		Metrics:   metrics,
 		Catalog:   catalogCatalog,
 		Source:    source,
+		Relay:     relay,
 		Registry:  registry,
 		Pool:      pool,
 		Observer:  observer,
@@ -78,6 +86,7 @@
 		Gateway:   gatewayGateway,
 		Admin:     api,
 		Peers:     server,
+		Catalogs:  catalogServer,
 		Client:    client,
 		Engine:    engine,
 		PeerCalls: peerClient,
@@ -89,6 +98,5 @@
 // wire.go:
 
 var hostSet = wire.NewSet(
-	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource,
-	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newLimiter, batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource, newRelay, peer.NewCatalogServer, newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newLimiter, batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)), wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- /dev/null
+++ b/internal/catalog/book.go
@@ -0,0 +1,79 @@
+package catalog
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/masticscale/masticscale/internal/membership"
+)
+
+// failurePause is the time for which a peer that did not answer is left alone.
+const failurePause = 5 * time.Second
+
+// book holds the addresses of all hosts that were ever seen, since the members
+// that the platform names run out when it cannot be reached.
+type book struct {
+	seeds []string
+
+	mu     sync.Mutex
+	hosts  map[string]membership.Host // by name
+	paused map[string]time.Time       // by address
+}
+
+func newBook(seeds []string) *book {
+	return &book{seeds: seeds, hosts: map[string]membership.Host{}, paused: map[string]time.Time{}}
+}
+
+// add notes a host; one that has stopped is forgotten.
+func (b *book) add(h membership.Host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.State == membership.Gone {
+		delete(b.hosts, h.Name)
+		return
+	}
+	b.hosts[h.Name] = h
+}
+
+func (b *book) failed(address string, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.paused[address] = at.Add(failurePause)
+}
+
+// all returns the hosts in name order.
+func (b *book) all() []membership.Host {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	hosts := make([]membership.Host, 0, len(b.hosts))
+	for _, h := range b.hosts {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, func(a, c membership.Host) int { return cmp.Compare(a.Name, c.Name) })
+	return hosts
+}
+
+// pick returns up to n addresses of peers, chosen at random.
+func (b *book) pick(n int, self membership.Host, now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var candidates []string
+	offer := func(address string) {
+		if address != self.PeerAddress && address != "" && !now.Before(b.paused[address]) && !slices.Contains(candidates, address) {
+			candidates = append(candidates, address)
+		}
+	}
+	for name, h := range b.hosts {
+		if name != self.Name {
+			offer(h.PeerAddress)
+		}
+	}
+	for _, address := range b.seeds {
+		offer(address)
+	}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return candidates[:min(n, len(candidates))]
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,7 +3,9 @@
 // made one by one.
 //
 // Contract: a Snapshot never changes; readers take the current one without a
-// lock. A revision lower than one already used is never adopted.
+// lock. A revision lower than one already used is never adopted, an older
+// state of the objects never replaces a newer one, and a key that was withdrawn
+// once stays withdrawn, whatever a late read says.
 package catalog
 
 import (
@@ -14,6 +16,7 @@
 
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/key"
+	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/route"
 	"github.com/masticscale/masticscale/internal/service"
 	"github.com/masticscale/masticscale/internal/team"
@@ -55,28 +58,25 @@
 
 // Catalog holds the current snapshot.
 type Catalog struct {
-	current atomic.Pointer[Snapshot]
-
-	mu       sync.Mutex // guards the parts and the building of snapshots
-	revision int64
-	fleet    config.Fleet
-	teams    map[string]team.Spec
-	services map[string]service.Spec
-	routes   map[string]route.Spec
-	keys     map[key.ID]key.Spec
-	watchers []func(*Snapshot)
-
-	heard atomic.Int64 // unix nanoseconds at which the source last confirmed
+	current  atomic.Pointer[Snapshot]
+	catchUp  gate
+	sessions sessions
+
+	mu         sync.Mutex // guards the parts and the building of snapshots
+	accepted   *config.Revision
+	revision   int64
+	fleet      config.Fleet
+	parts      Parts
+	contents   contents
+	fresh      freshness
+	withdrawn  map[key.ID]Withdrawal
+	watchers   []func(*Snapshot)
+	onWithdraw []func(Withdrawal)
 }
 
 // New returns an empty catalog.
 func New() *Catalog {
-	c := &Catalog{
-		teams:    map[string]team.Spec{},
-		services: map[string]service.Spec{},
-		routes:   map[string]route.Spec{},
-		keys:     map[key.ID]key.Spec{},
-	}
+	c := &Catalog{parts: newParts(), contents: newContents(), withdrawn: map[key.ID]Withdrawal{}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.publish()
@@ -95,14 +95,6 @@
 	f(c.Current())
 }
 
-// Confirm notes that the source of knowledge answered at the time.
-func (c *Catalog) Confirm(now time.Time) { c.heard.Store(now.UnixNano()) }
-
-// Age returns how long ago the source of knowledge last answered.
-func (c *Catalog) Age(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, c.heard.Load()))
-}
-
 // Adopt puts a fleet configuration in force, unless a higher revision already
 // is. It reports whether the revision is in force now.
 func (c *Catalog) Adopt(revision int64, fleet config.Fleet) bool {
@@ -116,35 +108,90 @@
 	}
 	c.revision = revision
 	c.fleet = fleet
+	c.accepted = nil
 	c.publish()
 	return true
 }
 
+// keep remembers the whole revision in force, to pass it on to peers.
+func (c *Catalog) keep(r config.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Number == c.revision {
+		c.accepted = &r
+	}
+}
+
+// Accepted returns the whole revision in force, if there is one.
+func (c *Catalog) Accepted() (config.Revision, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.accepted == nil {
+		return config.Revision{}, false
+	}
+	return *c.accepted, true
+}
+
 // Change edits the parts made one by one and publishes the result.
 func (c *Catalog) Change(edit func(*Parts)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	edit(&Parts{Teams: c.teams, Services: c.services, Routes: c.routes, Keys: c.keys})
+	edit(&c.parts)
 	c.publish()
 }
 
-// Parts are the objects made one by one. An edit changes the maps in place.
-type Parts struct {
-	Teams    map[string]team.Spec
-	Services map[string]service.Spec
-	Routes   map[string]route.Spec
-	Keys     map[key.ID]key.Spec
+// replace puts the whole list of a kind in force, as it was at the version,
+// unless a newer state is known.
+func (c *Catalog) replace(kind platform.Kind, objects []platform.Object, version int64, report func(error)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.contents.advances(kind, version) {
+		return
+	}
+	if c.contents.replace(kind, objects, version) {
+		c.parts.clear(kind)
+		for _, o := range objects {
+			if err := c.parts.put(kind, o); err != nil {
+				report(err)
+			}
+		}
+		c.publish()
+	}
+}
+
+// event puts one change of a kind in force, unless it is known already.
+func (c *Catalog) event(kind platform.Kind, e platform.Event, report func(error)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.contents.advances(kind, e.Object.Version) {
+		return
+	}
+	c.contents.advance(kind, e.Object.Version)
+	switch e.Type {
+	case platform.EventPut:
+		c.contents.put(kind, e.Object.Name, e.Object.Version)
+		if err := c.parts.put(kind, e.Object); err != nil {
+			report(err)
+		}
+	case platform.EventDelete:
+		c.contents.remove(kind, e.Object.Name)
+		c.parts.remove(kind, e.Object.Name)
+	default:
+		return
+	}
+	c.publish()
 }
 
 // publish builds the next snapshot; the caller holds mu. The configuration's
 // entries win over objects of the same name.
 func (c *Catalog) publish() {
+	news := c.learnWithdrawals()
 	s := &Snapshot{
 		Revision: c.revision,
-		Teams:    union(c.teams, c.fleet.Teams),
-		Services: union(c.services, c.fleet.Services),
-		Routes:   union(c.routes, c.fleet.Routes),
-		Keys:     maps.Clone(c.keys),
+		Teams:    union(c.parts.Teams, c.fleet.Teams),
+		Services: union(c.parts.Services, c.fleet.Services),
+		Routes:   union(c.parts.Routes, c.fleet.Routes),
+		Keys:     c.keysInForce(),
 		Models:   map[string]string{},
 		Limits:   c.fleet.Limits.WithDefaults(),
 	}
@@ -157,6 +204,15 @@
 	for _, f := range c.watchers {
 		f(s)
 	}
+	c.announce(news)
+}
+
+// Age returns how old the host's knowledge of the platform's objects can be:
+// the time since the latest moment as of which nothing is missing.
+func (c *Catalog) Age(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fresh.age(now)
 }
 
 func union[V any](below, above map[string]V) map[string]V {
--- a/internal/catalog/revision.go
+++ b/internal/catalog/revision.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,7 +34,7 @@
 		return config.Revision{}, err
 	}
 	if expected >= 0 && pointer.Revision != expected {
-		return config.Revision{}, revisionConflict(pointer.Revision)
+		return config.Revision{}, revisionConflict(ctx, store, pointer)
 	}
 	revision := config.Revision{
 		Number:  pointer.Revision + 1,
@@ -42,26 +43,56 @@
 		Note:    note,
 		Created: time.Now().UTC(),
 	}
-	return commit(ctx, store, revision, version)
+	return commit(ctx, store, revision, pointer, version)
 }
 
 // commit writes the revision under a name of its own, then the pointer, which
 // is the commit point. A revision whose pointer write lost is never read.
-func commit(ctx context.Context, store platform.Store, r config.Revision, version int64) (config.Revision, error) {
-	next := Pointer{Revision: r.Number, Object: uuid.NewString()}
-	if _, err := store.Create(ctx, platform.KindRevision, next.Object, r); err != nil {
+func commit(ctx context.Context, store platform.Store, r config.Revision, before Pointer, version int64) (config.Revision, error) {
+	next, dropped := before.follow(PointerEntry{
+		Revision: r.Number, Object: uuid.NewString(), Author: r.Author, Note: r.Note, Created: r.Created,
+	})
+	o, err := store.Create(ctx, platform.KindRevision, next.Object, r)
+	if err != nil {
 		return config.Revision{}, err
 	}
-	var err error
 	if version == 0 {
 		_, err = store.Create(ctx, platform.KindPointer, PointerName, next)
 	} else {
 		_, err = store.Update(ctx, platform.KindPointer, PointerName, version, next)
 	}
 	if errors.Is(err, platform.ErrConflict) {
-		return config.Revision{}, revisionConflict(r.Number)
+		_ = store.Delete(ctx, platform.KindRevision, next.Object, o.Version) // nothing points to it
+		winner, _, _ := readPointer(ctx, store)
+		return config.Revision{}, revisionConflict(ctx, store, winner)
+	}
+	if err != nil {
+		return config.Revision{}, err
+	}
+	collect(ctx, store, dropped)
+	return r, nil
+}
+
+// collect deletes revisions that the history no longer holds. One that is left
+// over does no harm.
+func collect(ctx context.Context, store platform.Store, dropped []PointerEntry) {
+	for _, entry := range dropped {
+		o, err := store.Get(ctx, platform.KindRevision, entry.Object)
+		if err == nil {
+			_ = store.Delete(ctx, platform.KindRevision, entry.Object, o.Version)
+		}
+	}
+}
+
+// History returns the accepted revisions that are kept, the latest first.
+func History(ctx context.Context, store platform.Store) ([]PointerEntry, error) {
+	p, _, err := readPointer(ctx, store)
+	if err != nil {
+		return nil, err
 	}
-	return r, err
+	entries := slices.Clone(p.History)
+	slices.Reverse(entries)
+	return entries, nil
 }
 
 func readPointer(ctx context.Context, store platform.Store) (Pointer, int64, error) {
@@ -76,7 +107,11 @@
 	return p, o.Version, o.Decode(&p)
 }
 
-func revisionConflict(winner int64) error {
+func revisionConflict(ctx context.Context, store platform.Store, winner Pointer) error {
+	author := "another operator"
+	if r, err := ReadRevision(ctx, store, winner); err == nil && r.Author != "" {
+		author = r.Author
+	}
 	return apierr.Newf(apierr.Conflict, "read it with 'config show', merge your change and apply again",
-		"another operator's revision (%d) was accepted first", winner)
+		"revision %d by %s is in force; yours was not accepted", winner.Revision, author)
 }
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -2,189 +2,320 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/config"
-	"github.com/masticscale/masticscale/internal/key"
 	"github.com/masticscale/masticscale/internal/platform"
-	"github.com/masticscale/masticscale/internal/route"
-	"github.com/masticscale/masticscale/internal/service"
-	"github.com/masticscale/masticscale/internal/team"
 )
 
-// PointerName is the name of the object that points to the revision in force.
-const PointerName = "current"
+const (
+	syncBackoffMin = 50 * time.Millisecond
+	syncBackoffMax = time.Second
+	pollInterval   = 2 * time.Second // of a fleet of pollFleet hosts or fewer
+	pollFleet      = 8
+	staleCheck     = 250 * time.Millisecond
+	staleAfterMin  = 3 * time.Second // a checkpoint that is not reached for so long asks for a new list
+	staleAfterMax  = time.Minute
+	outOfTouch     = 5 * time.Second // older knowledge is caught up with before it is used again
+)
 
-// Pointer is the object that names the revision in force.
-type Pointer struct {
-	Revision int64  `json:"revision"`
-	Object   string `json:"object"` // name of the revision's object
-}
+var followedKinds = append([]platform.Kind{platform.KindPointer}, objectKinds...)
 
-// Source keeps a catalog up to date with the platform.
+// Source keeps a catalog up to date with the platform. It lists every kind,
+// then watches; a watch that ends, or that falls behind what the store has
+// reached, makes it start over with new connections.
 type Source struct {
 	store   platform.Store
 	catalog *Catalog
 	site    string
 	log     logrus.FieldLogger
-	ready   sync.Map // platform.Kind to struct{}: kinds listed at least once
+	adopter *adopter
+	folder  *Folder
+
+	synced     atomic.Bool // listed from the platform, revision in force
+	restored   atomic.Bool // state taken from the data folder
+	fallback   atomic.Bool // may serve without the platform
+	tried      atomic.Bool // the platform was asked once
+	fleetSize  atomic.Int64
+	staleAfter time.Duration // used by Run alone
+	partial    bool          // the last sync was answered in part; used by Run alone
 }
 
 // NewSource returns a source for the site.
 func NewSource(store platform.Store, c *Catalog, site string, log logrus.FieldLogger) *Source {
-	return &Source{store: store, catalog: c, site: site, log: log}
+	s := &Source{store: store, catalog: c, site: site, log: log, staleAfter: staleAfterMin}
+	s.adopter = newAdopter(s)
+	return s
 }
 
-var followedKinds = []platform.Kind{
-	platform.KindPointer, platform.KindTeam, platform.KindKey, platform.KindRoute, platform.KindService,
-}
+// KeepIn makes the source keep the catalog in a data folder. Call it before Run.
+func (s *Source) KeepIn(f *Folder) { s.folder = f }
 
 // Run follows the platform until ctx is done.
 func (s *Source) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, kind := range followedKinds {
-		wg.Go(func() { s.follow(ctx, kind) })
+	if s.folder != nil {
+		s.restore()
+		wg.Go(func() { s.folder.run(ctx, s.catalog, s.log) })
+	}
+	wg.Go(func() { s.adopter.run(ctx) })
+	wg.Go(func() { s.poll(ctx) })
+	backoff := syncBackoffMin
+	for ctx.Err() == nil {
+		if s.sync(ctx) {
+			started := time.Now()
+			s.watch(ctx)
+			if time.Since(started) > syncBackoffMax {
+				backoff = syncBackoffMin
+			}
+		}
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, syncBackoffMax)
 	}
 	wg.Wait()
 }
 
-// Ready reports whether every kind has been read at least once.
-func (s *Source) Ready() bool {
-	for _, kind := range followedKinds {
-		if _, ok := s.ready.Load(kind); !ok {
-			return false
-		}
-	}
-	return true
+// Ready reports whether the host knows enough to serve: from the platform, or,
+// when that cannot be reached, from a peer or the data folder.
+func (s *Source) Ready() bool { return s.synced.Load() || s.fallback.Load() }
+
+// listing is the answer of one list.
+type listing struct {
+	objects []platform.Object
+	version int64
+	err     error
 }
 
-func (s *Source) follow(ctx context.Context, kind platform.Kind) {
-	reset := func(objects []platform.Object, _ int64) {
-		s.reset(ctx, kind, objects)
-		s.ready.Store(kind, struct{}{})
-		s.catalog.Confirm(time.Now())
+// sync lists every kind and puts what is newer in force. It reports whether the
+// platform answered.
+func (s *Source) sync(ctx context.Context) bool {
+	started := time.Now()
+	age := s.catalog.Age(started)
+	heard := s.catalog.heard()
+	// A platform that answers in part again and again must not hold up what
+	// the host can serve, so only a first contact does.
+	catchingUp := age > outOfTouch && age != unknownAge && !s.partial
+	hold := sync.OnceValue(s.catalog.catchUp.hold)
+	listings := make([]listing, len(followedKinds))
+	var wg sync.WaitGroup
+	for i, kind := range followedKinds {
+		wg.Go(func() {
+			objects, version, err := s.store.List(ctx, kind, "")
+			listings[i] = listing{objects, version, err}
+			if err == nil && catchingUp {
+				hold()
+			}
+		})
 	}
-	apply := func(e platform.Event) {
-		s.apply(ctx, kind, e)
-		s.catalog.Confirm(time.Now())
+	wg.Wait()
+	if catchingUp {
+		defer hold()()
 	}
-	platform.Follow(ctx, s.store, kind, reset, apply)
+	s.tried.Store(true)
+	if failed := countFailed(listings); failed > 0 {
+		s.partial = failed < len(listings)
+		s.log.WithFields(logrus.Fields{"event": "catalog_sync_failed", "lists": failed}).Debug("platform cannot be listed")
+		return false
+	}
+	s.partial = false
+	lowest := listings[0].version
+	for i, kind := range followedKinds {
+		s.reset(ctx, kind, listings[i])
+		lowest = min(lowest, listings[i].version)
+	}
+	// A list that is older than what was heard of does not confirm anything.
+	s.catalog.Hear(Checkpoint{Version: max(lowest, heard.Version), At: started})
+	s.synced.Store(s.adopter.idle())
+	return true
 }
 
-func (s *Source) reset(ctx context.Context, kind platform.Kind, objects []platform.Object) {
-	if kind == platform.KindPointer {
-		for _, o := range objects {
-			s.adopt(ctx, o)
+func countFailed(listings []listing) int {
+	failed := 0
+	for _, l := range listings {
+		if l.err != nil {
+			failed++
 		}
-		return
 	}
-	s.catalog.Change(func(p *Parts) {
-		p.clear(kind)
-		for _, o := range objects {
-			s.put(p, kind, o)
-		}
-	})
+	return failed
 }
 
-func (s *Source) apply(ctx context.Context, kind platform.Kind, e platform.Event) {
-	switch {
-	case e.Type == platform.EventBookmark:
-	case kind == platform.KindPointer && e.Type == platform.EventPut:
-		s.adopt(ctx, e.Object)
-	case e.Type == platform.EventPut:
-		s.catalog.Change(func(p *Parts) { s.put(p, kind, e.Object) })
-	case e.Type == platform.EventDelete:
-		s.catalog.Change(func(p *Parts) { p.remove(kind, e.Object.Name) })
+func (s *Source) reset(ctx context.Context, kind platform.Kind, l listing) {
+	if kind != platform.KindPointer {
+		s.catalog.replace(kind, l.objects, l.version, s.skipped)
+		return
+	}
+	for _, o := range l.objects {
+		s.point(o, l.version)
+	}
+	s.adopter.settle(ctx)
+	if s.adopter.idle() {
+		s.catalog.pointerAt(l.version)
 	}
 }
 
-func (s *Source) put(p *Parts, kind platform.Kind, o platform.Object) {
-	if err := p.put(kind, o); err != nil {
-		s.log.WithError(err).WithField("event", "object_skipped").Error("object cannot be read")
-	}
+func (s *Source) skipped(err error) {
+	s.log.WithError(err).WithField("event", "object_skipped").Error("object cannot be read")
 }
 
-// adopt reads the revision that the pointer names and puts it in force.
-func (s *Source) adopt(ctx context.Context, o platform.Object) {
+// point takes note of the pointer.
+func (s *Source) point(o platform.Object, version int64) {
 	var p Pointer
 	if err := o.Decode(&p); err != nil {
 		s.log.WithError(err).WithField("event", "config_pointer_invalid").Error("pointer cannot be read")
 		return
 	}
-	if p.Revision <= s.catalog.Current().Revision {
-		return
+	s.adopter.want(p, version)
+}
+
+// watch follows every kind until one of the watches ends or is seen to be stale.
+func (s *Source) watch(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, kind := range followedKinds {
+		wg.Go(func() {
+			defer cancel()
+			s.watchKind(ctx, kind)
+		})
 	}
-	revision, err := ReadRevision(ctx, s.store, p)
+	s.awaitStale(ctx)
+	cancel()
+	wg.Wait()
+}
+
+func (s *Source) watchKind(ctx context.Context, kind platform.Kind) {
+	w, err := s.store.Watch(ctx, kind, s.catalog.completeAt(kind))
 	if err != nil {
-		s.log.WithError(err).WithField("event", "config_read_failed").Warn("revision cannot be read")
 		return
 	}
-	s.AdoptRevision(revision)
+	defer w.Close()
+	for {
+		e, err := w.Next()
+		if err != nil {
+			return
+		}
+		s.apply(kind, e)
+	}
+}
+
+func (s *Source) apply(kind platform.Kind, e platform.Event) {
+	switch {
+	case kind != platform.KindPointer:
+		s.catalog.event(kind, e, s.skipped)
+	case e.Type == platform.EventPut:
+		s.point(e.Object, e.Object.Version)
+	case s.adopter.idle():
+		s.catalog.pointerAt(e.Object.Version)
+	}
+	s.catalog.progress()
+	if !s.synced.Load() {
+		s.synced.Store(s.adopter.idle())
+	}
+}
+
+// awaitStale returns when the host has long not reached what the store has. A
+// platform whose bookmarks are rare looks the same; the wait then grows.
+func (s *Source) awaitStale(ctx context.Context) {
+	ticker := time.NewTicker(staleCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if s.catalog.behind(time.Now()) < s.staleAfter {
+			continue
+		}
+		before := s.catalog.digests()
+		s.sync(ctx)
+		if s.catalog.digests() != before {
+			s.staleAfter = staleAfterMin
+			s.log.WithField("event", "watch_stale").Warn("watch delivered nothing although the store has changed; it is opened again")
+			return
+		}
+		s.staleAfter = min(2*s.staleAfter, staleAfterMax)
+	}
+}
+
+// poll asks the platform now and then how far its store has come. The interval
+// grows with the fleet, so that the calls of the whole fleet do not; peers pass
+// on what they heard.
+func (s *Source) poll(ctx context.Context) {
+	for {
+		interval := pollInterval * time.Duration(max(1, s.fleetSize.Load()/pollFleet))
+		if !sleep(ctx, interval/2+rand.N(interval)) {
+			return
+		}
+		sent := time.Now()
+		objects, version, err := s.store.List(ctx, platform.KindPointer, PointerName)
+		if err != nil {
+			continue
+		}
+		s.catalog.Hear(Checkpoint{Version: version, At: sent})
+		for _, o := range objects {
+			if o.Name == PointerName {
+				s.point(o, 0)
+			}
+		}
+	}
 }
 
 // AdoptRevision renders a revision for this site and puts it in force. It
-// reports whether the revision is in force now.
+// reports whether the revision, or a later one, is in force now.
 func (s *Source) AdoptRevision(revision config.Revision) bool {
+	current := s.catalog.Current().Revision
+	if revision.Number <= current {
+		return true
+	}
 	doc, err := revision.Bundle.Render(s.site)
 	if err != nil {
-		s.log.WithError(err).WithField("event", "config_render_failed").Error("revision cannot be rendered")
+		s.log.WithError(err).WithFields(logrus.Fields{"event": "config_render_failed", "revision": revision.Number}).
+			Error("revision cannot be rendered; this host keeps the one before")
 		return false
 	}
-	if !s.catalog.Adopt(revision.Number, doc.Fleet) {
-		return false
+	if s.catalog.Adopt(revision.Number, doc.Fleet) {
+		s.catalog.keep(revision)
+		s.log.WithFields(logrus.Fields{"event": "config_in_force", "revision": revision.Number}).Info("configuration is in force")
 	}
-	s.log.WithFields(logrus.Fields{"event": "config_in_force", "revision": revision.Number}).Info("configuration is in force")
 	return true
 }
 
-func (p *Parts) clear(kind platform.Kind) {
-	switch kind {
-	case platform.KindTeam:
-		clear(p.Teams)
-	case platform.KindKey:
-		clear(p.Keys)
-	case platform.KindRoute:
-		clear(p.Routes)
-	case platform.KindService:
-		clear(p.Services)
-	}
-}
-
-func (p *Parts) put(kind platform.Kind, o platform.Object) error {
-	switch kind {
-	case platform.KindTeam:
-		return decodeInto[string, team.Spec](p.Teams, o.Name, o)
-	case platform.KindKey:
-		return decodeInto[key.ID, key.Spec](p.Keys, key.ID(o.Name), o)
-	case platform.KindRoute:
-		return decodeInto[string, route.Spec](p.Routes, o.Name, o)
-	case platform.KindService:
-		return decodeInto[string, service.Spec](p.Services, o.Name, o)
-	}
-	return nil
-}
-
-func decodeInto[K comparable, V any](m map[K]V, name K, o platform.Object) error {
-	var v V
-	if err := o.Decode(&v); err != nil {
-		return err
-	}
-	m[name] = v
-	return nil
-}
-
-func (p *Parts) remove(kind platform.Kind, name string) {
-	switch kind {
-	case platform.KindTeam:
-		delete(p.Teams, name)
-	case platform.KindKey:
-		delete(p.Keys, key.ID(name))
-	case platform.KindRoute:
-		delete(p.Routes, name)
-	case platform.KindService:
-		delete(p.Services, name)
+// MergeState takes over what is newer in another host's or a stored state.
+func (s *Source) MergeState(state State) {
+	s.catalog.merge(state)
+	if state.Revision == nil || s.AdoptRevision(*state.Revision) {
+		s.catalog.pointerAt(state.Contents.Complete[platform.KindPointer])
+	}
+	s.catalog.progress()
+}
+
+func (s *Source) restore() {
+	state, err := s.folder.Load()
+	if err != nil {
+		s.log.WithError(err).WithField("event", "catalog_restore_failed").Warn("the data folder's copy is not used")
+		return
+	}
+	if state == nil {
+		return
+	}
+	s.catalog.restoreAge(state.Confirmed, time.Now())
+	s.MergeState(*state)
+	s.restored.Store(true)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
 }
--- /dev/null
+++ b/internal/catalog/source_test.go
@@ -0,0 +1,184 @@
+package catalog_test
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/config"
+	"github.com/masticscale/masticscale/internal/emulator/fault"
+	"github.com/masticscale/masticscale/internal/emulator/objectapi"
+	"github.com/masticscale/masticscale/internal/key"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+const eventBound = 30 * time.Second
+
+// flakyStore fails reads and repeats old lists on demand.
+type flakyStore struct {
+	platform.Store
+	failRevisions atomic.Int32 // reads of revisions that still fail
+
+	mu       sync.Mutex
+	old      map[platform.Kind][]platform.Object // answers of stale lists
+	oldAt    int64
+	staleFor platform.Kind
+}
+
+func (s *flakyStore) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	if kind == platform.KindRevision && s.failRevisions.Add(-1) >= 0 {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, kind, name)
+}
+
+func (s *flakyStore) List(ctx context.Context, kind platform.Kind, prefix string) ([]platform.Object, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.staleFor == kind {
+		return s.old[kind], s.oldAt, nil
+	}
+	return s.Store.List(ctx, kind, prefix)
+}
+
+// remember keeps the present list of a kind for goStale.
+func (s *flakyStore) remember(c *qt.C, kind platform.Kind) {
+	objects, version, err := s.Store.List(context.Background(), kind, "")
+	c.Assert(err, qt.IsNil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.old, s.oldAt = map[platform.Kind][]platform.Object{kind: objects}, version
+}
+
+func (s *flakyStore) goStale(kind platform.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleFor = kind
+}
+
+type bench struct {
+	server *objectapi.Server
+	store  *flakyStore
+}
+
+func newBench(c *qt.C) *bench {
+	server := objectapi.New()
+	listener := httptest.NewServer(server.Handler())
+	c.Cleanup(listener.CloseClientConnections)
+	client := platform.NewClient(listener.URL, "test")
+	c.Cleanup(client.Close)
+	return &bench{server: server, store: &flakyStore{Store: client}}
+}
+
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// follow runs a source until the test ends.
+func (b *bench) follow(c *qt.C) (*catalog.Catalog, *catalog.Source) {
+	cat := catalog.New()
+	source := catalog.NewSource(b.store, cat, "", quiet())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		source.Run(ctx)
+	}()
+	c.Cleanup(func() { cancel(); <-done })
+	eventually(c, source.Ready)
+	return cat, source
+}
+
+func eventually(c *qt.C, holds func() bool) {
+	c.Helper()
+	deadline := time.Now().Add(eventBound)
+	for !holds() {
+		if time.Now().After(deadline) {
+			c.Fatalf("it did not come about within %v", eventBound)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (b *bench) accept(c *qt.C) config.Revision {
+	r, err := catalog.Accept(context.Background(), b.store, config.Bundle{}, "ada", "", -1)
+	c.Assert(err, qt.IsNil)
+	return r
+}
+
+func TestFailedRevisionReadIsRetried(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	cat, _ := b.follow(c)
+	b.store.failRevisions.Store(3)
+	r := b.accept(c)
+	eventually(c, func() bool { return cat.Current().Revision == r.Number })
+}
+
+func TestRevisionArrivesWhileWatchIsStale(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	cat, _ := b.follow(c)
+	b.server.Faults.Put(fault.Set{StaleWatch: true})
+	r := b.accept(c)
+	eventually(c, func() bool { return cat.Current().Revision == r.Number })
+}
+
+func TestWithdrawalArrivesWhileWatchIsStale(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	cat, _ := b.follow(c)
+	id, o := b.createKey(c)
+	eventually(c, func() bool { return cat.Current().Keys[id].Active() && cat.Current().Keys[id].Team != "" })
+	b.server.Faults.Put(fault.Set{StaleWatch: true})
+	b.withdraw(c, id, o)
+	eventually(c, func() bool { return !cat.Current().Keys[id].Active() })
+}
+
+func TestStaleListDoesNotReviveWithdrawnKey(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	cat, _ := b.follow(c)
+	id, o := b.createKey(c)
+	b.store.remember(c, platform.KindKey)
+	b.withdraw(c, id, o)
+	eventually(c, func() bool { k, ok := cat.Current().Keys[id]; return ok && !k.Active() })
+	b.store.goStale(platform.KindKey)
+	var revived atomic.Bool
+	cat.OnChange(func(s *catalog.Snapshot) {
+		if s.Keys[id].Active() {
+			revived.Store(true)
+		}
+	})
+	// An outage makes the source list again, and the list is old.
+	b.server.Faults.Put(fault.Set{Down: true})
+	time.Sleep(3 * time.Second)
+	b.server.Faults.Put(fault.Set{})
+	r := b.accept(c)
+	eventually(c, func() bool { return cat.Current().Revision == r.Number })
+	c.Assert(revived.Load(), qt.IsFalse)
+}
+
+func (b *bench) createKey(c *qt.C) (key.ID, platform.Object) {
+	id := key.IDOf(key.NewSecret())
+	o, err := b.store.Create(context.Background(), platform.KindKey, string(id), key.Spec{Team: "forecourt", Created: time.Now()})
+	c.Assert(err, qt.IsNil)
+	return id, o
+}
+
+func (b *bench) withdraw(c *qt.C, id key.ID, o platform.Object) {
+	var spec key.Spec
+	c.Assert(o.Decode(&spec), qt.IsNil)
+	_, err := b.store.Update(context.Background(), platform.KindKey, string(id), o.Version, spec.Withdraw(time.Now(), false))
+	c.Assert(err, qt.IsNil)
+}
--- /dev/null
+++ b/internal/catalog/withdraw.go
@@ -0,0 +1,154 @@
+package catalog
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/key"
+)
+
+// Withdrawal is the end of a key. It is final.
+type Withdrawal struct {
+	ID        key.ID    `json:"id"`
+	At        time.Time `json:"at"`
+	CutActive bool      `json:"cut_active,omitempty"` // end requests in progress too
+}
+
+// Withdraw ends a key on this host at once. It reports whether that is news.
+func (c *Catalog) Withdraw(w Withdrawal) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if before, known := c.withdrawn[w.ID]; known && (before.CutActive || !w.CutActive) {
+		return false
+	}
+	c.withdrawn[w.ID] = w
+	c.publish()
+	c.announce([]Withdrawal{w})
+	return true
+}
+
+// Withdrawn reports whether a key is known to be withdrawn.
+func (c *Catalog) Withdrawn(id key.ID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, known := c.withdrawn[id]
+	return known
+}
+
+// OnWithdraw registers a function that is called with each withdrawal that is
+// news to this host, after it is in force. It must not block.
+func (c *Catalog) OnWithdraw(f func(Withdrawal)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onWithdraw = append(c.onWithdraw, f)
+}
+
+// learnWithdrawals takes over the withdrawals that the key objects hold; the
+// caller holds mu. It returns those that are news.
+func (c *Catalog) learnWithdrawals() []Withdrawal {
+	var news []Withdrawal
+	for id, spec := range c.parts.Keys {
+		if spec.Active() {
+			continue
+		}
+		before, known := c.withdrawn[id]
+		if known && (before.CutActive || !spec.CutActive) {
+			continue
+		}
+		w := Withdrawal{ID: id, At: *spec.Withdrawn, CutActive: spec.CutActive}
+		c.withdrawn[id] = w
+		news = append(news, w)
+	}
+	return news
+}
+
+// announce tells of withdrawals; the caller holds mu.
+func (c *Catalog) announce(news []Withdrawal) {
+	for _, w := range news {
+		if w.CutActive {
+			c.sessions.cut(w.ID)
+		}
+		for _, f := range c.onWithdraw {
+			f(w)
+		}
+	}
+}
+
+// keysInForce lays the withdrawals over the key objects; the caller holds mu.
+func (c *Catalog) keysInForce() map[key.ID]key.Spec {
+	keys := maps.Clone(c.parts.Keys)
+	for id, w := range c.withdrawn {
+		if spec, known := keys[id]; known && spec.Active() {
+			keys[id] = spec.Withdraw(w.At, w.CutActive)
+		}
+	}
+	return keys
+}
+
+// withdrawnDigest identifies the set of withdrawn keys; the caller holds mu.
+func (c *Catalog) withdrawnDigest() uint64 {
+	var sum uint64
+	for id := range c.withdrawn {
+		sum ^= xxhash.Sum64String(string(id))
+	}
+	return sum
+}
+
+// ErrKeyWithdrawn is the cause of the end of a request whose key was withdrawn
+// while it ran.
+var ErrKeyWithdrawn = apierr.New(apierr.Unauthorized, "the key was withdrawn while the request ran", "ask your operators for a new key").MayHaveRun()
+
+// sessions are the requests in progress by key.
+type sessions struct {
+	mu     sync.Mutex
+	active map[key.ID]map[*session]struct{}
+}
+
+type session struct{ cancel context.CancelCauseFunc }
+
+func (s *sessions) add(id key.ID, one *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active == nil {
+		s.active = map[key.ID]map[*session]struct{}{}
+	}
+	if s.active[id] == nil {
+		s.active[id] = map[*session]struct{}{}
+	}
+	s.active[id][one] = struct{}{}
+}
+
+func (s *sessions) remove(id key.ID, one *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.active[id], one)
+	if len(s.active[id]) == 0 {
+		delete(s.active, id)
+	}
+}
+
+func (s *sessions) cut(id key.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for one := range s.active[id] {
+		one.cancel(ErrKeyWithdrawn)
+	}
+}
+
+// Track returns a context that ends, with ErrKeyWithdrawn as its cause, when
+// the key is withdrawn and its requests in progress are to be cut. Check the
+// key after calling Track; call release when the request has ended.
+func (c *Catalog) Track(ctx context.Context, id key.ID) (tracked context.Context, release func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	one := &session{cancel: cancel}
+	c.sessions.add(id, one)
+	return ctx, func() {
+		c.sessions.remove(id, one)
+		cancel(nil)
+	}
+}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -1,30 +1,20 @@
 package cli
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/masticscale/masticscale/internal/admin"
 	"github.com/masticscale/masticscale/internal/config"
 )
 
-const (
-	applyWait     = 10 * time.Second
-	applyInterval = 100 * time.Millisecond
-)
-
 func newConfig() *cobra.Command {
-	c := &cobra.Command{Use: "config", Short: "Check, render and apply the configuration"}
-	addClientFlags(c)
-	c.AddCommand(newConfigCheck(), newConfigRender(), newConfigApply(), newConfigShow())
+	c := newNoun("config", "Check, render, compare and apply the configuration")
+	c.AddCommand(newConfigCheck(), newConfigRender(), newConfigDiff(), newConfigApply(), newConfigShow(), newConfigHistory())
 	return c
 }
 
@@ -124,75 +114,3 @@
 		},
 	}
 }
-
-func newConfigApply() *cobra.Command {
-	var files bundleFlags
-	var note string
-	var expected int64
-	c := &cobra.Command{
-		Use:   "apply",
-		Short: "Put a configuration in force and wait until every reachable host uses it",
-		Args:  exactly(),
-		RunE: func(c *cobra.Command, _ []string) error {
-			bundle, err := files.read()
-			if err != nil {
-				return err
-			}
-			api, err := clientOf(c)
-			if err != nil {
-				return err
-			}
-			req := admin.ApplyConfig{Bundle: bundle, Author: os.Getenv("USER"), Note: note}
-			if c.Flags().Changed("expected") {
-				req.Expected = &expected
-			}
-			var accepted config.Revision
-			if err := api.call(c.Context(), http.MethodPost, "/admin/v1/config", req, &accepted); err != nil {
-				return err
-			}
-			return reportApplied(c, api, accepted.Number)
-		},
-	}
-	files.add(c)
-	c.Flags().StringVar(&note, "note", "", "what the change is for")
-	c.Flags().Int64Var(&expected, "expected", 0, "refuse unless this revision is in force")
-	return c
-}
-
-// reportApplied waits until the revision is in force and names the hosts on
-// which it is not.
-func reportApplied(c *cobra.Command, api *client, revision int64) error {
-	late, err := waitApplied(c.Context(), api, revision)
-	if err != nil {
-		return err
-	}
-	if len(late) == 0 {
-		_, err = fmt.Fprintf(c.OutOrStdout(), "revision %d is in force on every reachable host\n", revision)
-		return err
-	}
-	_, err = fmt.Fprintf(c.OutOrStdout(), "revision %d is accepted; not yet in force on: %s\n", revision, strings.Join(late, ", "))
-	return err
-}
-
-func waitApplied(ctx context.Context, api *client, revision int64) ([]string, error) {
-	deadline := time.Now().Add(applyWait)
-	for {
-		var hosts admin.List[admin.HostStatus]
-		if err := api.call(ctx, http.MethodGet, "/admin/v1/hosts", nil, &hosts); err != nil {
-			return nil, err
-		}
-		var late, behind []string
-		for _, h := range hosts.Items {
-			if h.Revision < revision {
-				late = append(late, h.Name)
-			}
-			if h.Reachable && h.Revision < revision {
-				behind = append(behind, h.Name)
-			}
-		}
-		if len(behind) == 0 || time.Now().After(deadline) {
-			return late, nil
-		}
-		time.Sleep(applyInterval)
-	}
-}
--- a/internal/cli/objects.go
+++ b/internal/cli/objects.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -228,7 +229,11 @@
 				return err
 			}
 			t := table{header: []string{"ID", "TEAM", "WITHDRAWN"}}
-			t.add(k.ID, k.Spec.Team, k.Spec.Withdrawn)
+			t.add(k.ID, k.Spec.Team, k.Spec.Withdrawn.Format(time.RFC3339))
+			if len(k.PendingHosts) > 0 {
+				_, _ = fmt.Fprintf(c.ErrOrStderr(), "not yet in force on: %s; a host that is cut off takes the key until it is in touch again\n",
+					strings.Join(k.PendingHosts, ", "))
+			}
 			return print(c, k, t)
 		},
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -69,21 +69,29 @@
 	return time.Duration(l.RequestTimeoutSeconds * float64(time.Second))
 }
 
+// MaxKnowledgeAge returns the bound of MaxKnowledgeAgeSeconds; 0 is none.
+func (l Limits) MaxKnowledgeAge() time.Duration {
+	return time.Duration(l.MaxKnowledgeAgeSeconds * float64(time.Second))
+}
+
 // Host is the part that one process reads at its start.
 type Host struct {
-	Name          string `json:"name,omitempty"`
-	Site          string `json:"site,omitempty"`        // selects the overlay
-	DataCentre    string `json:"data_centre,omitempty"` // where this host stands
-	Listen        string `json:"listen,omitempty"`      // callers, ip:port
-	AdminListen   string `json:"admin_listen,omitempty"`
-	PeerListen    string `json:"peer_listen,omitempty"`
-	PeerAddress   string `json:"peer_address,omitempty"`  // as peers reach it; default is PeerListen
-	AdminAddress  string `json:"admin_address,omitempty"` // as operators reach it; default is AdminListen
-	Platform      string `json:"platform,omitempty"`      // base URL of the object API
-	DataFolder    string `json:"data_folder,omitempty"`   // empty keeps nothing on disk
-	OperatorToken string `json:"operator_token,omitempty"`
-	LogLevel      string `json:"log_level,omitempty"`
-	Traces        string `json:"traces,omitempty"` // none, stdout or an OTLP URL
+	Name         string `json:"name,omitempty"`
+	Site         string `json:"site,omitempty"`        // selects the overlay
+	DataCentre   string `json:"data_centre,omitempty"` // where this host stands
+	Listen       string `json:"listen,omitempty"`      // callers, ip:port
+	AdminListen  string `json:"admin_listen,omitempty"`
+	PeerListen   string `json:"peer_listen,omitempty"`
+	PeerAddress  string `json:"peer_address,omitempty"`  // as peers reach it; default is PeerListen
+	AdminAddress string `json:"admin_address,omitempty"` // as operators reach it; default is AdminListen
+	Platform     string `json:"platform,omitempty"`      // base URL of the object API
+	// Peers are addresses of other hosts, ip:port, that a host asks when it
+	// starts while the platform cannot be reached.
+	Peers         []string `json:"peers,omitempty"`
+	DataFolder    string   `json:"data_folder,omitempty"` // empty keeps nothing on disk
+	OperatorToken string   `json:"operator_token,omitempty"`
+	LogLevel      string   `json:"log_level,omitempty"`
+	Traces        string   `json:"traces,omitempty"` // none, stdout or an OTLP URL
 	// DrainSeconds is the time between "not ready" and the last accepted
 	// connection, for the balancer to notice.
 	DrainSeconds float64 `json:"drain_seconds,omitempty"`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,7 +53,7 @@
 	g.addBatchRoutes(mux)
 	mux.HandleFunc("/v1/", g.unknownPath)
 	mux.HandleFunc("/", g.plain)
-	chain := negroni.New(negroni.HandlerFunc(g.identify))
+	chain := negroni.New(negroni.HandlerFunc(g.identify), negroni.HandlerFunc(g.requireKnowledge))
 	chain.UseHandler(mux)
 	return chain
 }
@@ -152,7 +152,7 @@
 
 // fail answers with an error and records the outcome.
 func (g *Gateway) fail(w http.ResponseWriter, r *http.Request, class, team string, err error) {
-	o := outcome.FromError(err)
+	o := outcome.FromError(explainWithdrawn(r.Context(), err))
 	writeError(w, o.Err)
 	g.end(r, class, team, o)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -100,10 +100,14 @@
 // whole.
 func (g *Gateway) truncated(ctx context.Context, w http.ResponseWriter, answer *dispatch.Answer, cause error) outcome.Outcome {
 	answer.End(dispatch.Ending{Failed: ctx.Err() == nil})
-	if ctx.Err() == context.Canceled {
+	e, withdrawn := withdrawnKey(ctx)
+	switch {
+	case withdrawn:
+	case ctx.Err() == context.Canceled:
 		return callerGone(cause)
+	default:
+		e = brokenAnswer(cause)
 	}
-	e := brokenAnswer(cause)
 	data, _ := json.Marshal(errorBody{Error: detailOf(e)})
 	_, _ = fmt.Fprintf(w, "\nevent: error\ndata: %s\n\n", data)
 	_ = http.NewResponseController(w).Flush()
--- /dev/null
+++ b/internal/peer/catalog.go
@@ -0,0 +1,105 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/key"
+	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
+	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
+)
+
+// CatalogServer answers the calls of peers about the catalog.
+type CatalogServer struct {
+	relay   *catalog.Relay
+	catalog *catalog.Catalog
+}
+
+// NewCatalogServer returns a server.
+func NewCatalogServer(r *catalog.Relay, c *catalog.Catalog) *CatalogServer {
+	return &CatalogServer{relay: r, catalog: c}
+}
+
+// Registration returns the service for NewHandler.
+func (s *CatalogServer) Registration() Registration {
+	path, handler := peerv1connect.NewCatalogServiceHandler(s)
+	return Registration{Path: path, Handler: handler}
+}
+
+// Exchange implements peerv1connect.CatalogServiceHandler.
+func (s *CatalogServer) Exchange(_ context.Context, r *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	answer := s.relay.Answer(digestFrom(r.Msg.Digest))
+	return connect.NewResponse(&peerv1.ExchangeResponse{Digest: digestTo(answer)}), nil
+}
+
+// Fetch implements peerv1connect.CatalogServiceHandler.
+func (s *CatalogServer) Fetch(_ context.Context, r *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error) {
+	state := s.catalog.Export(time.Now())
+	if r.Msg.RevisionOnly {
+		state = catalog.State{Revision: state.Revision}
+	}
+	text, err := json.Marshal(state)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, errors.Wrap(err, "encode catalog"))
+	}
+	return connect.NewResponse(&peerv1.FetchResponse{StateJson: text}), nil
+}
+
+// Exchange implements catalog.Peers.
+func (c *Client) Exchange(ctx context.Context, address string, d catalog.Digest) (catalog.Digest, error) {
+	resp, err := c.catalogService(address).Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{Digest: digestTo(d)}))
+	if err != nil {
+		return catalog.Digest{}, err
+	}
+	return digestFrom(resp.Msg.Digest), nil
+}
+
+// Fetch implements catalog.Peers.
+func (c *Client) Fetch(ctx context.Context, address string, revisionOnly bool) (catalog.State, error) {
+	var state catalog.State
+	resp, err := c.catalogService(address).Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{RevisionOnly: revisionOnly}))
+	if err != nil {
+		return state, err
+	}
+	if err := json.Unmarshal(resp.Msg.StateJson, &state); err != nil {
+		return state, errors.Wrap(err, "decode peer's catalog")
+	}
+	return state, nil
+}
+
+func (c *Client) catalogService(address string) peerv1connect.CatalogServiceClient {
+	return peerv1connect.NewCatalogServiceClient(c.http, c.scheme+"://"+address, connect.WithSendGzip())
+}
+
+func digestTo(d catalog.Digest) *peerv1.CatalogDigest {
+	out := &peerv1.CatalogDigest{
+		From: d.From, Revision: d.Revision, Objects: d.Objects, Withdrawn: d.Withdrawn,
+		CompleteVersion: d.Complete.Version, CompleteAgeSeconds: d.Complete.Age.Seconds(),
+		HeardVersion: d.Heard.Version, HeardAgeSeconds: d.Heard.Age.Seconds(),
+	}
+	for _, w := range d.News {
+		out.News = append(out.News, &peerv1.Withdrawal{KeyId: string(w.ID), WithdrawnUnixNano: w.At.UnixNano(), CutActive: w.CutActive})
+	}
+	return out
+}
+
+func digestFrom(m *peerv1.CatalogDigest) catalog.Digest {
+	d := catalog.Digest{
+		From: m.GetFrom(), Revision: m.GetRevision(), Objects: m.GetObjects(), Withdrawn: m.GetWithdrawn(),
+		Complete: catalog.Aged{Version: m.GetCompleteVersion(), Age: seconds(m.GetCompleteAgeSeconds())},
+		Heard:    catalog.Aged{Version: m.GetHeardVersion(), Age: seconds(m.GetHeardAgeSeconds())},
+	}
+	for _, w := range m.GetNews() {
+		d.News = append(d.News, catalog.Withdrawal{
+			ID: key.ID(w.KeyId), At: time.Unix(0, w.WithdrawnUnixNano).UTC(), CutActive: w.CutActive,
+		})
+	}
+	return d
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/peer/catalog_test.go
@@ -0,0 +1,133 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/config"
+	"github.com/masticscale/masticscale/internal/emulator/fault"
+	"github.com/masticscale/masticscale/internal/emulator/objectapi"
+	"github.com/masticscale/masticscale/internal/key"
+	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/peer"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+// feed is a fixed membership.
+type feed struct {
+	self int
+	all  []membership.Host
+}
+
+func (f feed) Self() membership.Host          { return f.all[f.self] }
+func (f feed) Owns() bool                     { return true }
+func (f feed) Members() []membership.Host     { return f.all }
+func (f feed) Lapsed(_ membership.Owner) bool { return false }
+
+// fleet is a number of hosts' catalogs on loopback.
+type fleet struct {
+	store    *platform.Client
+	server   *objectapi.Server
+	catalogs []*catalog.Catalog
+	sources  []*catalog.Source
+	relays   []*catalog.Relay
+}
+
+func newFleet(b *testing.B, hosts int, relays bool) *fleet {
+	f := &fleet{server: objectapi.New()}
+	listener := httptest.NewServer(f.server.Handler())
+	b.Cleanup(listener.CloseClientConnections)
+	f.store = platform.NewClient(listener.URL, "bench")
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	members := make([]membership.Host, hosts)
+	client := peer.NewClient()
+	for i := range hosts {
+		cat := catalog.New()
+		source := catalog.NewSource(f.store, cat, "", log)
+		relay := catalog.NewRelay(source, feed{i, members}, client, nil, log)
+		server := httptest.NewUnstartedServer(peer.NewHandler(peer.NewCatalogServer(relay, cat).Registration()))
+		server.Config.Protocols = peer.Protocols()
+		server.Start()
+		b.Cleanup(server.CloseClientConnections)
+		members[i] = membership.Host{Name: fmt.Sprintf("h%d", i), PeerAddress: strings.TrimPrefix(server.URL, "http://"), State: membership.Live}
+		f.catalogs, f.sources, f.relays = append(f.catalogs, cat), append(f.sources, source), append(f.relays, relay)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	b.Cleanup(func() { cancel(); wg.Wait() })
+	for i := range hosts {
+		wg.Go(func() { f.sources[i].Run(ctx) })
+		if relays {
+			wg.Go(func() { f.relays[i].Run(ctx) })
+		}
+	}
+	f.await(func(i int) bool { return f.sources[i].Ready() && (!relays || f.relays[i].Introduced()) })
+	return f
+}
+
+// await waits until every host satisfies a condition.
+func (f *fleet) await(holds func(i int) bool) {
+	for i := range f.catalogs {
+		for !holds(i) {
+			time.Sleep(100 * time.Microsecond)
+		}
+	}
+}
+
+// BenchmarkSpread measures the time from an acknowledged change to the last of
+// the hosts that puts it in force.
+func BenchmarkSpread(b *testing.B) {
+	for _, hosts := range []int{8, 32} {
+		for _, way := range []string{"peers", "watch", "both"} {
+			b.Run(fmt.Sprintf("hosts=%d/revision/%s", hosts, way), func(b *testing.B) { benchRevision(b, hosts, way) })
+		}
+		b.Run(fmt.Sprintf("hosts=%d/withdrawal/peers", hosts), func(b *testing.B) { benchWithdrawal(b, hosts) })
+	}
+}
+
+func benchRevision(b *testing.B, hosts int, way string) {
+	f := newFleet(b, hosts, way != "watch")
+	if way == "peers" {
+		f.server.Faults.Put(fault.Set{StaleWatch: true})
+	}
+	var worst, sum time.Duration
+	for b.Loop() {
+		r, err := catalog.Accept(context.Background(), f.store, config.Bundle{}, "", "", -1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		start := time.Now()
+		f.sources[0].AdoptRevision(r)
+		f.await(func(i int) bool { return f.catalogs[i].Current().Revision >= r.Number })
+		took := time.Since(start)
+		worst, sum = max(worst, took), sum+took
+	}
+	b.ReportMetric(float64(sum.Microseconds())/1000/float64(b.N), "ms/spread")
+	b.ReportMetric(float64(worst.Microseconds())/1000, "ms-worst")
+}
+
+func benchWithdrawal(b *testing.B, hosts int) {
+	f := newFleet(b, hosts, true)
+	f.server.Faults.Put(fault.Set{StaleWatch: true})
+	var worst, sum time.Duration
+	for b.Loop() {
+		id := key.IDOf(key.NewSecret())
+		start := time.Now()
+		f.relays[0].Spread(context.Background(), catalog.Withdrawal{ID: id, At: start})
+		f.await(func(i int) bool { return f.catalogs[i].Withdrawn(id) })
+		took := time.Since(start)
+		worst, sum = max(worst, took), sum+took
+	}
+	b.ReportMetric(float64(sum.Microseconds())/1000/float64(b.N), "ms/spread")
+	b.ReportMetric(float64(worst.Microseconds())/1000, "ms-worst")
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -18,7 +18,10 @@
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
 )
 
-const callTimeout = time.Second
+const (
+	callTimeout = time.Second
+	pingAfter   = 2 * time.Second // silence on a connection before it is checked
+)
 
 // Registration is one service that this host offers to its peers. Each duty
 // brings its own.
@@ -73,9 +76,19 @@
 
 // NewClient returns a client that speaks HTTP/2 without TLS.
 func NewClient() *Client {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &Client{http: &http.Client{Transport: &http.Transport{Protocols: protocols}}, scheme: "http"}
+	transport := &http.Transport{
+		Protocols: Protocols(),
+		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: callTimeout},
+	}
+	return &Client{http: &http.Client{Transport: transport}, scheme: "http"}
+}
+
+// Protocols are the protocols between hosts: HTTP/2, with or without TLS.
+func Protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
 }
 
 // Close drops idle connections.
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -4,10 +4,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/masticscale/masticscale/internal/cli"
@@ -43,21 +46,36 @@
 	}
 	procs := newProcesses(env.WorkDir)
 	env.Values[processesKey] = procs
+	env.Values[monitorsKey] = map[string]*background{}
 	env.Defer(procs.killAll)
 	return nil
 }
 
-// freePorts returns ports that were free a moment ago. All are held until the
-// last is found, so that they differ.
+// The ports of scenarios lie below those that the system gives to outgoing
+// connections, which would otherwise take them while a scenario runs.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
+
+// freePorts returns ports that were free a moment ago. No two scenarios of this
+// process get the same one.
 func freePorts(n int) ([]int, error) {
 	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1)%(lastPort-firstPort))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
+		}
+		_ = l.Close()
+		if ports = append(ports, port); len(ports) == n {
+			return ports, nil
 		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	return ports, nil
+	return nil, errors.New("too few ports are free")
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -50,6 +50,15 @@
 	return m
 }
 
+// KnowledgeAge publishes how old the host's knowledge can be, as the function
+// tells it at each scrape.
+func (m *Metrics) KnowledgeAge(seconds func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "masticscale", Name: "knowledge_age_seconds",
+		Help: "Time since nothing of the platform's objects was missing on this host.",
+	}, seconds))
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "masticscale", Name: name, Help: help}, labels)
 }
