--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -23,6 +23,7 @@
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/ratelimit"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
 )
@@ -30,9 +31,6 @@
 const (
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
-	defaultDrain   = 500 * time.Millisecond
-	defaultStop    = 60 * time.Second
-	resignTimeout  = 5 * time.Second
 	maxHeaderBytes = 64 << 10
 )
 
@@ -51,6 +49,9 @@
 	registry  *membership.Registry
 	pool      *dispatch.Pool
 	observer  *dispatch.Observer
+	exchange  *dispatch.Exchange
+	suspects  *dispatch.Suspects
+	loads     *peer.LoadServer
 	admission *admission.Controller
 	runner    *batch.Runner
 	gateway   *gateway.Gateway
@@ -59,9 +60,10 @@
 	client    *platform.Client
 	engine    *httpengine.Engine
 	peerCalls *peer.Client
+	rates     *ratelimit.Escrow
+	ratePeers *peer.RateLimitServer
 
-	stopping sync.Once
-	notReady chan struct{} // closed when a stop begins
+	drain *drain
 }
 
 // Log returns the host's logger.
@@ -119,7 +121,10 @@
 	wg.Go(func() { h.source.Run(ctx) })
 	wg.Go(func() { h.relay.Run(ctx) })
 	wg.Go(func() { h.registry.Run(ctx) })
+	wg.Go(func() { h.rates.Run(ctx) })
 	wg.Go(func() { h.observer.Run(ctx) })
+	wg.Go(func() { h.exchange.Run(ctx) })
+	wg.Go(func() { h.suspects.Run(ctx) })
 	wg.Go(func() { h.admission.Run(ctx) })
 	runnerDone := make(chan struct{})
 	go func() {
@@ -137,7 +142,7 @@
 	}{
 		{"callers", h.settings.Listen, h.callers()},
 		{"operators", h.settings.AdminListen, h.admin.Handler()},
-		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration(), h.catalogs.Registration())},
+		{"peers", h.settings.PeerListen, h.peerServices()},
 	} {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -151,6 +156,15 @@
 	return all, nil
 }
 
+// peerServices returns the services of every duty that peers call.
+func (h *Host) peerServices() http.Handler {
+	return peer.NewHandler(
+		h.peers.Registration(), h.catalogs.Registration(),
+		h.ratePeers.Registration(),
+		h.loads.Registration(),
+	)
+}
+
 func (h *Host) newServer(handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -171,16 +185,14 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", h.ready)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(h.metrics.Registry, promhttp.HandlerOpts{}))
-	mux.Handle("/", h.gateway.Handler())
+	mux.Handle("/", h.drain.track(h.gateway.Handler()))
 	return mux
 }
 
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	select {
-	case <-h.notReady:
+	if h.drain.stopping() {
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
-	default:
 	}
 	if !h.source.Ready() || !h.relay.Introduced() {
 		http.Error(w, "configuration has not been read yet", http.StatusServiceUnavailable)
@@ -201,47 +213,3 @@
 	}
 	return failed
 }
-
-// stop is the graceful shutdown.
-func (h *Host) stop(force context.Context, listeners []listener, stopRunner func(), runnerDone <-chan struct{}) {
-	h.stopping.Do(func() { close(h.notReady) })
-	h.log.WithField("event", "host_stopping").Info("host stops; it takes no new connections soon")
-	bounded, cancel := context.WithTimeout(force, h.stopTime())
-	defer cancel()
-	h.registry.Leave(bounded)
-	wait(bounded, h.drainTime())
-	stopRunner()
-	select {
-	case <-runnerDone:
-	case <-bounded.Done():
-	}
-	for _, l := range listeners {
-		if err := l.server.Shutdown(bounded); err != nil {
-			h.log.WithError(err).WithFields(logrus.Fields{"event": "stop_forced", "listener": l.name}).Warn("requests in progress were cut")
-			_ = l.server.Close()
-		}
-	}
-	resign, done := context.WithTimeout(context.WithoutCancel(force), resignTimeout)
-	defer done()
-	h.registry.Resign(resign)
-}
-
-func (h *Host) drainTime() time.Duration { return seconds(h.settings.DrainSeconds, defaultDrain) }
-
-func (h *Host) stopTime() time.Duration { return seconds(h.settings.StopSeconds, defaultStop) }
-
-func seconds(n float64, fallback time.Duration) time.Duration {
-	if n <= 0 {
-		return fallback
-	}
-	return time.Duration(n * float64(time.Second))
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -1,6 +1,8 @@
 package app
 
 import (
+	"crypto/sha256"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/admin"
@@ -14,6 +16,7 @@
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
+	"github.com/masticscale/masticscale/internal/team"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
 )
@@ -29,6 +32,9 @@
 	Registry  *membership.Registry
 	Pool      *dispatch.Pool
 	Observer  *dispatch.Observer
+	Exchange  *dispatch.Exchange
+	Suspects  *dispatch.Suspects
+	Loads     *peer.LoadServer
 	Admission *admission.Controller
 	Runner    *batch.Runner
 	Gateway   *gateway.Gateway
@@ -38,14 +44,16 @@
 	Client    *platform.Client
 	Engine    *httpengine.Engine
 	PeerCalls *peer.Client
+	Rates     *ratelimit.Escrow
+	RatePeers *peer.RateLimitServer
 }
 
 func assemble(p parts) *Host {
 	return &Host{
 		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source, relay: p.Relay, catalogs: p.Catalogs,
-		registry: p.Registry, pool: p.Pool, observer: p.Observer, admission: p.Admission, runner: p.Runner,
+		registry: p.Registry, pool: p.Pool, observer: p.Observer, exchange: p.Exchange, suspects: p.Suspects, loads: p.Loads, admission: p.Admission, runner: p.Runner,
 		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
-		peerCalls: p.PeerCalls, notReady: make(chan struct{}),
+		peerCalls: p.PeerCalls, rates: p.Rates, ratePeers: p.RatePeers, drain: newDrain(),
 	}
 }
 
@@ -80,9 +88,21 @@
 	}, log)
 }
 
+// fingerprintKey is the same on every host, since all share the operators' token.
+func fingerprintKey(s config.Host) dispatch.FingerprintKey {
+	key := sha256.Sum256([]byte("request fingerprint\x00" + s.OperatorToken))
+	return key[:]
+}
+
 func operatorToken(s config.Host) admin.Token { return admin.Token(s.OperatorToken) }
 
-// hostsOfSplit is the number of hosts that the even split counts on.
-const hostsOfSplit = 8
+func newRateMetrics(m *telemetry.Metrics) *ratelimit.Metrics {
+	return ratelimit.NewMetrics(m.Registry)
+}
 
-func newLimiter() ratelimit.Limiter { return ratelimit.NewEvenSplit(hostsOfSplit) }
+func newSpecs(c *catalog.Catalog) ratelimit.Specs {
+	return func(name string) (team.Spec, bool) {
+		spec, ok := c.Current().Teams[name]
+		return spec, ok
+	}
+}
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -18,6 +18,7 @@
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/ratelimit"
 	"github.com/masticscale/masticscale/internal/serving"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
@@ -45,16 +46,22 @@
 	relay := newRelay(source, registry, peerClient, settings, logger)
 	pool := dispatch.NewPool()
 	engine := httpengine.New()
-	observer := dispatch.NewObserver(pool, engine, client, logger)
+	observer := dispatch.NewObserver(pool, engine, client, registry, logger)
+	dispatchFingerprintKey := fingerprintKey(settings)
+	suspects := dispatch.NewSuspects(dispatchFingerprintKey, client, registry, logger)
+	exchange := dispatch.NewExchange(pool, suspects, peerClient, registry, logger)
+	loadServer := peer.NewLoadServer(exchange, pool, suspects)
 	controller := admission.NewController(pool, metrics)
 	repository := batch.NewRepository(client)
-	dispatcher := dispatch.NewDispatcher(pool, engine, metrics)
-	path := serving.NewPath(controller, dispatcher, pool, metrics)
+	dispatcher := dispatch.NewDispatcher(pool, engine, suspects, metrics)
+	path := serving.NewPath(controller, dispatcher)
 	pathExecutor := batch.NewPathExecutor(catalogCatalog, path)
 	runner := batch.NewRunner(repository, client, pathExecutor, registry, metrics, logger)
-	limiter := newLimiter()
+	specs := newSpecs(catalogCatalog)
+	ratelimitMetrics := newRateMetrics(metrics)
+	escrow := ratelimit.NewEscrow(client, registry, peerClient, specs, ratelimitMetrics, logger)
 	service := batch.NewService(repository)
-	gatewayGateway := gateway.New(catalogCatalog, limiter, path, service, metrics, logger)
+	gatewayGateway := gateway.New(catalogCatalog, escrow, path, service, metrics, logger)
 	token := operatorToken(settings)
 	deps := admin.Deps{
 		Token:   token,
@@ -71,6 +78,7 @@
 	api := admin.New(deps)
 	server := peer.NewServer(catalogCatalog, registry)
 	catalogServer := peer.NewCatalogServer(relay, catalogCatalog)
+	rateLimitServer := peer.NewRateLimitServer(escrow)
 	appParts := parts{
 		Settings:  settings,
 		Log:       logger,
@@ -81,6 +89,9 @@
 		Registry:  registry,
 		Pool:      pool,
 		Observer:  observer,
+		Exchange:  exchange,
+		Suspects:  suspects,
+		Loads:     loadServer,
 		Admission: controller,
 		Runner:    runner,
 		Gateway:   gatewayGateway,
@@ -90,6 +101,8 @@
 		Client:    client,
 		Engine:    engine,
 		PeerCalls: peerClient,
+		Rates:     escrow,
+		RatePeers: rateLimitServer,
 	}
 	host := assemble(appParts)
 	return host, nil
@@ -98,5 +111,5 @@
 // wire.go:
 
 var hostSet = wire.NewSet(
-	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource, newRelay, peer.NewCatalogServer, newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newLimiter, batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)), wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource, newRelay, peer.NewCatalogServer, newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)), wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -27,10 +27,10 @@
 
 // Peers calls other hosts.
 type Peers interface {
-	// Exchange sends a digest and returns the peer's.
-	Exchange(ctx context.Context, address string, d Digest) (Digest, error)
-	// Fetch returns the peer's revision in force, or its whole catalog.
-	Fetch(ctx context.Context, address string, revisionOnly bool) (State, error)
+	// CompareCatalogs sends a digest and returns the peer's.
+	CompareCatalogs(ctx context.Context, address string, d Digest) (Digest, error)
+	// FetchCatalog returns the peer's revision in force, or its whole catalog.
+	FetchCatalog(ctx context.Context, address string, revisionOnly bool) (State, error)
 }
 
 // Relay spreads revisions and withdrawals between hosts: a host that learns
@@ -190,7 +190,7 @@
 	sent := time.Now()
 	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	d, err := r.peers.Exchange(bounded, address, r.Digest())
+	d, err := r.peers.CompareCatalogs(bounded, address, r.Digest())
 	if err != nil {
 		r.book.failed(address, sent)
 		return
@@ -268,7 +268,7 @@
 	defer r.holdBack(scope)()
 	bounded, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	state, err := r.peers.Fetch(bounded, address, scope == revisionOnly)
+	state, err := r.peers.FetchCatalog(bounded, address, scope == revisionOnly)
 	if err != nil {
 		r.log.WithError(err).WithFields(logrus.Fields{"event": "catalog_fetch_failed", "peer": address}).Debug("peer's catalog cannot be fetched")
 		return
@@ -302,7 +302,7 @@
 			defer func() { <-places }()
 			bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
 			defer cancel()
-			_, err := r.peers.Exchange(bounded, h.PeerAddress, d)
+			_, err := r.peers.CompareCatalogs(bounded, h.PeerAddress, d)
 			reached[i] = err == nil
 		})
 	}
--- a/internal/peer/catalog.go
+++ b/internal/peer/catalog.go
@@ -31,14 +31,14 @@
 	return Registration{Path: path, Handler: handler}
 }
 
-// Exchange implements peerv1connect.CatalogServiceHandler.
-func (s *CatalogServer) Exchange(_ context.Context, r *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+// CompareCatalogs implements peerv1connect.CatalogServiceHandler.
+func (s *CatalogServer) CompareCatalogs(_ context.Context, r *connect.Request[peerv1.CompareCatalogsRequest]) (*connect.Response[peerv1.CompareCatalogsResponse], error) {
 	answer := s.relay.Answer(digestFrom(r.Msg.Digest))
-	return connect.NewResponse(&peerv1.ExchangeResponse{Digest: digestTo(answer)}), nil
+	return connect.NewResponse(&peerv1.CompareCatalogsResponse{Digest: digestTo(answer)}), nil
 }
 
-// Fetch implements peerv1connect.CatalogServiceHandler.
-func (s *CatalogServer) Fetch(_ context.Context, r *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error) {
+// FetchCatalog implements peerv1connect.CatalogServiceHandler.
+func (s *CatalogServer) FetchCatalog(_ context.Context, r *connect.Request[peerv1.FetchCatalogRequest]) (*connect.Response[peerv1.FetchCatalogResponse], error) {
 	state := s.catalog.Export(time.Now())
 	if r.Msg.RevisionOnly {
 		state = catalog.State{Revision: state.Revision}
@@ -47,22 +47,22 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, errors.Wrap(err, "encode catalog"))
 	}
-	return connect.NewResponse(&peerv1.FetchResponse{StateJson: text}), nil
+	return connect.NewResponse(&peerv1.FetchCatalogResponse{StateJson: text}), nil
 }
 
-// Exchange implements catalog.Peers.
-func (c *Client) Exchange(ctx context.Context, address string, d catalog.Digest) (catalog.Digest, error) {
-	resp, err := c.catalogService(address).Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{Digest: digestTo(d)}))
+// CompareCatalogs implements catalog.Peers.
+func (c *Client) CompareCatalogs(ctx context.Context, address string, d catalog.Digest) (catalog.Digest, error) {
+	resp, err := c.catalogService(address).CompareCatalogs(ctx, connect.NewRequest(&peerv1.CompareCatalogsRequest{Digest: digestTo(d)}))
 	if err != nil {
 		return catalog.Digest{}, err
 	}
 	return digestFrom(resp.Msg.Digest), nil
 }
 
-// Fetch implements catalog.Peers.
-func (c *Client) Fetch(ctx context.Context, address string, revisionOnly bool) (catalog.State, error) {
+// FetchCatalog implements catalog.Peers.
+func (c *Client) FetchCatalog(ctx context.Context, address string, revisionOnly bool) (catalog.State, error) {
 	var state catalog.State
-	resp, err := c.catalogService(address).Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{RevisionOnly: revisionOnly}))
+	resp, err := c.catalogService(address).FetchCatalog(ctx, connect.NewRequest(&peerv1.FetchCatalogRequest{RevisionOnly: revisionOnly}))
 	if err != nil {
 		return state, err
 	}
--- a/internal/peer/gen/masticscale/peer/v1/peerv1connect/catalog.connect.go
+++ b/internal/peer/gen/masticscale/peer/v1/peerv1connect/catalog.connect.go
@@ -33,19 +33,21 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// CatalogServiceExchangeProcedure is the fully-qualified name of the CatalogService's Exchange RPC.
-	CatalogServiceExchangeProcedure = "/masticscale.peer.v1.CatalogService/Exchange"
-	// CatalogServiceFetchProcedure is the fully-qualified name of the CatalogService's Fetch RPC.
-	CatalogServiceFetchProcedure = "/masticscale.peer.v1.CatalogService/Fetch"
+	// CatalogServiceCompareCatalogsProcedure is the fully-qualified name of the CatalogService's
+	// CompareCatalogs RPC.
+	CatalogServiceCompareCatalogsProcedure = "/masticscale.peer.v1.CatalogService/CompareCatalogs"
+	// CatalogServiceFetchCatalogProcedure is the fully-qualified name of the CatalogService's
+	// FetchCatalog RPC.
+	CatalogServiceFetchCatalogProcedure = "/masticscale.peer.v1.CatalogService/FetchCatalog"
 )
 
 // CatalogServiceClient is a client for the masticscale.peer.v1.CatalogService service.
 type CatalogServiceClient interface {
-	// Exchange tells each side what the other holds. The withdrawals that come
+	// CompareCatalogs tells each side what the other holds. The withdrawals that come
 	// with it are in force when it returns.
-	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Fetch returns the revision in force, or the whole catalog.
-	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error)
+	CompareCatalogs(context.Context, *connect.Request[v1.CompareCatalogsRequest]) (*connect.Response[v1.CompareCatalogsResponse], error)
+	// FetchCatalog returns the revision in force, or the whole catalog.
+	FetchCatalog(context.Context, *connect.Request[v1.FetchCatalogRequest]) (*connect.Response[v1.FetchCatalogResponse], error)
 }
 
 // NewCatalogServiceClient constructs a client for the masticscale.peer.v1.CatalogService service.
@@ -59,16 +61,16 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	catalogServiceMethods := v1.File_masticscale_peer_v1_catalog_proto.Services().ByName("CatalogService").Methods()
 	return &catalogServiceClient{
-		exchange: connect.NewClient[v1.ExchangeRequest, v1.ExchangeResponse](
+		compareCatalogs: connect.NewClient[v1.CompareCatalogsRequest, v1.CompareCatalogsResponse](
 			httpClient,
-			baseURL+CatalogServiceExchangeProcedure,
-			connect.WithSchema(catalogServiceMethods.ByName("Exchange")),
+			baseURL+CatalogServiceCompareCatalogsProcedure,
+			connect.WithSchema(catalogServiceMethods.ByName("CompareCatalogs")),
 			connect.WithClientOptions(opts...),
 		),
-		fetch: connect.NewClient[v1.FetchRequest, v1.FetchResponse](
+		fetchCatalog: connect.NewClient[v1.FetchCatalogRequest, v1.FetchCatalogResponse](
 			httpClient,
-			baseURL+CatalogServiceFetchProcedure,
-			connect.WithSchema(catalogServiceMethods.ByName("Fetch")),
+			baseURL+CatalogServiceFetchCatalogProcedure,
+			connect.WithSchema(catalogServiceMethods.ByName("FetchCatalog")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -76,27 +78,27 @@
 
 // catalogServiceClient implements CatalogServiceClient.
 type catalogServiceClient struct {
-	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
-	fetch    *connect.Client[v1.FetchRequest, v1.FetchResponse]
+	compareCatalogs *connect.Client[v1.CompareCatalogsRequest, v1.CompareCatalogsResponse]
+	fetchCatalog    *connect.Client[v1.FetchCatalogRequest, v1.FetchCatalogResponse]
 }
 
-// Exchange calls masticscale.peer.v1.CatalogService.Exchange.
-func (c *catalogServiceClient) Exchange(ctx context.Context, req *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
-	return c.exchange.CallUnary(ctx, req)
+// CompareCatalogs calls masticscale.peer.v1.CatalogService.CompareCatalogs.
+func (c *catalogServiceClient) CompareCatalogs(ctx context.Context, req *connect.Request[v1.CompareCatalogsRequest]) (*connect.Response[v1.CompareCatalogsResponse], error) {
+	return c.compareCatalogs.CallUnary(ctx, req)
 }
 
-// Fetch calls masticscale.peer.v1.CatalogService.Fetch.
-func (c *catalogServiceClient) Fetch(ctx context.Context, req *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error) {
-	return c.fetch.CallUnary(ctx, req)
+// FetchCatalog calls masticscale.peer.v1.CatalogService.FetchCatalog.
+func (c *catalogServiceClient) FetchCatalog(ctx context.Context, req *connect.Request[v1.FetchCatalogRequest]) (*connect.Response[v1.FetchCatalogResponse], error) {
+	return c.fetchCatalog.CallUnary(ctx, req)
 }
 
 // CatalogServiceHandler is an implementation of the masticscale.peer.v1.CatalogService service.
 type CatalogServiceHandler interface {
-	// Exchange tells each side what the other holds. The withdrawals that come
+	// CompareCatalogs tells each side what the other holds. The withdrawals that come
 	// with it are in force when it returns.
-	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Fetch returns the revision in force, or the whole catalog.
-	Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error)
+	CompareCatalogs(context.Context, *connect.Request[v1.CompareCatalogsRequest]) (*connect.Response[v1.CompareCatalogsResponse], error)
+	// FetchCatalog returns the revision in force, or the whole catalog.
+	FetchCatalog(context.Context, *connect.Request[v1.FetchCatalogRequest]) (*connect.Response[v1.FetchCatalogResponse], error)
 }
 
 // NewCatalogServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -106,24 +108,24 @@
 // and JSON codecs. They also support gzip compression.
 func NewCatalogServiceHandler(svc CatalogServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	catalogServiceMethods := v1.File_masticscale_peer_v1_catalog_proto.Services().ByName("CatalogService").Methods()
-	catalogServiceExchangeHandler := connect.NewUnaryHandler(
-		CatalogServiceExchangeProcedure,
-		svc.Exchange,
-		connect.WithSchema(catalogServiceMethods.ByName("Exchange")),
+	catalogServiceCompareCatalogsHandler := connect.NewUnaryHandler(
+		CatalogServiceCompareCatalogsProcedure,
+		svc.CompareCatalogs,
+		connect.WithSchema(catalogServiceMethods.ByName("CompareCatalogs")),
 		connect.WithHandlerOptions(opts...),
 	)
-	catalogServiceFetchHandler := connect.NewUnaryHandler(
-		CatalogServiceFetchProcedure,
-		svc.Fetch,
-		connect.WithSchema(catalogServiceMethods.ByName("Fetch")),
+	catalogServiceFetchCatalogHandler := connect.NewUnaryHandler(
+		CatalogServiceFetchCatalogProcedure,
+		svc.FetchCatalog,
+		connect.WithSchema(catalogServiceMethods.ByName("FetchCatalog")),
 		connect.WithHandlerOptions(opts...),
 	)
 	return "/masticscale.peer.v1.CatalogService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case CatalogServiceExchangeProcedure:
-			catalogServiceExchangeHandler.ServeHTTP(w, r)
-		case CatalogServiceFetchProcedure:
-			catalogServiceFetchHandler.ServeHTTP(w, r)
+		case CatalogServiceCompareCatalogsProcedure:
+			catalogServiceCompareCatalogsHandler.ServeHTTP(w, r)
+		case CatalogServiceFetchCatalogProcedure:
+			catalogServiceFetchCatalogHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -133,10 +135,10 @@
 // UnimplementedCatalogServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedCatalogServiceHandler struct{}
 
-func (UnimplementedCatalogServiceHandler) Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.CatalogService.Exchange is not implemented"))
+func (UnimplementedCatalogServiceHandler) CompareCatalogs(context.Context, *connect.Request[v1.CompareCatalogsRequest]) (*connect.Response[v1.CompareCatalogsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.CatalogService.CompareCatalogs is not implemented"))
 }
 
-func (UnimplementedCatalogServiceHandler) Fetch(context.Context, *connect.Request[v1.FetchRequest]) (*connect.Response[v1.FetchResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.CatalogService.Fetch is not implemented"))
+func (UnimplementedCatalogServiceHandler) FetchCatalog(context.Context, *connect.Request[v1.FetchCatalogRequest]) (*connect.Response[v1.FetchCatalogResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.CatalogService.FetchCatalog is not implemented"))
 }
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -25,9 +25,11 @@
 type processes struct {
 	dir string
 
-	mu     sync.Mutex
-	all    map[string]*process
-	relays map[string]*relay
+	mu      sync.Mutex
+	all     map[string]*process
+	relays  map[string]*relay
+	traffic *traffic
+	sprays  sync.Map // name to *spray
 }
 
 func newProcesses(dir string) *processes {
