--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -29,6 +29,7 @@
 	Metrics   *telemetry.Metrics
 	Catalog   *catalog.Catalog
 	Source    *catalog.Source
+	Relay     *catalog.Relay
 	Registry  *membership.Registry
 	Pool      *dispatch.Pool
 	Observer  *dispatch.Observer
@@ -41,6 +42,7 @@
 	Claims    *keeper.Keeper
 	Admin     *admin.API
 	Peers     *peer.Server
+	Catalogs  *peer.CatalogServer
 	Client    *platform.Client
 	Engine    *httpengine.Engine
 	PeerCalls *peer.Client
@@ -60,8 +62,21 @@
 	return platform.NewClient(s.Platform, s.Name)
 }
 
-func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) *catalog.Source {
-	return catalog.NewSource(store, c, s.Site, log)
+func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) (*catalog.Source, error) {
+	source := catalog.NewSource(store, c, s.Site, log)
+	if s.DataFolder == "" {
+		return source, nil
+	}
+	folder, err := catalog.NewFolder(s.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	source.KeepIn(folder)
+	return source, nil
+}
+
+func newRelay(source *catalog.Source, members membership.Feed, peers catalog.Peers, s config.Host, log logrus.FieldLogger) *catalog.Relay {
+	return catalog.NewRelay(source, members, peers, s.Peers, log)
 }
 
 func newRegistry(store platform.Store, s config.Host, log logrus.FieldLogger) *membership.Registry {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -190,13 +190,16 @@
 // whole.
 func (s *stream) truncated(ctx context.Context, cause error) outcome.Outcome {
 	u := s.end(ctx.Err() == nil)
-	if ctx.Err() == context.Canceled {
+	e, withdrawn := withdrawnKey(ctx)
+	switch {
+	case withdrawn:
+	case ctx.Err() == context.Canceled:
 		return callerGone(cause)
-	}
-	e := brokenAnswer(cause)
-	if ctx.Err() == context.DeadlineExceeded {
+	case ctx.Err() == context.DeadlineExceeded:
 		e = apierr.New(apierr.Timeout, "the request's time ran out in mid-answer", "ask for fewer tokens, or have the time limit raised").
 			MayHaveRun().WithCause(cause)
+	default:
+		e = brokenAnswer(cause)
 	}
 	extendWrite(s.w)
 	data, _ := json.Marshal(errorBody{Error: detailOf(e)})
