Measure the slopes of control traffic, calls and memory

Change: dialers count the bytes to the platform and to peers, the platform client counts its calls and open watches, and 'masticscale load experiment capacity' observes idle fleets of 2 to 16 hosts and catalogs of 1,000 to 7,200 teams, and fits lines. Ruled out: heap differences without a second collection, which went negative.

--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -58,8 +58,13 @@
 	return telemetry.NewLogger(out, s.LogLevel, s.Name)
 }
 
-func newPlatformClient(s config.Host) *platform.Client {
-	return platform.NewClient(s.Platform, s.Name)
+func newPlatformClient(s config.Host, m *telemetry.Metrics) *platform.Client {
+	return platform.NewClient(s.Platform, s.Name,
+		platform.WithDial(m.CountingDial(telemetry.LinkPlatform)), platform.WithObserver(m))
+}
+
+func newPeerClient(m *telemetry.Metrics) *peer.Client {
+	return peer.NewClient(m.CountingDial(telemetry.LinkPeers))
 }
 
 func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) (*catalog.Source, error) {
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -53,7 +53,7 @@
 	c.Flags().StringVar(&report, "report", "", "file for the report, as an HTML page with plots")
 	c.Flags().Uint64Var(&seed, "seed", 0, "seed of the arrivals, in place of the plan's")
 	c.Flags().StringP("output", "o", "table", "form of the output: table or json")
-	c.AddCommand(newLoadCompare())
+	c.AddCommand(newLoadCompare(), newLoadExperiment())
 	return c
 }
 
--- /dev/null
+++ b/internal/experiment/catalog.go
@@ -0,0 +1,73 @@
+package experiment
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/config"
+	"github.com/masticscale/masticscale/internal/key"
+	"github.com/masticscale/masticscale/internal/service"
+	"github.com/masticscale/masticscale/internal/team"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+const (
+	keysPerTeam     = 3
+	servicesOfFleet = 32
+	workersOfFleet  = 600
+	rebuilds        = 20
+)
+
+// measureCatalogs builds catalogs of several sizes.
+func measureCatalogs(sizes []int, progress Progress) ([]Series, error) {
+	var memory, rebuild []Point
+	for _, teams := range sizes {
+		progress("a catalog of %d teams and %d keys", teams, teams*keysPerTeam)
+		before := heapBytes()
+		c := buildCatalog(teams)
+		size := float64(teams)
+		memory = append(memory, Point{size, (heapBytes() - before) / megabyte})
+		rebuild = append(rebuild, Point{size, rebuildTime(c).Seconds() * 1000})
+		runtime.KeepAlive(c)
+	}
+	return []Series{
+		newSeries("catalog memory", "MB", "teams", memory),
+		newSeries("processor time of one key change", "ms", "teams", rebuild),
+	}, nil
+}
+
+func buildCatalog(teams int) *catalog.Catalog {
+	c := catalog.New()
+	fleet := config.Fleet{Teams: map[string]team.Spec{}, Services: map[string]service.Spec{}}
+	for i := range teams {
+		fleet.Teams[fmt.Sprintf("team-%05d", i)] = team.Spec{Rate: 10, Burst: 20}
+	}
+	for i := range servicesOfFleet {
+		spec := service.Spec{Kind: service.Engine, Models: []string{fmt.Sprintf("model-%d", i)}, Upstreams: map[string]upstream.Spec{}}
+		for w := range workersOfFleet / servicesOfFleet {
+			spec.Upstreams[fmt.Sprintf("worker-%d-%d", i, w)] = upstream.Spec{Address: fmt.Sprintf("http://10.0.%d.%d:8000", i, w)}
+		}
+		fleet.Services[fmt.Sprintf("service-%d", i)] = spec
+	}
+	c.Adopt(1, fleet)
+	c.Change(func(p *catalog.Parts) {
+		for i := range teams * keysPerTeam {
+			id := key.IDOf(fmt.Sprintf("secret-%d", i))
+			p.Keys[id] = key.Spec{Team: fmt.Sprintf("team-%05d", i%teams), Created: time.Unix(0, 0)}
+		}
+	})
+	return c
+}
+
+// rebuildTime returns the processor time of one change of a key.
+func rebuildTime(c *catalog.Catalog) time.Duration {
+	started := time.Now()
+	for i := range rebuilds {
+		c.Change(func(p *catalog.Parts) {
+			p.Keys[key.IDOf(fmt.Sprintf("extra-%d", i))] = key.Spec{Team: "team-00000"}
+		})
+	}
+	return time.Since(started) / rebuilds
+}
--- a/internal/peer/catalog_test.go
+++ b/internal/peer/catalog_test.go
@@ -50,7 +50,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	members := make([]membership.Host, hosts)
-	client := peer.NewClient()
+	client := peer.NewClient(nil)
 	for i := range hosts {
 		cat := catalog.New()
 		source := catalog.NewSource(f.store, cat, "", log)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 	"github.com/masticscale/masticscale/internal/membership"
 	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
+	"github.com/masticscale/masticscale/internal/telemetry"
 )
 
 const (
@@ -75,10 +76,11 @@
 }
 
 // NewClient returns a client that speaks HTTP/2 without TLS.
-func NewClient() *Client {
+func NewClient(dial telemetry.Dial) *Client {
 	transport := &http.Transport{
-		Protocols: Protocols(),
-		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: callTimeout},
+		DialContext: dial,
+		Protocols:   Protocols(),
+		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: callTimeout},
 	}
 	return &Client{http: &http.Client{Transport: transport}, scheme: "http"}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -36,21 +37,54 @@
 	counter atomic.Int64
 	history *history
 	sleep   func(context.Context, time.Duration) bool
+	observe Observer
+}
+
+// Option changes a new client.
+type Option func(*Client, *http.Transport)
+
+// WithDial makes the client open its connections with dial.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(_ *Client, t *http.Transport) { t.DialContext = dial }
+}
+
+// Observer is told what the client asks of the platform.
+type Observer interface {
+	// PlatformCall is told of each call: its HTTP method, and how it ended.
+	PlatformCall(operation string, err error)
+	// PlatformWatches is told by how many the open watches change.
+	PlatformWatches(delta int)
+}
+
+// noObserver ignores what it is told.
+type noObserver struct{}
+
+func (noObserver) PlatformCall(string, error) {}
+func (noObserver) PlatformWatches(int)        {}
+
+// WithObserver makes the client tell o about its calls and watches.
+func WithObserver(o Observer) Option {
+	return func(c *Client, _ *http.Transport) { c.observe = o }
 }
 
 // NewClient returns a client of the object API at the base URL. The writer
 // name is made unique to this process.
-func NewClient(base, writer string) *Client {
+func NewClient(base, writer string, options ...Option) *Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	transport.MaxIdleConnsPerHost = 32
-	return &Client{
+	c := &Client{
 		base:    base,
 		http:    &http.Client{Transport: transport},
 		writer:  writer + "/" + uuid.NewString(),
 		sleep:   sleep,
 		history: newHistory(),
+		observe: noObserver{},
+	}
+	for _, option := range options {
+		option(c, transport)
 	}
+	return c
 }
 
 // Close drops idle connections.
@@ -195,6 +229,7 @@
 	backoff := settleBackoff
 	for try := 1; ; try++ {
 		err := c.callOnce(ctx, method, target, body, header, out)
+		c.observe.PlatformCall(method, err)
 		var throttled errThrottled
 		if !errors.As(err, &throttled) || try >= throttleTries {
 			return err
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,6 +25,7 @@
 	}
 	idle := time.AfterFunc(watchIdleTimeout, cancel)
 	resp, err := c.http.Do(req)
+	c.observe.PlatformCall("WATCH", err)
 	if err != nil {
 		cancel()
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
@@ -33,6 +35,7 @@
 		_ = resp.Body.Close()
 		return nil, errors.Wrapf(err, "watch %s", kind)
 	}
+	c.observe.PlatformWatches(1)
 	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(nil, watchLineMaxByte)
 	return &watcher{client: c, body: resp.Body, lines: scanner, cancel: cancel, idle: idle}, nil
@@ -44,6 +47,7 @@
 	lines  *bufio.Scanner
 	cancel context.CancelFunc
 	idle   *time.Timer
+	closed sync.Once
 }
 
 // Next implements Watcher.
@@ -70,6 +74,7 @@
 
 // Close implements Watcher.
 func (w *watcher) Close() {
+	w.closed.Do(func() { w.client.observe.PlatformWatches(-1) })
 	w.idle.Stop()
 	w.cancel()
 	_ = w.body.Close()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -20,6 +20,8 @@
 	Tokens        *prometheus.CounterVec   // by class and direction
 	Items         *prometheus.CounterVec   // by result
 	PlatformCalls *prometheus.CounterVec   // by operation and result
+	ControlBytes  *prometheus.CounterVec   // by link and direction
+	Watches       prometheus.Gauge
 	Revision      prometheus.Gauge
 }
 
@@ -40,12 +42,16 @@
 		Tokens:        counter("tokens_total", "Tokens served, by class and direction.", "class", "direction"),
 		Items:         counter("batch_items_total", "Batch items that ended, by result.", "result"),
 		PlatformCalls: counter("platform_calls_total", "Calls to the platform, by operation and result.", "operation", "result"),
+		ControlBytes:  counter("control_bytes_total", "Bytes exchanged with the platform and with peers.", "link", "direction"),
+		Watches: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "masticscale", Name: "platform_watches", Help: "Open watches at the platform.",
+		}),
 		Revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "masticscale", Name: "config_revision", Help: "Revision of the configuration in force.",
 		}),
 	}
 	r.MustRegister(m.Requests, m.FirstByte, m.Duration, m.InFlight, m.Queued, m.Refusals, m.Attempts,
-		m.Tokens, m.Items, m.PlatformCalls, m.Revision,
+		m.Tokens, m.Items, m.PlatformCalls, m.ControlBytes, m.Watches, m.Revision,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
