Give orders to upstreams, one host at a time

Ruled out: a lease alone (the order was 'new', 'old' when the orderer was paused between its check and its first byte); a higher epoch as proof that the sender is gone, since a resumed process has one too. Change: an object for each upstream holds what operators want, what is confirmed and what may still be under way; fencing numbers where the upstream checks, proof that the sender is gone and a waiting time elsewhere. 'upstream order' and 'upstream orders'; the engine's stand-in takes orders, checked or not.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -93,6 +93,8 @@
 	mux.HandleFunc("POST /admin/v1/keys", a.handle(a.createKey))
 	mux.HandleFunc("POST /admin/v1/keys/{id}/withdraw", a.handle(a.withdrawKey))
 	mux.HandleFunc("GET /admin/v1/jobs", a.handle(a.listJobs))
+	mux.HandleFunc("GET /admin/v1/orders", a.handle(a.listOrders))
+	mux.HandleFunc("POST /admin/v1/orders", a.handle(a.createOrder))
 	mux.HandleFunc("PUT /admin/v1/log-level", a.handle(a.setLogLevel))
 	addObjects(a, mux, teamObjects)
 	addObjects(a, mux, routeObjects)
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -88,6 +88,7 @@
 	wg.Go(func() { h.Registry.Run(ctx) })
 	wg.Go(func() { h.Rates.Run(ctx) })
 	wg.Go(func() { h.Observer.Run(ctx) })
+	wg.Go(func() { h.Orderer.Run(ctx) })
 	wg.Go(func() { h.Exchange.Run(ctx) })
 	wg.Go(func() { h.Suspects.Run(ctx) })
 	wg.Go(func() { h.Claims.Run(ctx) })
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -14,6 +14,7 @@
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/order/orderer"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
@@ -38,6 +39,7 @@
 	Loads     *peer.LoadServer
 	Admission *admission.Controller
 	Runner    *batch.Runner
+	Orderer   *orderer.Orderer
 	Gateway   *gateway.Gateway
 	Claims    *keeper.Keeper
 	Admin     *admin.API
@@ -63,6 +65,17 @@
 		platform.WithDial(m.CountingDial(telemetry.LinkPlatform)), platform.WithObserver(m))
 }
 
+// orderTargets finds the upstreams of the catalog.
+type orderTargets struct{ catalog *catalog.Catalog }
+
+// Target implements orderer.Targets.
+func (t orderTargets) Target(service, name string) (orderer.Target, bool) {
+	spec, known := t.catalog.Current().Services[service].Upstreams[name]
+	return orderer.Target{Address: spec.Address, ChecksFencing: spec.ChecksFencing}, known
+}
+
+func newOrderTargets(c *catalog.Catalog) orderer.Targets { return orderTargets{c} }
+
 func newPeerClient(m *telemetry.Metrics) *peer.Client {
 	return peer.NewClient(m.CountingDial(telemetry.LinkPeers))
 }
--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -16,6 +16,8 @@
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/order/orderer"
+	"github.com/masticscale/masticscale/internal/order/orderstore"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
@@ -23,6 +25,7 @@
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
+	"github.com/masticscale/masticscale/internal/upstream/httporder"
 )
 
 // NewHost builds an entry host from its settings.
@@ -55,5 +58,8 @@
 	claimstore.New, keeper.New, gateway.New,
 	peer.NewServer, newPeerClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)),
 	wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)),
+	orderstore.New, wire.Bind(new(orderer.Repository), new(*orderstore.Store)), newOrderTargets,
+	httporder.New, wire.Bind(new(orderer.Sender), new(*httporder.Sender)),
+	wire.Bind(new(orderer.Prober), new(*peer.Client)), orderer.NewOrderer,
 	operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -18,6 +18,8 @@
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/order/orderer"
+	"github.com/masticscale/masticscale/internal/order/orderstore"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
@@ -25,6 +27,7 @@
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
+	"github.com/masticscale/masticscale/internal/upstream/httporder"
 	"github.com/sirupsen/logrus"
 )
 
@@ -59,6 +62,10 @@
 	path := serving.NewPath(controller, dispatcher)
 	pathExecutor := batch.NewPathExecutor(catalogCatalog, path)
 	runner := batch.NewRunner(repository, client, pathExecutor, registry, metrics, logger)
+	store := orderstore.New(client)
+	targets := newOrderTargets(catalogCatalog)
+	sender := httporder.New()
+	ordererOrderer := orderer.NewOrderer(store, targets, sender, peerClient, registry, logger)
 	specs := newSpecs(catalogCatalog)
 	ratelimitMetrics := newRateMetrics(metrics)
 	escrow := ratelimit.NewEscrow(client, registry, peerClient, specs, ratelimitMetrics, logger)
@@ -98,6 +105,7 @@
 		Loads:     loadServer,
 		Admission: controller,
 		Runner:    runner,
+		Orderer:   ordererOrderer,
 		Gateway:   gatewayGateway,
 		Claims:    keeperKeeper,
 		Admin:     api,
@@ -116,5 +124,5 @@
 // wire.go:
 
 var hostSet = wire.NewSet(
-	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource, newRelay, peer.NewCatalogServer, newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), claimstore.New, keeper.New, gateway.New, peer.NewServer, newPeerClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)), wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource, newRelay, peer.NewCatalogServer, newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), claimstore.New, keeper.New, gateway.New, peer.NewServer, newPeerClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)), wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)), orderstore.New, wire.Bind(new(orderer.Repository), new(*orderstore.Store)), newOrderTargets, httporder.New, wire.Bind(new(orderer.Sender), new(*httporder.Sender)), wire.Bind(new(orderer.Prober), new(*peer.Client)), orderer.NewOrderer, operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/cli/emulate.go
+++ b/internal/cli/emulate.go
@@ -53,6 +53,7 @@
 	f := c.Flags()
 	f.StringVar(&listen, "listen", "127.0.0.1:7100", "address, ip:port")
 	f.StringVar(&options.Name, "name", "engine", "name that stands in its answers")
+	f.BoolVar(&options.IgnoreFencing, "ignore-fencing", false, "carry out orders with old fencing numbers too")
 	f.IntVar(&options.Slots, "slots", 32, "requests in one batch")
 	f.DurationVar(&options.Cost.PrefillPerToken, "prefill-per-token", options.Cost.PrefillPerToken, "time to read one prompt token")
 	f.DurationVar(&options.Cost.StepBase, "step", options.Cost.StepBase, "time of a decode step of one request")
--- a/internal/cli/objects.go
+++ b/internal/cli/objects.go
@@ -170,7 +170,7 @@
 		func(s dispatch.Status) []any {
 			return []any{s.Service, s.Name, s.Address, s.Slots, s.Online, s.Batch, s.Reported, s.State}
 		})
-	return newNoun("upstream", "List upstreams", list)
+	return newNoun("upstream", "List upstreams and give them orders", list, newUpstreamOrder(), newUpstreamOrders())
 }
 
 func newHost() *cobra.Command {
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -26,6 +26,8 @@
 	Name  string
 	Slots int // requests that run at once; more wait in order
 	Cost  Cost
+	// IgnoreFencing carries out orders with old fencing numbers too.
+	IgnoreFencing bool
 	// Crash is called when a marked prompt or a fault asks for it.
 	Crash func()
 }
@@ -45,6 +47,7 @@
 	tokens  atomic.Int64
 
 	mu         sync.Mutex
+	orders     orders
 	executions map[string]int // prompt to times run
 	seen       strings.Builder
 }
@@ -62,6 +65,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", s.chat)
 	mux.HandleFunc("POST /v1/completions", s.chat)
+	mux.HandleFunc("POST /v1/orders", s.order)
+	mux.HandleFunc("GET /control/orders", s.listOrders)
 	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /health", s.health)
 	mux.Handle("/control/faults", &s.Faults)
--- /dev/null
+++ b/internal/order/orderstore/orderstore.go
@@ -0,0 +1,63 @@
+// Package orderstore keeps orders as objects of the platform.
+package orderstore
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/order"
+	"github.com/masticscale/masticscale/internal/order/orderer"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+// Store implements orderer.Repository.
+type Store struct{ objects platform.Store }
+
+// New returns a repository on the platform's objects.
+func New(objects platform.Store) *Store { return &Store{objects: objects} }
+
+// Name returns the name of the object that holds an upstream's orders.
+func Name(service, upstream string) string { return service + "." + upstream }
+
+// Orders implements orderer.Repository.
+func (s *Store) Orders(ctx context.Context) ([]orderer.Stored, error) {
+	objects, _, err := s.objects.List(ctx, platform.KindOrder, "")
+	if err != nil {
+		return nil, err
+	}
+	all := make([]orderer.Stored, len(objects))
+	for i, o := range objects {
+		all[i].Version = orderer.Version(o.Version)
+		if err := o.Decode(&all[i].Order); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// Put implements orderer.Repository.
+func (s *Store) Put(ctx context.Context, st orderer.Stored) (orderer.Version, error) {
+	name := Name(st.Order.Service, st.Order.Upstream)
+	var o platform.Object
+	var err error
+	if st.Version == 0 {
+		o, err = s.objects.Create(ctx, platform.KindOrder, name, st.Order)
+	} else {
+		o, err = s.objects.Update(ctx, platform.KindOrder, name, int64(st.Version), st.Order)
+	}
+	return orderer.Version(o.Version), err
+}
+
+// Get returns the orders of one upstream; a new one has the version zero.
+func (s *Store) Get(ctx context.Context, service, upstream string) (orderer.Stored, error) {
+	o, err := s.objects.Get(ctx, platform.KindOrder, Name(service, upstream))
+	if errors.Is(err, platform.ErrNotFound) {
+		return orderer.Stored{Order: order.Order{Service: service, Upstream: upstream}}, nil
+	}
+	if err != nil {
+		return orderer.Stored{}, err
+	}
+	st := orderer.Stored{Version: orderer.Version(o.Version)}
+	return st, o.Decode(&st.Order)
+}
--- /dev/null
+++ b/internal/peer/gone.go
@@ -0,0 +1,31 @@
+package peer
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/order"
+	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
+	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
+)
+
+const goneTimeout = 2 * time.Second
+
+// Gone implements orderer.Prober. A process is gone when its address refuses
+// connections, or when another incarnation answers there. An address that is
+// silent proves nothing, since the process may be paused, and neither does a
+// higher epoch, which the same process can have after a pause.
+func (c *Client) Gone(ctx context.Context, s order.Sending) bool {
+	ctx, cancel := context.WithTimeout(ctx, goneTimeout)
+	defer cancel()
+	client := peerv1connect.NewHostServiceClient(c.http, c.scheme+"://"+s.PeerAddress)
+	resp, err := client.Status(ctx, connect.NewRequest(&peerv1.StatusRequest{}))
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return resp.Msg.Incarnation != s.Incarnation
+}
--- /dev/null
+++ b/internal/upstream/httporder/httporder.go
@@ -0,0 +1,87 @@
+// Package httporder sends orders to upstreams over HTTP.
+//
+// Contract: one order, one connection. The network drops the connection when an
+// order's bytes stay unacknowledged, so that none arrives long after its sender
+// has given up or is gone.
+package httporder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/masticscale/masticscale/internal/order"
+	"github.com/masticscale/masticscale/internal/order/orderer"
+)
+
+const (
+	dialTimeout   = 2 * time.Second
+	maxErrorBytes = 1 << 10
+)
+
+// Request is an order on the wire.
+type Request struct {
+	Fencing int64         `json:"fencing"`
+	Desired order.Desired `json:"desired"`
+}
+
+// Sender implements orderer.Sender.
+type Sender struct{ client *http.Client }
+
+// New returns a sender.
+func New() *Sender {
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: dropUnacknowledged}
+	return &Sender{client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}}
+}
+
+// dropUnacknowledged bounds how long the kernel goes on sending, also after this
+// process has ended.
+func dropUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(order.SendLifetime.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// Send implements orderer.Sender.
+func (s *Sender) Send(ctx context.Context, t orderer.Target, fencing int64, d order.Desired) error {
+	text, err := json.Marshal(Request{Fencing: fencing, Desired: d})
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, t.Address+"/v1/orders", bytes.NewReader(text))
+	if err != nil {
+		return errors.Wrap(err, "build order")
+	}
+	// Without this the transport cannot send a second copy.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "send order")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return answer(resp)
+}
+
+func answer(resp *http.Response) error {
+	switch {
+	case resp.StatusCode < 300:
+		return nil
+	case resp.StatusCode == http.StatusConflict:
+		return orderer.ErrStale
+	case resp.StatusCode < 500:
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+		return errors.Wrapf(orderer.ErrRefused, "%s: %s", resp.Status, bytes.TrimSpace(text))
+	}
+	return errors.Errorf("the upstream answered %s", resp.Status)
+}
