--- a/internal/app/host_test.go
+++ b/internal/app/host_test.go
@@ -79,7 +79,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- host.Run(ctx, context.Background()) }()
-	awaitReady(c, host.settings.Listen)
+	awaitReady(c, host.Settings.Listen)
 	stop()
 	c.Assert(<-done, qt.IsNil)
 	http.DefaultClient.CloseIdleConnections()
@@ -92,7 +92,7 @@
 	log := new(logBuffer)
 	logger, err := telemetry.NewLogger(log, "info", "h1")
 	c.Assert(err, qt.IsNil)
-	h := &Host{log: logger, drain: newDrain()}
+	h := &Host{parts: parts{Log: logger}, drain: newDrain()}
 	entered := make(chan struct{})
 	blocked := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		close(entered)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -137,9 +137,11 @@
 	pool.Apply(cat.Current())
 	control := admission.NewController(pool, metrics)
 	pool.OnFreed(control.Wake)
-	path := serving.NewPath(control, newDispatcher(pool, engine, metrics), pool, metrics)
 	client := platform.NewClient(f.storeAt, name)
-	keep := keeper.New(claimstore.New(client), feed{membership.Host{Name: name, Epoch: 1}, &f.lapsed}, log)
+	members := feed{membership.Host{Name: name, Epoch: 1}, &f.lapsed}
+	suspects := dispatch.NewSuspects(dispatch.FingerprintKey("fleet"), client, members, log)
+	path := serving.NewPath(control, dispatch.NewDispatcher(pool, engine, suspects, metrics))
+	keep := keeper.New(claimstore.New(client), members, log)
 	server := httptest.NewServer(gateway.New(cat, noLimit{}, path, nil, keep, metrics, log).Handler())
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -163,10 +165,6 @@
 	}
 }
 
-func newDispatcher(pool *dispatch.Pool, engine upstream.Engine, metrics *telemetry.Metrics) *dispatch.Dispatcher {
-	return dispatch.NewDispatcher(pool, engine, metrics)
-}
-
 func copyInto[K comparable, V any](to, from map[K]V) {
 	for k, v := range from {
 		to[k] = v
