--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -48,8 +48,14 @@
 	return u
 }
 
+const healthLine = "GET /health "
+
 func (u *scripted) serve(conn net.Conn, take int, answer func(int, *http.Request) string) {
 	in := bufio.NewReader(conn)
+	if line, _ := in.Peek(len(healthLine)); string(line) == healthLine {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
 	if take >= 0 {
 		if got, _ := in.Peek(take); len(got) > 0 {
 			u.heads.Add(1)
@@ -236,6 +242,7 @@
 	go func() {
 		defer close(done)
 		conn, err := socket.Accept()
+		_ = socket.Close()
 		if err != nil {
 			return
 		}
