--- a/internal/claim/keeper/keeper.go
+++ b/internal/claim/keeper/keeper.go
@@ -94,14 +94,14 @@
 		if !errors.Is(err, claim.ErrConflict) {
 			return nil, refusal(err)
 		}
-		found, err := k.repo.Get(ctx, t.name)
+		found, gone, err := k.read(ctx, t.name)
 		if errors.Is(err, claim.ErrNotFound) {
 			continue
 		}
 		if err != nil {
 			return nil, platformDown(err)
 		}
-		verdict := found.Judge(t.claim.Fingerprint, k.gone(found.Claim), k.phaseOf(found.Attempt) == unsent)
+		verdict := found.Judge(t.claim.Fingerprint, gone, k.phaseOf(found.Attempt) == unsent)
 		if verdict != claim.Run {
 			return answerOf(verdict, found.Claim)
 		}
@@ -124,13 +124,23 @@
 	return platformDown(err)
 }
 
-// gone reports whether nobody works on the claim's attempt any more.
-func (k *Keeper) gone(c claim.Claim) bool {
+// read reads a claim and reports whether nobody works on its attempt any more.
+// An attempt of this host is forgotten only after its end was written, so that a
+// second read shows whether the first was merely old.
+func (k *Keeper) read(ctx context.Context, name string) (claim.Stored, bool, error) {
+	found, err := k.repo.Get(ctx, name)
+	if err != nil {
+		return found, false, err
+	}
 	self := k.feed.Self()
-	if c.Owner.Host == self.Name && c.Owner.Epoch == self.Epoch {
-		return k.phaseOf(c.Attempt) != active
+	if found.Owner.Host != self.Name || found.Owner.Epoch != self.Epoch {
+		return found, k.feed.Lapsed(found.Owner), nil
+	}
+	if found.State != claim.Running || k.phaseOf(found.Attempt) != 0 {
+		return found, false, nil
 	}
-	return k.feed.Lapsed(c.Owner)
+	again, err := k.repo.Get(ctx, name)
+	return again, again.Attempt == found.Attempt, err
 }
 
 // Finish ends the claim. It waits a short time for the platform and leaves the
