--- a/internal/emulator/plainservice/plainservice.go
+++ b/internal/emulator/plainservice/plainservice.go
@@ -34,10 +34,20 @@
 	mux.Handle("/control/faults", &s.Faults)
 	mux.HandleFunc("GET /control/executions", s.list)
 	mux.HandleFunc("GET /control/seen", s.listSeen)
+	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("GET /metrics", http.NotFound) // plain services report no load
 	mux.HandleFunc("/", s.serve)
 	return mux
 }
 
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	if f := s.Faults.Get(); f.Leaving || f.Down {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
 // Receipt is the service's answer.
 type Receipt struct {
 	Number string `json:"number"` // the request's own number
