Compare jobs under failures with a single process

A random fleet of three hosts loses leases, hosts, the platform and answers while a job runs; every item must have the naive result, once, in order, and nothing is dispatched after the job is reported as cancelled.

--- /dev/null
+++ b/internal/batch/fake_test.go
@@ -0,0 +1,370 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/job"
+	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/telemetry"
+)
+
+// memoryStore is a platform in memory that all hosts of a test share.
+type memoryStore struct {
+	mu       sync.Mutex
+	version  int64
+	objects  map[string]platform.Object
+	history  []platform.Event
+	changed  chan struct{}
+	down     bool
+	loseNext int // writes that take effect and end as ambiguous
+	writes   map[platform.Kind]int
+	reads    int
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{objects: map[string]platform.Object{}, changed: make(chan struct{}), writes: map[platform.Kind]int{}}
+}
+
+func (s *memoryStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func objectKey(kind platform.Kind, name string) string { return string(kind) + "/" + name }
+
+func (s *memoryStore) Get(_ context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	o, ok := s.objects[objectKey(kind, name)]
+	if !ok {
+		return o, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *memoryStore) List(_ context.Context, kind platform.Kind, prefix string) ([]platform.Object, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return nil, 0, platform.ErrUnavailable
+	}
+	var all []platform.Object
+	for _, o := range s.objects {
+		if o.Kind == kind && strings.HasPrefix(o.Name, prefix) {
+			all = append(all, o)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all, s.version, nil
+}
+
+func (s *memoryStore) Create(_ context.Context, kind platform.Kind, name string, v any) (platform.Object, error) {
+	return s.write(kind, name, 0, v)
+}
+
+func (s *memoryStore) Update(_ context.Context, kind platform.Kind, name string, version int64, v any) (platform.Object, error) {
+	return s.write(kind, name, version, v)
+}
+
+func (s *memoryStore) write(kind platform.Kind, name string, version int64, v any) (platform.Object, error) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	if s.objects[objectKey(kind, name)].Version != version {
+		return platform.Object{}, platform.ErrConflict
+	}
+	if len(text) > platform.MaxValueBytes {
+		return platform.Object{}, platform.ErrTooLarge
+	}
+	s.version++
+	s.writes[kind]++
+	o := platform.Object{Kind: kind, Name: name, Version: s.version, Value: text}
+	s.objects[objectKey(kind, name)] = o
+	s.record(platform.Event{Type: platform.EventPut, Object: o})
+	if s.loseNext > 0 {
+		s.loseNext--
+		return platform.Object{}, platform.ErrAmbiguous
+	}
+	return o, nil
+}
+
+func (s *memoryStore) record(e platform.Event) {
+	s.history = append(s.history, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) Delete(_ context.Context, kind platform.Kind, name string, version int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[objectKey(kind, name)].Version != version {
+		return platform.ErrConflict
+	}
+	delete(s.objects, objectKey(kind, name))
+	s.version++
+	s.record(platform.Event{Type: platform.EventDelete, Object: platform.Object{Kind: kind, Name: name, Version: s.version}})
+	return nil
+}
+
+func (s *memoryStore) Watch(ctx context.Context, kind platform.Kind, after int64) (platform.Watcher, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	return &memoryWatcher{store: s, kind: kind, after: after, ctx: ctx, cancel: cancel}, nil
+}
+
+type memoryWatcher struct {
+	store  *memoryStore
+	kind   platform.Kind
+	after  int64
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func (w *memoryWatcher) Close() { w.cancel() }
+
+func (w *memoryWatcher) Next() (platform.Event, error) {
+	for {
+		w.store.mu.Lock()
+		changed := w.store.changed
+		for _, e := range w.store.history {
+			if e.Object.Version > w.after && e.Object.Kind == w.kind {
+				w.after = e.Object.Version
+				w.store.mu.Unlock()
+				return e, nil
+			}
+		}
+		w.store.mu.Unlock()
+		select {
+		case <-changed:
+		case <-w.ctx.Done():
+			return platform.Event{}, platform.ErrUnavailable
+		}
+	}
+}
+
+// fleet is the membership that the hosts of a test share. A host that is
+// silenced does not renew its lease.
+type fleet struct {
+	mu    sync.Mutex
+	hosts map[string]*fakeHost
+}
+
+type fakeHost struct {
+	membership.Host
+	silent time.Time // since when it does not renew; zero while it does
+}
+
+func newFleet(names ...string) *fleet {
+	f := &fleet{hosts: map[string]*fakeHost{}}
+	for _, name := range names {
+		f.hosts[name] = &fakeHost{Host: membership.Host{Name: name, Epoch: 1, State: membership.Live}}
+	}
+	return f
+}
+
+func (f *fleet) silence(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h := f.hosts[name]; h.silent.IsZero() {
+		h.silent = time.Now()
+	}
+}
+
+func (f *fleet) renew(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts[name].silent = time.Time{}
+}
+
+func (h *fakeHost) silentFor() time.Duration {
+	if h.silent.IsZero() {
+		return 0
+	}
+	return time.Since(h.silent)
+}
+
+// feed is the fleet as one host sees it.
+type feed struct {
+	fleet *fleet
+	name  string
+}
+
+func (f feed) Self() membership.Host {
+	f.fleet.mu.Lock()
+	defer f.fleet.mu.Unlock()
+	return f.fleet.hosts[f.name].Host
+}
+
+func (f feed) Owns() bool {
+	f.fleet.mu.Lock()
+	defer f.fleet.mu.Unlock()
+	return f.fleet.hosts[f.name].silentFor() < membership.LeaseTime
+}
+
+func (f feed) Members() []membership.Host {
+	f.fleet.mu.Lock()
+	defer f.fleet.mu.Unlock()
+	var all []membership.Host
+	for _, h := range f.fleet.hosts {
+		if h.Name == f.name || h.silentFor() < membership.LapseTime {
+			all = append(all, h.Host)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+func (f feed) Lapsed(o membership.Owner) bool {
+	f.fleet.mu.Lock()
+	defer f.fleet.mu.Unlock()
+	h := f.fleet.hosts[o.Host]
+	return h.Epoch > o.Epoch || h.silentFor() > membership.LapseTime
+}
+
+// engine is an Executor whose answers are a function of the item. Items named
+// "bad" never succeed, "busy" are turned away at first, "refused" get a 400.
+type engine struct {
+	time time.Duration
+
+	mu   sync.Mutex
+	runs map[string]int
+	last time.Time // of the last dispatch
+}
+
+func newEngine(d time.Duration) *engine { return &engine{time: d, runs: map[string]int{}} }
+
+func (e *engine) Execute(ctx context.Context, _ job.Job, item job.Item) (job.ResultLine, error) {
+	e.mu.Lock()
+	e.runs[item.CustomID]++
+	run := e.runs[item.CustomID]
+	e.last = time.Now()
+	e.mu.Unlock()
+	if e.time > 0 {
+		pause(ctx, e.time)
+	}
+	if ctx.Err() != nil {
+		return job.ResultLine{}, ctx.Err()
+	}
+	switch kindOf(item.CustomID) {
+	case "bad":
+		return job.ResultLine{}, errors.New("the upstream broke off")
+	case "busy":
+		if run <= 2 {
+			return job.ResultLine{}, ErrBusy
+		}
+	case "refused":
+		return answer(item, 400), nil
+	}
+	return answer(item, 200), nil
+}
+
+func (e *engine) total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	total := 0
+	for _, n := range e.runs {
+		total += n
+	}
+	return total
+}
+
+func answer(item job.Item, status int) job.ResultLine {
+	return job.ResultLine{ID: "item", CustomID: item.CustomID,
+		Response: &job.Response{StatusCode: status, Body: json.RawMessage(fmt.Sprintf("%q", "answer to "+item.CustomID))}}
+}
+
+func kindOf(customID string) string {
+	kind, _, _ := strings.Cut(customID, "-")
+	return kind
+}
+
+func quietLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// The codecs make their channels at first use, which must not be in a bubble of
+// virtual time.
+var _, errCodec = job.Decompress(job.Compress([]byte("warm up")))
+
+var testMetrics = telemetry.NewMetrics()
+
+// host is one runner of a test.
+type host struct {
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func startHost(store platform.Store, f *fleet, name string, e Executor) host {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := NewRunner(NewRepository(store), store, e, feed{f, name}, testMetrics, quietLog())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	return host{cancel, done}
+}
+
+func (h host) kill() {
+	h.stop()
+	<-h.done
+}
+
+// inputOf returns a file's text with one line for each custom id.
+func inputOf(ids ...string) string {
+	var b strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&b, `{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":"m"}}`+"\n", id)
+	}
+	return b.String()
+}
+
+func idsOf(kinds []string) []string {
+	ids := make([]string, len(kinds))
+	for i, kind := range kinds {
+		ids[i] = fmt.Sprintf("%s-%d", kind, i)
+	}
+	return ids
+}
+
+// submit uploads the items as a job.
+func submit(s *Service, ids []string) (job.Job, error) {
+	ctx := context.Background()
+	f, err := s.Upload(ctx, Upload{Team: "t", Purpose: "batch"}, strings.NewReader(inputOf(ids...)))
+	if err != nil {
+		return job.Job{}, err
+	}
+	return s.Submit(ctx, Submission{Team: "t", File: f.ID, Endpoint: "/v1/chat/completions", IdempotencyKey: "k"})
+}
+
+// restart begins a host's next incarnation.
+func (f *fleet) restart(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts[name].Epoch++
+	f.hosts[name].silent = time.Time{}
+}
--- a/internal/batch/files.go
+++ b/internal/batch/files.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return job.File{}, unavailable(err)
 	}
-	w := &partWriter{ctx: ctx, repo: s.repo, file: &f, max: up.MaxLines, digest: sha256.New(), seen: map[idHash]int{}}
+	w := &partWriter{ctx: ctx, repo: s.repo, file: &f, max: up.MaxLines, partLines: s.partLines, digest: sha256.New(), seen: map[idHash]int{}}
 	err = w.readAll(text)
 	if err == nil && up.Confirm != nil {
 		err = up.Confirm()
@@ -93,15 +93,16 @@
 
 // partWriter checks lines and writes them in parts of whole lines.
 type partWriter struct {
-	ctx    context.Context
-	repo   job.Repository
-	file   *job.File
-	max    int
-	digest hash.Hash
-	seen   map[idHash]int // line numbers by custom_id
-	number int            // of the line that was read last
-	text   []byte         // of the part that is being filled
-	lines  int
+	ctx       context.Context
+	repo      job.Repository
+	file      *job.File
+	max       int
+	partLines int
+	digest    hash.Hash
+	seen      map[idHash]int // line numbers by custom_id
+	number    int            // of the line that was read last
+	text      []byte         // of the part that is being filled
+	lines     int
 }
 
 func (w *partWriter) readAll(text io.Reader) error {
@@ -141,7 +142,7 @@
 	if err := w.check(line); err != nil {
 		return err
 	}
-	if w.lines >= job.MaxPartLines || len(w.text)+len(line) >= job.MaxPartBytes {
+	if w.lines >= w.partLines || len(w.text)+len(line) >= job.MaxPartBytes {
 		if err := w.flush(); err != nil {
 			return err
 		}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -23,6 +23,13 @@
 // errLost means that another host has taken the chunk.
 var errLost = errors.New("the chunk was taken by another host")
 
+// gate is a lock that is held across calls of the platform and waits.
+type gate chan struct{}
+
+func (g gate) lock() { g <- struct{}{} }
+
+func (g gate) unlock() { <-g }
+
 // run is one chunk in the hands of this host.
 type run struct {
 	r     *Runner
@@ -33,7 +40,7 @@
 	stopped chan struct{} // closed by cancel
 	once    sync.Once
 
-	mu      sync.Mutex // guards the claim
+	mu      gate // guards the claim, also while it is written
 	chunk   job.Chunk
 	version job.Version
 	term    int64
@@ -41,7 +48,7 @@
 }
 
 func newRun(r *Runner, t task) *run {
-	return &run{r: r, job: t.job, index: t.index, chunk: t.stored.Chunk, version: t.stored.Version, stopped: make(chan struct{})}
+	return &run{r: r, job: t.job, index: t.index, chunk: t.stored.Chunk, version: t.stored.Version, stopped: make(chan struct{}), mu: make(gate, 1)}
 }
 
 // cancel stops the items: none is dispatched any more, and those that run end.
@@ -58,10 +65,10 @@
 
 // do claims the chunk, runs its items and commits their results.
 func (u *run) do(ctx context.Context) {
-	u.mu.Lock()
+	u.mu.lock()
 	err := u.claim(ctx, true)
 	u.trial = u.chunk.Trial
-	u.mu.Unlock()
+	u.mu.unlock()
 	if err != nil {
 		u.logFailure("chunk_not_claimed", err)
 		return
@@ -128,8 +135,8 @@
 // host lease is not confirmed. After a gap in the lease it claims the chunk
 // again, since another host may have had it meanwhile.
 func (u *run) ready(ctx context.Context) error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.mu.lock()
+	defer u.mu.unlock()
 	for ctx.Err() == nil && !u.lost {
 		term, held := u.r.tenure.check()
 		if held && term == u.term {
@@ -205,8 +212,8 @@
 	if err == nil {
 		err = ctx.Err()
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.mu.lock()
+	defer u.mu.unlock()
 	if u.lost {
 		err = errLost
 	}
@@ -252,8 +259,8 @@
 }
 
 func (u *run) startTrial(ctx context.Context, i int) (bool, error) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.mu.lock()
+	defer u.mu.unlock()
 	trial, allowed := u.chunk.Trial.Start(i)
 	next := u.chunk
 	next.Trial = &trial
@@ -291,8 +298,8 @@
 // still owns it. It goes on through an outage until the chunk is settled. No
 // lines stop the chunk of a cancelled job.
 func (u *run) commit(ctx context.Context, lines []job.ResultLine) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.mu.lock()
+	defer u.mu.unlock()
 	var segments []job.Segment
 	if lines != nil {
 		var err error
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -35,11 +35,14 @@
 
 // Service is the use cases of batch jobs.
 type Service struct {
-	repo job.Repository
+	repo      job.Repository
+	partLines int // lines in one part of a file
 }
 
 // NewService returns a service.
-func NewService(repo job.Repository) *Service { return &Service{repo: repo} }
+func NewService(repo job.Repository) *Service {
+	return &Service{repo: repo, partLines: job.MaxPartLines}
+}
 
 // unavailable turns a failure of the repository into the caller's error.
 func unavailable(err error) error {
@@ -105,6 +108,11 @@
 	if errors.Is(err, job.ErrConflict) {
 		return s.resent(ctx, j)
 	}
+	if errors.Is(err, job.ErrAmbiguous) {
+		if kept, rerr := s.resent(ctx, j); rerr == nil {
+			return kept, nil
+		}
+	}
 	if err != nil {
 		return job.Job{}, unavailable(err)
 	}
@@ -236,8 +244,10 @@
 	return j, nil
 }
 
-// askCancel writes that the job is to stop.
+// askCancel writes that the job is to stop. A write whose end was not learned
+// is settled by reading the job again.
 func (s *Service) askCancel(ctx context.Context, team, id string) (job.Job, error) {
+	var last error
 	for range settleTries {
 		j, v, err := s.jobOf(ctx, team, id)
 		if err != nil {
@@ -247,15 +257,18 @@
 		if err != nil || next.State == j.State {
 			return next, err
 		}
-		err = s.repo.UpdateJob(ctx, next, v)
-		if err == nil {
+		last = s.repo.UpdateJob(ctx, next, v)
+		if last == nil {
 			return next, nil
 		}
-		if !errors.Is(err, job.ErrConflict) {
-			return job.Job{}, unavailable(err)
+		if !errors.Is(last, job.ErrConflict) && !errors.Is(last, job.ErrAmbiguous) {
+			break
 		}
 	}
-	return job.Job{}, apierr.New(apierr.Conflict, "the job keeps changing", "cancel it again")
+	if errors.Is(last, job.ErrConflict) {
+		return job.Job{}, apierr.New(apierr.Conflict, "the job keeps changing", "cancel it again")
+	}
+	return job.Job{}, unavailable(last)
 }
 
 func segmentName(id string, index int) string {
--- a/internal/job/codec.go
+++ b/internal/job/codec.go
@@ -13,11 +13,12 @@
 const (
 	MaxPartBytes = 512 << 10
 	MaxPartLines = 256
+	codecsAtOnce = 4
 )
 
 var (
-	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(64<<20))
+	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(codecsAtOnce))
+	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(codecsAtOnce), zstd.WithDecoderMaxMemory(64<<20))
 )
 
 // Compress returns the zstd form of the text.
