Prove batch jobs under paused hosts, late claims, outages and bad input

Directed tests in virtual time: a holder paused past its lease dispatches nothing after it returns; a cancel waits for a live owner that has not heard of it; a claim after a cancel runs nothing; results of an outage are committed on return and not run again; an item that no host survives is condemned after a bounded number of hosts. The last one found that a host that stops went on writing the progress of a trial; a stopping host now gives its chunk back, and the chunk does not count that owner as lost.

--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -118,7 +118,7 @@
 	if !claimed {
 		return true
 	}
-	return !c.Done() && (c.Owner == b.self || lapsed(c.Owner))
+	return !c.Done() && (c.Free() || c.Owner == b.self || lapsed(c.Owner))
 }
 
 // offset spreads the hosts over a job's chunks, so that they seldom meet.
--- a/internal/batch/differential_test.go
+++ b/internal/batch/differential_test.go
@@ -34,7 +34,7 @@
 	for range rapid.IntRange(0, 8).Draw(t, "actions") {
 		p.actions = append(p.actions, action{
 			wait: time.Duration(rapid.IntRange(0, 9000).Draw(t, "wait ms")) * time.Millisecond,
-			name: rapid.SampledFrom([]string{"silence", "renew", "kill", "start", "down", "up", "lose", "cancel", "cancel"}).Draw(t, "action"),
+			name: rapid.SampledFrom([]string{"silence", "renew", "kill", "shutdown", "start", "stale", "stale", "down", "up", "lose", "cancel", "cancel"}).Draw(t, "action"),
 			host: rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "host"),
 		})
 	}
@@ -141,11 +141,21 @@
 			delete(w.hosts, a.host)
 			w.fleet.silence(a.host)
 		}
+	case "shutdown":
+		if h, runs := w.hosts[a.host]; runs {
+			h.shutdown()
+			delete(w.hosts, a.host)
+			w.fleet.silence(a.host)
+		}
 	case "start":
 		if _, runs := w.hosts[a.host]; !runs {
 			w.fleet.restart(a.host)
 			w.start(a.host)
 		}
+	case "stale":
+		if h, runs := w.hosts[a.host]; runs {
+			h.view.stale.Store(true)
+		}
 	case "down", "up":
 		w.store.set(func() { w.store.down = a.name == "down" })
 	case "lose":
@@ -163,7 +173,9 @@
 func (w *world) heal(names []string) {
 	w.store.set(func() { w.store.down, w.store.loseNext = false, 0 })
 	for _, name := range names {
-		if _, runs := w.hosts[name]; !runs {
+		if h, runs := w.hosts[name]; runs {
+			h.view.stale.Store(false)
+		} else {
 			w.fleet.restart(name)
 			w.start(name)
 		}
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -131,10 +132,50 @@
 
 func (s *memoryStore) Watch(ctx context.Context, kind platform.Kind, after int64) (platform.Watcher, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	return &memoryWatcher{store: s, kind: kind, after: after, ctx: ctx, cancel: cancel}, nil
+	return &memoryWatcher{stale: func() bool { return false }, store: s, kind: kind, after: after, ctx: ctx, cancel: cancel}, nil
+}
+
+// hostView is the platform as one host sees it. A stale view's watches deliver
+// nothing.
+type hostView struct {
+	*memoryStore
+	stale atomic.Bool
+	dead  atomic.Bool // reaches the platform no more
+}
+
+func (v *hostView) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	if v.dead.Load() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return v.memoryStore.Get(ctx, kind, name)
+}
+
+func (v *hostView) List(ctx context.Context, kind platform.Kind, prefix string) ([]platform.Object, int64, error) {
+	if v.dead.Load() {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return v.memoryStore.List(ctx, kind, prefix)
+}
+
+func (v *hostView) Create(ctx context.Context, kind platform.Kind, name string, value any) (platform.Object, error) {
+	return v.Update(ctx, kind, name, 0, value)
+}
+
+func (v *hostView) Update(_ context.Context, kind platform.Kind, name string, version int64, value any) (platform.Object, error) {
+	if v.dead.Load() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return v.write(kind, name, version, value)
+}
+
+func (v *hostView) Watch(ctx context.Context, kind platform.Kind, after int64) (platform.Watcher, error) {
+	w, err := v.memoryStore.Watch(ctx, kind, after)
+	w.(*memoryWatcher).stale = v.stale.Load
+	return w, err
 }
 
 type memoryWatcher struct {
+	stale  func() bool
 	store  *memoryStore
 	kind   platform.Kind
 	after  int64
@@ -146,6 +187,9 @@
 
 func (w *memoryWatcher) Next() (platform.Event, error) {
 	for {
+		for w.stale() && w.ctx.Err() == nil {
+			pause(w.ctx, scanInterval)
+		}
 		w.store.mu.Lock()
 		changed := w.store.changed
 		for _, e := range w.store.history {
@@ -316,20 +360,29 @@
 type host struct {
 	stop context.CancelFunc
 	done chan struct{}
+	view *hostView
 }
 
-func startHost(store platform.Store, f *fleet, name string, e Executor) host {
+func startHost(memory *memoryStore, f *fleet, name string, e Executor) host {
 	ctx, cancel := context.WithCancel(context.Background())
+	store := &hostView{memoryStore: memory}
 	r := NewRunner(NewRepository(store), store, e, feed{f, name}, testMetrics, quietLog())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		r.Run(ctx)
 	}()
-	return host{cancel, done}
+	return host{cancel, done, store}
 }
 
+// kill ends a host so that nothing more of it reaches the platform.
 func (h host) kill() {
+	h.view.dead.Store(true)
+	h.shutdown()
+}
+
+// shutdown stops a host as an operator does.
+func (h host) shutdown() {
 	h.stop()
 	<-h.done
 }
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -13,11 +13,12 @@
 )
 
 const (
-	leasePoll     = 100 * time.Millisecond
-	retryBackoff  = 250 * time.Millisecond
-	retryMax      = 10 * time.Second
-	commitBackoff = 100 * time.Millisecond
-	commitMax     = time.Second
+	leasePoll      = 100 * time.Millisecond
+	retryBackoff   = 250 * time.Millisecond
+	retryMax       = 10 * time.Second
+	commitBackoff  = 100 * time.Millisecond
+	commitMax      = time.Second
+	releaseTimeout = 2 * time.Second
 )
 
 // errLost means that another host has taken the chunk.
@@ -45,6 +46,7 @@
 	version job.Version
 	term    int64
 	lost    bool
+	settled bool
 }
 
 func newRun(r *Runner, t task) *run {
@@ -73,6 +75,7 @@
 		u.logFailure("chunk_not_claimed", err)
 		return
 	}
+	defer u.release(ctx)
 	if u.cancelled() {
 		u.commit(ctx, nil)
 		return
@@ -94,6 +97,24 @@
 	u.commit(ctx, lines)
 }
 
+// release gives an unfinished chunk back when the host stops, so that another
+// host takes it at once and does not count this owner as lost.
+func (u *run) release(ctx context.Context) {
+	if ctx.Err() == nil {
+		return
+	}
+	u.mu.lock()
+	defer u.mu.unlock()
+	if u.settled || u.lost {
+		return
+	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	if _, err := u.r.repo.PutChunk(bounded, u.job.ID, u.index, u.chunk.Release(), u.version); err != nil {
+		u.logFailure("chunk_not_released", err)
+	}
+}
+
 func (u *run) logFailure(event string, err error) {
 	u.r.log.WithError(err).WithFields(logrus.Fields{"event": event, "job": u.job.ID, "chunk": u.index}).Debug("chunk was not done by this host")
 }
@@ -244,7 +265,7 @@
 // runOneByOne runs the items of a chunk that several owners did not survive. It
 // writes which item it runs before it does.
 func (u *run) runOneByOne(ctx context.Context, items []job.Item, lines []job.ResultLine, from int) error {
-	for i := from; i < len(items) && !u.cancelled(); i++ {
+	for i := from; i < len(items) && ctx.Err() == nil; i++ {
 		allowed, err := u.startTrial(ctx, i)
 		if err != nil {
 			return err
@@ -320,6 +341,7 @@
 	for written := 0; ctx.Err() == nil; {
 		settled, committed := u.tryCommit(ctx, segments, next, &written)
 		if settled {
+			u.settled = true
 			u.committed(next, committed)
 			return
 		}
--- a/internal/job/chunk.go
+++ b/internal/job/chunk.go
@@ -43,6 +43,21 @@
 	return c
 }
 
+// Release returns the chunk as its owner gives it back when it stops.
+func (c Chunk) Release() Chunk {
+	c.Owner = membership.Owner{}
+	c.Claims--
+	if c.Trial != nil && c.Trial.Runs > 0 {
+		trial := *c.Trial
+		trial.Runs--
+		c.Trial = &trial
+	}
+	return c
+}
+
+// Free reports whether nobody owns the chunk.
+func (c Chunk) Free() bool { return c.Owner == membership.Owner{} }
+
 // Commit returns the chunk with its results.
 func (c Chunk) Commit(segments []string, counts Counts) Chunk {
 	c.Segments = segments
