--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -13,26 +13,14 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
-	"github.com/masticscale/masticscale/internal/admin"
-	"github.com/masticscale/masticscale/internal/admission"
-	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
-	"github.com/masticscale/masticscale/internal/config"
-	"github.com/masticscale/masticscale/internal/dispatch"
-	"github.com/masticscale/masticscale/internal/gateway"
-	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
-	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/telemetry"
-	"github.com/masticscale/masticscale/internal/upstream/httpengine"
 )
 
 const (
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
-	defaultDrain   = 500 * time.Millisecond
-	defaultStop    = 60 * time.Second
-	resignTimeout  = 5 * time.Second
 	maxHeaderBytes = 64 << 10
 )
 
@@ -41,29 +29,10 @@
 
 // Host is one entry host.
 type Host struct {
-	settings  config.Host
-	log       *logrus.Logger
-	metrics   *telemetry.Metrics
-	catalog   *catalog.Catalog
-	source    *catalog.Source
-	registry  *membership.Registry
-	pool      *dispatch.Pool
-	observer  *dispatch.Observer
-	admission *admission.Controller
-	runner    *batch.Runner
-	gateway   *gateway.Gateway
-	admin     *admin.API
-	peers     *peer.Server
-	client    *platform.Client
-	engine    *httpengine.Engine
-	peerCalls *peer.Client
-
-	stopping sync.Once
-	notReady chan struct{} // closed when a stop begins
-}
+	parts
 
-// Log returns the host's logger.
-func (h *Host) Log() *logrus.Logger { return h.log }
+	drain *drain
+}
 
 // listener is one server with its socket.
 type listener struct {
@@ -80,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	flush, err := telemetry.StartTraces(ctx, h.settings.Traces, h.settings.Name)
+	flush, err := telemetry.StartTraces(ctx, h.Settings.Traces, h.Settings.Name)
 	if err != nil {
 		return err
 	}
@@ -91,8 +60,8 @@
 	defer stopRunner()
 	wg, runnerDone := h.startDuties(duties, runnerCtx)
 	failed := h.serve(listeners)
-	h.log.WithFields(logrus.Fields{"event": "host_started", "listen": h.settings.Listen,
-		"admin": h.settings.AdminListen, "peer": h.settings.PeerListen}).Info("host started")
+	h.Log.WithFields(logrus.Fields{"event": "host_started", "listen": h.Settings.Listen,
+		"admin": h.Settings.AdminListen, "peer": h.Settings.PeerListen}).Info("host started")
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
@@ -100,27 +69,33 @@
 	h.stop(force, listeners, stopRunner, runnerDone)
 	stopDuties()
 	wg.Wait()
-	h.client.Close()
-	h.engine.Close()
-	h.peerCalls.Close()
-	h.log.WithField("event", "host_stopped").Info("host stopped")
+	h.Client.Close()
+	h.Engine.Close()
+	h.PeerCalls.Close()
+	h.Log.WithField("event", "host_stopped").Info("host stopped")
 	return err
 }
 
 // startDuties starts a goroutine for each duty.
 func (h *Host) startDuties(ctx, runnerCtx context.Context) (*sync.WaitGroup, <-chan struct{}) {
-	h.pool.OnFreed(h.admission.Wake)
-	h.catalog.OnChange(h.pool.Apply)
-	h.catalog.OnChange(func(s *catalog.Snapshot) { h.metrics.Revision.Set(float64(s.Revision)) })
+	h.Pool.OnFreed(h.Admission.Wake)
+	h.Catalog.OnChange(h.Pool.Apply)
+	h.Catalog.OnChange(func(s *catalog.Snapshot) { h.Metrics.Revision.Set(float64(s.Revision)) })
+	h.Metrics.KnowledgeAge(func() float64 { return h.Catalog.Age(time.Now()).Seconds() })
 	var wg sync.WaitGroup
-	wg.Go(func() { h.source.Run(ctx) })
-	wg.Go(func() { h.registry.Run(ctx) })
-	wg.Go(func() { h.observer.Run(ctx) })
-	wg.Go(func() { h.admission.Run(ctx) })
+	wg.Go(func() { h.Source.Run(ctx) })
+	wg.Go(func() { h.Relay.Run(ctx) })
+	wg.Go(func() { h.Registry.Run(ctx) })
+	wg.Go(func() { h.Rates.Run(ctx) })
+	wg.Go(func() { h.Observer.Run(ctx) })
+	wg.Go(func() { h.Exchange.Run(ctx) })
+	wg.Go(func() { h.Suspects.Run(ctx) })
+	wg.Go(func() { h.Claims.Run(ctx) })
+	wg.Go(func() { h.Admission.Run(ctx) })
 	runnerDone := make(chan struct{})
 	go func() {
 		defer close(runnerDone)
-		h.runner.Run(runnerCtx)
+		h.Runner.Run(runnerCtx)
 	}()
 	return &wg, runnerDone
 }
@@ -131,9 +106,9 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"callers", h.settings.Listen, h.callers()},
-		{"operators", h.settings.AdminListen, h.admin.Handler()},
-		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration())},
+		{"callers", h.Settings.Listen, h.callers()},
+		{"operators", h.Settings.AdminListen, h.Admin.Handler()},
+		{"peers", h.Settings.PeerListen, h.peerServices()},
 	} {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -147,6 +122,16 @@
 	return all, nil
 }
 
+// peerServices returns the services of every duty that peers call.
+func (h *Host) peerServices() http.Handler {
+	return peer.NewHandler(
+		h.Peers.Registration(),
+		h.Catalogs.Registration(),
+		h.RatePeers.Registration(),
+		h.Loads.Registration(),
+	)
+}
+
 func (h *Host) newServer(handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -166,19 +151,17 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", h.ready)
-	mux.Handle("GET /metrics", promhttp.HandlerFor(h.metrics.Registry, promhttp.HandlerOpts{}))
-	mux.Handle("/", h.gateway.Handler())
+	mux.Handle("GET /metrics", promhttp.HandlerFor(h.Metrics.Registry, promhttp.HandlerOpts{}))
+	mux.Handle("/", h.drain.track(h.Gateway.Handler()))
 	return mux
 }
 
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	select {
-	case <-h.notReady:
+	if h.drain.stopping() {
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
-	default:
 	}
-	if !h.source.Ready() {
+	if !h.Source.Ready() || !h.Relay.Introduced() {
 		http.Error(w, "configuration has not been read yet", http.StatusServiceUnavailable)
 		return
 	}
@@ -197,47 +180,3 @@
 	}
 	return failed
 }
-
-// stop is the graceful shutdown.
-func (h *Host) stop(force context.Context, listeners []listener, stopRunner func(), runnerDone <-chan struct{}) {
-	h.stopping.Do(func() { close(h.notReady) })
-	h.log.WithField("event", "host_stopping").Info("host stops; it takes no new connections soon")
-	bounded, cancel := context.WithTimeout(force, h.stopTime())
-	defer cancel()
-	h.registry.Leave(bounded)
-	wait(bounded, h.drainTime())
-	stopRunner()
-	select {
-	case <-runnerDone:
-	case <-bounded.Done():
-	}
-	for _, l := range listeners {
-		if err := l.server.Shutdown(bounded); err != nil {
-			h.log.WithError(err).WithFields(logrus.Fields{"event": "stop_forced", "listener": l.name}).Warn("requests in progress were cut")
-			_ = l.server.Close()
-		}
-	}
-	resign, done := context.WithTimeout(context.WithoutCancel(force), resignTimeout)
-	defer done()
-	h.registry.Resign(resign)
-}
-
-func (h *Host) drainTime() time.Duration { return seconds(h.settings.DrainSeconds, defaultDrain) }
-
-func (h *Host) stopTime() time.Duration { return seconds(h.settings.StopSeconds, defaultStop) }
-
-func seconds(n float64, fallback time.Duration) time.Duration {
-	if n <= 0 {
-		return fallback
-	}
-	return time.Duration(n * float64(time.Second))
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -1,12 +1,15 @@
 package app
 
 import (
+	"crypto/sha256"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/admin"
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
@@ -14,6 +17,7 @@
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
+	"github.com/masticscale/masticscale/internal/team"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
 )
@@ -25,38 +29,59 @@
 	Metrics   *telemetry.Metrics
 	Catalog   *catalog.Catalog
 	Source    *catalog.Source
+	Relay     *catalog.Relay
 	Registry  *membership.Registry
 	Pool      *dispatch.Pool
 	Observer  *dispatch.Observer
+	Exchange  *dispatch.Exchange
+	Suspects  *dispatch.Suspects
+	Loads     *peer.LoadServer
 	Admission *admission.Controller
 	Runner    *batch.Runner
 	Gateway   *gateway.Gateway
+	Claims    *keeper.Keeper
 	Admin     *admin.API
 	Peers     *peer.Server
+	Catalogs  *peer.CatalogServer
 	Client    *platform.Client
 	Engine    *httpengine.Engine
 	PeerCalls *peer.Client
+	Rates     *ratelimit.Escrow
+	RatePeers *peer.RateLimitServer
 }
 
 func assemble(p parts) *Host {
-	return &Host{
-		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source,
-		registry: p.Registry, pool: p.Pool, observer: p.Observer, admission: p.Admission, runner: p.Runner,
-		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
-		peerCalls: p.PeerCalls, notReady: make(chan struct{}),
-	}
+	return &Host{parts: p, drain: newDrain()}
 }
 
 func newLogger(s config.Host, out LogOutput) (*logrus.Logger, error) {
 	return telemetry.NewLogger(out, s.LogLevel, s.Name)
 }
 
-func newPlatformClient(s config.Host) *platform.Client {
-	return platform.NewClient(s.Platform, s.Name)
+func newPlatformClient(s config.Host, m *telemetry.Metrics) *platform.Client {
+	return platform.NewClient(s.Platform, s.Name,
+		platform.WithDial(m.CountingDial(telemetry.LinkPlatform)), platform.WithObserver(m))
 }
 
-func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) *catalog.Source {
-	return catalog.NewSource(store, c, s.Site, log)
+func newPeerClient(m *telemetry.Metrics) *peer.Client {
+	return peer.NewClient(m.CountingDial(telemetry.LinkPeers))
+}
+
+func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) (*catalog.Source, error) {
+	source := catalog.NewSource(store, c, s.Site, log)
+	if s.DataFolder == "" {
+		return source, nil
+	}
+	folder, err := catalog.NewFolder(s.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	source.KeepIn(folder)
+	return source, nil
+}
+
+func newRelay(source *catalog.Source, members membership.Feed, peers catalog.Peers, s config.Host, log logrus.FieldLogger) *catalog.Relay {
+	return catalog.NewRelay(source, members, peers, s.Peers, log)
 }
 
 func newRegistry(store platform.Store, s config.Host, log logrus.FieldLogger) *membership.Registry {
@@ -65,9 +90,21 @@
 	}, log)
 }
 
+// fingerprintKey is the same on every host, since all share the operators' token.
+func fingerprintKey(s config.Host) dispatch.FingerprintKey {
+	key := sha256.Sum256([]byte("request fingerprint\x00" + s.OperatorToken))
+	return key[:]
+}
+
 func operatorToken(s config.Host) admin.Token { return admin.Token(s.OperatorToken) }
 
-// hostsOfSplit is the number of hosts that the even split counts on.
-const hostsOfSplit = 8
+func newRateMetrics(m *telemetry.Metrics) *ratelimit.Metrics {
+	return ratelimit.NewMetrics(m.Registry)
+}
 
-func newLimiter() ratelimit.Limiter { return ratelimit.NewEvenSplit(hostsOfSplit) }
+func newSpecs(c *catalog.Catalog) ratelimit.Specs {
+	return func(name string) (team.Spec, bool) {
+		spec, ok := c.Current().Teams[name]
+		return spec, ok
+	}
+}
--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -10,12 +10,15 @@
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/claimstore"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/ratelimit"
 	"github.com/masticscale/masticscale/internal/serving"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
@@ -35,16 +38,22 @@
 	newPlatformClient,
 	wire.Bind(new(platform.Store), new(*platform.Client)),
 	wire.Bind(new(platform.HostLister), new(*platform.Client)),
-	catalog.New, newSource,
+	catalog.New, newSource, newRelay, peer.NewCatalogServer,
 	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)),
 	httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)),
 	dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher,
+	fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer,
 	admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)),
 	serving.NewPath,
-	newLimiter,
+	newRateMetrics, newSpecs,
+	ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)),
+	wire.Bind(new(ratelimit.Members), new(*membership.Registry)),
+	wire.Bind(new(ratelimit.Exchange), new(*peer.Client)),
+	peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)),
 	batch.NewRepository, batch.NewService, batch.NewRunner,
 	batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)),
-	gateway.New,
-	peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)),
+	claimstore.New, keeper.New, gateway.New,
+	peer.NewServer, newPeerClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)),
+	wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)),
 	operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -12,12 +12,15 @@
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/claimstore"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/ratelimit"
 	"github.com/masticscale/masticscale/internal/serving"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
@@ -35,23 +38,35 @@
 	}
 	metrics := telemetry.NewMetrics()
 	catalogCatalog := catalog.New()
-	client := newPlatformClient(settings)
-	source := newSource(client, catalogCatalog, settings, logger)
+	client := newPlatformClient(settings, metrics)
+	source, err := newSource(client, catalogCatalog, settings, logger)
+	if err != nil {
+		return nil, err
+	}
 	registry := newRegistry(client, settings, logger)
+	peerClient := newPeerClient(metrics)
+	relay := newRelay(source, registry, peerClient, settings, logger)
 	pool := dispatch.NewPool()
 	engine := httpengine.New()
-	observer := dispatch.NewObserver(pool, engine, client, logger)
+	observer := dispatch.NewObserver(pool, engine, client, registry, logger)
+	dispatchFingerprintKey := fingerprintKey(settings)
+	suspects := dispatch.NewSuspects(dispatchFingerprintKey, client, registry, logger)
+	exchange := dispatch.NewExchange(pool, suspects, peerClient, registry, logger)
+	loadServer := peer.NewLoadServer(exchange, pool, suspects)
 	controller := admission.NewController(pool, metrics)
 	repository := batch.NewRepository(client)
-	dispatcher := dispatch.NewDispatcher(pool, engine, metrics)
-	path := serving.NewPath(controller, dispatcher, pool, metrics)
+	dispatcher := dispatch.NewDispatcher(pool, engine, suspects, metrics)
+	path := serving.NewPath(controller, dispatcher)
 	pathExecutor := batch.NewPathExecutor(catalogCatalog, path)
 	runner := batch.NewRunner(repository, client, pathExecutor, registry, metrics, logger)
-	limiter := newLimiter()
+	specs := newSpecs(catalogCatalog)
+	ratelimitMetrics := newRateMetrics(metrics)
+	escrow := ratelimit.NewEscrow(client, registry, peerClient, specs, ratelimitMetrics, logger)
 	service := batch.NewService(repository)
-	gatewayGateway := gateway.New(catalogCatalog, limiter, path, service, metrics, logger)
+	claimRepository := claimstore.New(client)
+	keeperKeeper := keeper.New(claimRepository, registry, logger)
+	gatewayGateway := gateway.New(catalogCatalog, escrow, path, service, keeperKeeper, metrics, logger)
 	token := operatorToken(settings)
-	peerClient := peer.NewClient()
 	deps := admin.Deps{
 		Token:   token,
 		Store:   client,
@@ -59,28 +74,40 @@
 		Pool:    pool,
 		Members: registry,
 		Peers:   peerClient,
+		Source:  source,
+		Relay:   relay,
 		Batches: service,
 		Log:     logger,
 	}
 	api := admin.New(deps)
 	server := peer.NewServer(catalogCatalog, registry)
+	catalogServer := peer.NewCatalogServer(relay, catalogCatalog)
+	rateLimitServer := peer.NewRateLimitServer(escrow)
 	appParts := parts{
 		Settings:  settings,
 		Log:       logger,
 		Metrics:   metrics,
 		Catalog:   catalogCatalog,
 		Source:    source,
+		Relay:     relay,
 		Registry:  registry,
 		Pool:      pool,
 		Observer:  observer,
+		Exchange:  exchange,
+		Suspects:  suspects,
+		Loads:     loadServer,
 		Admission: controller,
 		Runner:    runner,
 		Gateway:   gatewayGateway,
+		Claims:    keeperKeeper,
 		Admin:     api,
 		Peers:     server,
+		Catalogs:  catalogServer,
 		Client:    client,
 		Engine:    engine,
 		PeerCalls: peerClient,
+		Rates:     escrow,
+		RatePeers: rateLimitServer,
 	}
 	host := assemble(appParts)
 	return host, nil
@@ -89,6 +116,5 @@
 // wire.go:
 
 var hostSet = wire.NewSet(
-	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource,
-	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newLimiter, batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource, newRelay, peer.NewCatalogServer, newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), claimstore.New, keeper.New, gateway.New, peer.NewServer, newPeerClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)), wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
