Ask for the permit to dispatch at the moment of sending

The lease was checked before an item waited in admission, so items that waited while their host was frozen were sent when it came back, after the job had been reported as cancelled (batch_cancel_frozen: runs rose after the cancel). The upstream call carries a permit that is asked immediately before it is sent; a denied call ends without blaming the upstream. batch_cancel_frozen passes.

--- a/internal/batch/executor.go
+++ b/internal/batch/executor.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -27,6 +28,10 @@
 // as a failed attempt.
 var ErrBusy = errors.New("the upstream is busy")
 
+// errNotPermitted means that the host may not dispatch the item now: it has lost
+// its lease or the chunk, or the job was cancelled.
+var errNotPermitted = apierr.New(apierr.Unavailable, "this host may not dispatch the item now", "")
+
 // PathExecutor runs items through admission and dispatch, as batch work.
 type PathExecutor struct {
 	catalog *catalog.Catalog
@@ -39,21 +44,35 @@
 }
 
 // Execute implements Executor.
-func (e *PathExecutor) Execute(ctx context.Context, j job.Job, item job.Item) (job.ResultLine, error) {
+func (e *PathExecutor) Execute(ctx context.Context, t Task) (job.ResultLine, error) {
+	j, item := t.Job, t.Item
 	service, err := e.serviceOf(j, item)
 	if err != nil {
 		return refusedLine(item, err), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, itemTimeout)
 	defer cancel()
+	var denied atomic.Bool
+	permit := func() error {
+		err := t.Permit()
+		if err != nil {
+			// Ends the request here, so that no upstream is blamed or tried next.
+			denied.Store(true)
+			cancel()
+		}
+		return err
+	}
 	answer, err := e.path.Run(ctx, serving.Request{
 		Team: j.Team, Weight: e.catalog.Current().Teams[j.Team].EffectiveWeight(), Service: service,
 		Class: dispatch.Batch, Tokens: len(item.Body) / bytesPerToken, Deadline: j.Deadline,
 		Call: upstream.Call{
-			Method: http.MethodPost, Path: j.Endpoint, Body: item.Body, Repeatable: true,
+			Method: http.MethodPost, Path: j.Endpoint, Body: item.Body, Repeatable: true, Permit: permit,
 			Header: http.Header{"Content-Type": {"application/json"}},
 		},
 	})
+	if denied.Load() {
+		return job.ResultLine{}, errNotPermitted
+	}
 	if err != nil {
 		return job.ResultLine{}, err
 	}
--- a/internal/batch/item.go
+++ b/internal/batch/item.go
@@ -66,6 +66,16 @@
 	return err.Error()
 }
 
+// permit returns nil when the host may dispatch an item at this moment. Unlike
+// ready it does not wait.
+func (u *run) permit() error {
+	term, held := u.r.tenure.check()
+	if !held || term != u.term.Load() || u.cancelled() {
+		return errNotPermitted
+	}
+	return nil
+}
+
 // runItem runs one item to its end. Whether the host may dispatch it is checked
 // immediately before each run.
 func (u *run) runItem(ctx context.Context, item job.Item) job.ResultLine {
@@ -77,7 +87,7 @@
 		if time.Now().After(u.job.Deadline) {
 			return job.NewFailure(item.CustomID, job.CodeExpired, "the job's time ran out before this item was done")
 		}
-		line, err := u.r.executor.Execute(ctx, u.job, item)
+		line, err := u.r.executor.Execute(ctx, Task{Job: u.job, Item: item, Permit: u.permit})
 		if err == nil {
 			return line
 		}
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -44,7 +45,7 @@
 	mu      gate // guards the claim, also while it is written
 	chunk   job.Chunk
 	version job.Version
-	term    int64
+	term    atomic.Int64
 	lost    bool
 	settled bool
 }
@@ -148,7 +149,7 @@
 	if j.State != job.Running {
 		u.cancel()
 	}
-	u.term = term
+	u.term.Store(term)
 	return nil
 }
 
@@ -160,7 +161,7 @@
 	defer u.mu.unlock()
 	for ctx.Err() == nil && !u.lost {
 		term, held := u.r.tenure.check()
-		if held && term == u.term {
+		if held && term == u.term.Load() {
 			return ctx.Err()
 		}
 		if held {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -23,7 +23,16 @@
 // Executor runs one item to its end. An error means that the item has no result
 // yet.
 type Executor interface {
-	Execute(ctx context.Context, j job.Job, item job.Item) (job.ResultLine, error)
+	Execute(ctx context.Context, t Task) (job.ResultLine, error)
+}
+
+// Task is one item to be run.
+type Task struct {
+	Job  job.Job
+	Item job.Item
+	// Permit is asked immediately before each dispatch, which may be long after
+	// the task was handed over. Its error forbids it.
+	Permit func() error
 }
 
 // Runner takes chunks of jobs and runs them.
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -16,6 +16,9 @@
 	Header     http.Header // built from an allow-list; never carries a key
 	Body       []byte
 	Repeatable bool // whether running it twice does no harm
+	// Permit, where set, is asked immediately before the call is sent; its error
+	// stops the call, which then was not sent.
+	Permit func() error
 }
 
 // Answer is an upstream's answer. The reader owns Body and must close it, which
--- a/internal/upstream/httpengine/httpengine.go
+++ b/internal/upstream/httpengine/httpengine.go
@@ -68,6 +68,11 @@
 	if err != nil {
 		return nil, &upstream.SendError{Cause: errors.Wrap(err, "build request")}
 	}
+	if call.Permit != nil {
+		if err := call.Permit(); err != nil {
+			return nil, &upstream.SendError{Cause: err}
+		}
+	}
 	id := e.attempts.next()
 	req.Header.Set(attemptHeader, id)
 	resp, err := e.clientFor(call).Do(req)
