Name file, line, column, path and remedy of every configuration fault

Cause: faults named no place, the check stopped at the first, the last of two equal names was taken silently, negative and zero limits and a model in two services passed, and hosts could differ in which service they chose.

Ruled out: encoding/json alone and a schema validator over the merged document; see docs/design/config-format.md.

An accepted revision is not checked again by younger rules.

--- a/internal/apierr/apierr.go
+++ b/internal/apierr/apierr.go
@@ -54,6 +54,7 @@
 	Kind       Kind
 	Message    string        // what is wrong
 	Remedy     string        // what the reader can do about it
+	Field      string        // path of the field in a document, where there is one
 	Execution  Execution     // whether the request can have run
 	RetryAfter time.Duration // when to come back; zero when coming back is of no use
 	Cause      error         // kept for logs, never shown to callers
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -197,7 +197,10 @@
 	}
 	for name, spec := range s.Services {
 		for _, model := range spec.Models {
-			s.Models[model] = name
+			// Every host chooses the same of two services that offer a model.
+			if other, taken := s.Models[model]; !taken || name < other {
+				s.Models[model] = name
+			}
 		}
 	}
 	c.current.Store(s)
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -273,7 +273,7 @@
 	if revision.Number <= current {
 		return true
 	}
-	doc, err := revision.Bundle.Render(s.site)
+	doc, err := revision.Bundle.Document(s.site)
 	if err != nil {
 		s.log.WithError(err).WithFields(logrus.Fields{"event": "config_render_failed", "revision": revision.Number}).
 			Error("revision cannot be rendered; this host keeps the one before")
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -29,21 +29,16 @@
 	c.Flags().StringToStringVar(&b.overlays, "overlay", nil, "overlay of a site, as SITE=FILE; may be repeated")
 }
 
+// read reads and checks the files.
 func (b *bundleFlags) read() (config.Bundle, error) {
-	bundle := config.Bundle{Overlays: map[string]map[string]any{}}
 	if b.base == "" {
-		return bundle, errors.Wrap(errUsage, "no file given; pass --config base.jsonc")
+		return config.Bundle{}, errors.Wrap(errUsage, "no file given; pass --config base.jsonc")
 	}
-	var err error
-	if bundle.Base, err = config.ReadFile(b.base); err != nil {
-		return bundle, err
+	files, err := config.ReadFiles(b.base, b.overlays)
+	if err != nil {
+		return config.Bundle{}, err
 	}
-	for site, path := range b.overlays {
-		if bundle.Overlays[site], err = config.ReadFile(path); err != nil {
-			return bundle, err
-		}
-	}
-	return bundle, nil
+	return files.Bundle(), files.Check()
 }
 
 func newConfigCheck() *cobra.Command {
@@ -53,14 +48,10 @@
 		Short: "Check a base file and its overlays, without a host",
 		Args:  exactly(),
 		RunE: func(c *cobra.Command, _ []string) error {
-			bundle, err := files.read()
-			if err != nil {
-				return err
-			}
-			if err := bundle.Check(); err != nil {
+			if _, err := files.read(); err != nil {
 				return err
 			}
-			_, err = fmt.Fprintln(c.OutOrStdout(), "the configuration is valid")
+			_, err := fmt.Fprintln(c.OutOrStdout(), "the configuration is valid")
 			return err
 		},
 	}
--- a/internal/cli/config_apply.go
+++ b/internal/cli/config_apply.go
@@ -42,9 +42,6 @@
 			if err != nil {
 				return err
 			}
-			if err := bundle.Check(); err != nil {
-				return err
-			}
 			api, err := clientOf(c)
 			if err != nil {
 				return err
--- a/internal/cli/objects.go
+++ b/internal/cli/objects.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -153,15 +152,11 @@
 // readSpec reads an object's spec from a file.
 func readSpec[T any](path string) (T, error) {
 	var spec T
-	doc, err := config.ReadFile(path)
+	file, err := config.ReadFile(path)
 	if err != nil {
 		return spec, err
 	}
-	text, err := json.Marshal(doc)
-	if err != nil {
-		return spec, err
-	}
-	return spec, json.Unmarshal(text, &spec)
+	return config.Decode[T](file)
 }
 
 func newUpstream() *cobra.Command {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -90,16 +90,15 @@
 const overlaySite = "site"
 
 func readBundle(base, overlay string) (config.Bundle, error) {
-	bundle := config.Bundle{Overlays: map[string]map[string]any{}}
-	var err error
-	if bundle.Base, err = config.ReadFile(base); err != nil {
-		return bundle, err
+	overlays := map[string]string{}
+	if overlay != "" {
+		overlays[overlaySite] = overlay
 	}
-	if overlay == "" {
-		return bundle, nil
+	files, err := config.ReadFiles(base, overlays)
+	if err != nil {
+		return config.Bundle{}, err
 	}
-	bundle.Overlays[overlaySite], err = config.ReadFile(overlay)
-	return bundle, err
+	return files.Bundle(), files.Check()
 }
 
 // apply lays the flags that were given over the settings.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -87,11 +87,14 @@
 	Platform     string `json:"platform,omitempty"`      // base URL of the object API
 	// Peers are addresses of other hosts, ip:port, that a host asks when it
 	// starts while the platform cannot be reached.
-	Peers         []string `json:"peers,omitempty"`
-	DataFolder    string   `json:"data_folder,omitempty"` // empty keeps nothing on disk
-	OperatorToken string   `json:"operator_token,omitempty"`
-	LogLevel      string   `json:"log_level,omitempty"`
-	Traces        string   `json:"traces,omitempty"` // none, stdout or an OTLP URL
+	Peers      []string `json:"peers,omitempty"`
+	DataFolder string   `json:"data_folder,omitempty"` // empty keeps nothing on disk
+	// OperatorTokens give each operator a token of their own; the name stands
+	// in the log of changes.
+	OperatorTokens map[string]string `json:"operator_tokens,omitempty"`
+	OperatorToken  string            `json:"operator_token,omitempty"`
+	LogLevel       string            `json:"log_level,omitempty"`
+	Traces         string            `json:"traces,omitempty"` // none, stdout or an OTLP URL
 	// DrainSeconds is the time between "not ready" and the last accepted
 	// connection, for the balancer to notice.
 	DrainSeconds float64 `json:"drain_seconds,omitempty"`
--- a/internal/config/host.go
+++ b/internal/config/host.go
@@ -1,13 +1,20 @@
 package config
 
 import (
+	"cmp"
+	"fmt"
 	"net"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/masticscale/masticscale/internal/apierr"
 )
 
 // Complete fills in what follows from other settings and checks the rest.
 func (h Host) Complete() (Host, error) {
+	if err := joined(h.faults()); err != nil {
+		return h, err
+	}
 	for _, required := range []struct{ field, value, remedy string }{
 		{"name", h.Name, "give the host a name of its own, or pass --name"},
 		{"listen", h.Listen, "give the address for callers, as ip:port"},
@@ -32,3 +39,27 @@
 	}
 	return h, nil
 }
+
+// faults finds settings of a host that are out of range. What a host needs is
+// checked when it starts, since flags can give it.
+func (h Host) faults() []*apierr.Error {
+	var all []*apierr.Error
+	add := func(bad bool, field, message, remedy string) {
+		if bad {
+			all = append(all, apierr.New(apierr.Invalid, message, remedy).At(field).At("host"))
+		}
+	}
+	add(h.DrainSeconds < 0, "drain_seconds", "the time is negative", "leave it out for the default")
+	add(h.StopSeconds < 0, "stop_seconds", "the time is negative", "leave it out for the default")
+	_, err := logrus.ParseLevel(cmp.Or(h.LogLevel, "info"))
+	add(err != nil, "log_level", fmt.Sprintf("level %q is not known", h.LogLevel), "use debug, info, warning or error")
+	for name, token := range h.OperatorTokens {
+		add(token == "", pathTo("operator_tokens", name), "the token is empty", "give a long random text")
+	}
+	t := h.TLS
+	add((t.CertFile == "") != (t.KeyFile == ""), "tls", "a certificate needs its key", "give both cert_file and key_file")
+	peers := t.PeerCertFile != "" || t.PeerKeyFile != "" || t.PeerCAFile != ""
+	whole := t.PeerCertFile != "" && t.PeerKeyFile != "" && t.PeerCAFile != ""
+	add(peers && !whole, "tls", "TLS between hosts needs a certificate, its key and the authority", "give peer_cert_file, peer_key_file and peer_ca_file")
+	return all
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -32,22 +32,36 @@
 // Validate returns an error that names the first field that is out of range.
 func (s Spec) Validate() error {
 	if !strings.HasPrefix(s.Path, "/") {
-		return apierr.Newf(apierr.Invalid, `start the path with "/"`, "path %q is not absolute", s.Path)
+		return apierr.Newf(apierr.Invalid, `start the path with "/"`, "path %q is not absolute", s.Path).At("path")
 	}
 	if s.Path == "/v1/" || strings.HasPrefix(s.Path, "/v1/") {
-		return apierr.Newf(apierr.Invalid, "choose another path", "path %q belongs to the model API", s.Path)
+		return apierr.Newf(apierr.Invalid, "choose another path", "path %q belongs to the model API", s.Path).At("path")
 	}
 	for _, m := range s.Methods {
 		if !slices.Contains(knownMethods, m) {
-			return apierr.Newf(apierr.Invalid, "write methods in capitals, as in POST", "method %q is not known", m)
+			return apierr.Newf(apierr.Invalid, "write methods in capitals, as in POST", "method %q is not known", m).At("methods")
 		}
 	}
+	if s.Service == "" {
+		return apierr.New(apierr.Invalid, "the route names no service", "name a plain service").At("service")
+	}
 	if s.TimeoutSeconds < 0 {
-		return apierr.New(apierr.Invalid, "timeout_seconds is negative", "leave it out for the default")
+		return apierr.New(apierr.Invalid, "timeout_seconds is negative", "leave it out for the default").At("timeout_seconds")
 	}
 	return nil
 }
 
+// Overlaps reports whether a request can match both routes equally well.
+func (s Spec) Overlaps(other Spec) bool {
+	if s.Path != other.Path {
+		return false
+	}
+	if len(s.Methods) == 0 || len(other.Methods) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(s.Methods, func(m string) bool { return slices.Contains(other.Methods, m) })
+}
+
 // Matches reports whether the route takes a request, and how specific the match
 // is: longer paths win.
 func (s Spec) Matches(method, path string) (int, bool) {
--- a/internal/team/team.go
+++ b/internal/team/team.go
@@ -3,6 +3,7 @@
 package team
 
 import (
+	"math"
 	"regexp"
 
 	"github.com/masticscale/masticscale/internal/apierr"
@@ -32,12 +33,12 @@
 // Validate returns an error that names the first field that is out of range.
 func (s Spec) Validate() error {
 	switch {
-	case !(s.Rate > 0):
-		return apierr.New(apierr.Invalid, "rate must be above zero", "give the requests a second that the team may send")
+	case !(s.Rate > 0) || math.IsInf(s.Rate, 1):
+		return apierr.New(apierr.Invalid, "rate must be above zero", "give the requests a second that the team may send").At("rate")
 	case s.Burst < 1:
-		return apierr.New(apierr.Invalid, "burst must be at least 1", "give the requests that may come at once")
-	case s.Weight < 0:
-		return apierr.New(apierr.Invalid, "weight must not be negative", "leave it out for the weight of 1")
+		return apierr.New(apierr.Invalid, "burst must be at least 1", "give the requests that may come at once").At("burst")
+	case !(s.Weight >= 0) || math.IsInf(s.Weight, 1):
+		return apierr.New(apierr.Invalid, "weight must not be negative", "leave it out for the weight of 1").At("weight")
 	}
 	return nil
 }
