--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -9,6 +9,7 @@
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
@@ -38,6 +39,7 @@
 	Admission *admission.Controller
 	Runner    *batch.Runner
 	Gateway   *gateway.Gateway
+	Claims    *keeper.Keeper
 	Admin     *admin.API
 	Peers     *peer.Server
 	Catalogs  *peer.CatalogServer
@@ -49,12 +51,7 @@
 }
 
 func assemble(p parts) *Host {
-	return &Host{
-		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source, relay: p.Relay, catalogs: p.Catalogs,
-		registry: p.Registry, pool: p.Pool, observer: p.Observer, exchange: p.Exchange, suspects: p.Suspects, loads: p.Loads, admission: p.Admission, runner: p.Runner,
-		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
-		peerCalls: p.PeerCalls, rates: p.Rates, ratePeers: p.RatePeers, drain: newDrain(),
-	}
+	return &Host{parts: p, drain: newDrain()}
 }
 
 func newLogger(s config.Host, out LogOutput) (*logrus.Logger, error) {
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -58,12 +58,12 @@
 // answers everything accepted, and gives the host lease back.
 func (h *Host) stop(force context.Context, listeners []listener, stopRunner func(), runnerDone <-chan struct{}) {
 	h.drain.begin()
-	h.log.WithField("event", "host_stopping").Info("host stops; it takes no new connections soon")
+	h.Log.WithField("event", "host_stopping").Info("host stops; it takes no new connections soon")
 	bounded, cancel := context.WithTimeout(force, h.stopTime())
 	defer cancel()
 	stopRunner()
 	var leaving sync.WaitGroup
-	leaving.Go(func() { h.registry.Leave(bounded) })
+	leaving.Go(func() { h.Registry.Leave(bounded) })
 	wait(bounded, h.drainTime())
 	select {
 	case <-runnerDone:
@@ -73,8 +73,8 @@
 	leaving.Wait()
 	resign, done := context.WithTimeout(context.WithoutCancel(force), resignTimeout)
 	defer done()
-	h.rates.Release(resign)
-	h.registry.Resign(resign)
+	h.Rates.Release(resign)
+	h.Registry.Resign(resign)
 }
 
 // shutdown closes the listeners in order, callers first, so that their requests
@@ -85,16 +85,16 @@
 		if err == nil {
 			continue
 		}
-		h.log.WithError(err).WithFields(logrus.Fields{
+		h.Log.WithError(err).WithFields(logrus.Fields{
 			"event": "stop_forced", "listener": l.name, "requests_cut": h.drain.inFlight.Load(),
 		}).Warn("stop was forced; requests in progress were cut")
 		_ = l.server.Close()
 	}
 }
 
-func (h *Host) drainTime() time.Duration { return seconds(h.settings.DrainSeconds, defaultDrain) }
+func (h *Host) drainTime() time.Duration { return seconds(h.Settings.DrainSeconds, defaultDrain) }
 
-func (h *Host) stopTime() time.Duration { return seconds(h.settings.StopSeconds, defaultStop) }
+func (h *Host) stopTime() time.Duration { return seconds(h.Settings.StopSeconds, defaultStop) }
 
 func seconds(n float64, fallback time.Duration) time.Duration {
 	if n <= 0 {
