Describe the administration API, update by version, and refuse deletions of what is in use

Cause: operators could create and delete only; a service could be deleted under its routes and a team under its keys; a change named no operator.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,15 +7,14 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"encoding/json"
+	"math"
 	"net/http"
-	"strings"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/urfave/negroni/v3"
 
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/batch"
@@ -33,7 +32,7 @@
 
 // API serves operators.
 type API struct {
-	token   string
+	tokens  Tokens
 	store   platform.Store
 	catalog *catalog.Catalog
 	pool    *dispatch.Pool
@@ -60,7 +59,7 @@
 
 // Deps are the parts that the API reads and changes.
 type Deps struct {
-	Token   Token
+	Tokens  Tokens
 	Store   platform.Store
 	Catalog *catalog.Catalog
 	Pool    *dispatch.Pool
@@ -72,46 +71,12 @@
 	Log     *logrus.Logger
 }
 
-// Token is the operators' secret.
-type Token string
-
 // New returns the API.
 func New(d Deps) *API {
-	return &API{token: string(d.Token), store: d.Store, catalog: d.Catalog, pool: d.Pool,
+	return &API{tokens: d.Tokens, store: d.Store, catalog: d.Catalog, pool: d.Pool,
 		members: d.Members, peers: d.Peers, source: d.Source, relay: d.Relay, batches: d.Batches, log: d.Log}
 }
 
-// Handler returns the HTTP surface.
-func (a *API) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /admin/v1/config", a.handle(a.showConfig))
-	mux.HandleFunc("POST /admin/v1/config", a.handle(a.applyConfig))
-	mux.HandleFunc("GET /admin/v1/config/history", a.handle(a.configHistory))
-	mux.HandleFunc("GET /admin/v1/hosts", a.handle(a.listHosts))
-	mux.HandleFunc("GET /admin/v1/upstreams", a.handle(a.listUpstreams))
-	mux.HandleFunc("GET /admin/v1/keys", a.handle(a.listKeys))
-	mux.HandleFunc("POST /admin/v1/keys", a.handle(a.createKey))
-	mux.HandleFunc("POST /admin/v1/keys/{id}/withdraw", a.handle(a.withdrawKey))
-	mux.HandleFunc("GET /admin/v1/jobs", a.handle(a.listJobs))
-	mux.HandleFunc("PUT /admin/v1/log-level", a.handle(a.setLogLevel))
-	addObjects(a, mux, teamObjects)
-	addObjects(a, mux, routeObjects)
-	addObjects(a, mux, serviceObjects)
-	chain := negroni.New(negroni.HandlerFunc(a.authorize))
-	chain.UseHandler(mux)
-	return chain
-}
-
-func (a *API) authorize(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
-	given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if a.token == "" || subtle.ConstantTimeCompare([]byte(given), []byte(a.token)) != 1 {
-		writeError(w, apierr.New(apierr.Unauthorized, "the operator token is not valid",
-			"pass --token, or set MASTICSCALE_TOKEN, to the host.operator_token of the host's settings"))
-		return
-	}
-	next(w, r)
-}
-
 // handle turns a use case into an HTTP handler.
 func (a *API) handle(use func(*http.Request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -119,13 +84,13 @@
 		result, err := use(r)
 		if err != nil {
 			e := a.explain(err)
-			a.log.WithFields(logrus.Fields{"event": "admin_refused", "method": r.Method, "path": r.URL.Path, "kind": e.Kind}).
+			a.log.WithFields(audit(r)).WithFields(logrus.Fields{"event": "admin_refused", "kind": e.Kind}).
 				WithError(err).Warn("operator call was refused")
 			writeError(w, e)
 			return
 		}
 		if r.Method != http.MethodGet {
-			a.log.WithFields(logrus.Fields{"event": "admin_change", "method": r.Method, "path": r.URL.Path}).Info("operator call was done")
+			a.log.WithFields(audit(r)).WithField("event", "admin_change").Info("operator call was done")
 		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(result)
@@ -157,12 +122,16 @@
 	Message   string           `json:"message"`
 	Remedy    string           `json:"remedy"`
 	Execution apierr.Execution `json:"execution"`
+	Field     string           `json:"field,omitempty"` // path of the field that is wrong
 }
 
 func writeError(w http.ResponseWriter, e *apierr.Error) {
 	w.Header().Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
 	w.WriteHeader(e.Status())
-	_ = json.NewEncoder(w).Encode(ErrorBody{e.Kind, e.Message, e.Remedy, e.Execution})
+	_ = json.NewEncoder(w).Encode(ErrorBody{e.Kind, e.Message, e.Remedy, e.Execution, e.Field})
 }
 
 // decode reads a body strictly: unknown fields are errors.
@@ -170,7 +139,7 @@
 	dec := json.NewDecoder(r.Body)
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(out); err != nil {
-		return apierr.Newf(apierr.Invalid, "see the API description", "the body cannot be read: %v", err)
+		return apierr.Newf(apierr.Invalid, "see docs/api/admin.openapi.json", "the body cannot be read: %v", err)
 	}
 	return nil
 }
--- a/internal/admin/config.go
+++ b/internal/admin/config.go
@@ -1,10 +1,9 @@
 package admin
 
 import (
-	"context"
+	"maps"
 	"net/http"
-	"sync"
-	"time"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
@@ -13,14 +12,13 @@
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/job"
-	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/platform"
 )
 
 // ApplyConfig asks for a bundle to be put in force.
 type ApplyConfig struct {
 	Bundle   config.Bundle `json:"bundle"`
-	Author   string        `json:"author,omitempty"`
+	Author   string        `json:"author,omitempty"` // used with the shared token only
 	Note     string        `json:"note,omitempty"`
 	Expected *int64        `json:"expected,omitempty"` // revision that the operator saw
 }
@@ -46,7 +44,11 @@
 	if req.Expected != nil {
 		expected = *req.Expected
 	}
-	accepted, err := catalog.Accept(r.Context(), a.store, req.Bundle, req.Author, req.Note, expected)
+	author := operatorOf(r.Context())
+	if author == SharedOperator && req.Author != "" {
+		author = req.Author
+	}
+	accepted, err := catalog.Accept(r.Context(), a.store, req.Bundle, author, req.Note, expected)
 	if err != nil {
 		return nil, err
 	}
@@ -62,59 +64,25 @@
 	return List[catalog.PointerEntry]{Items: entries}, nil
 }
 
-// HostStatus is one host as operators see it.
-type HostStatus struct {
-	membership.Host
-	Reachable           bool    `json:"reachable"`
-	Revision            int64   `json:"revision"`
-	KnowledgeAgeSeconds float64 `json:"knowledge_age_seconds"`
-}
-
-// StatusReader asks a peer for its status.
-type StatusReader interface {
-	Status(ctx context.Context, host membership.Host) (HostStatus, error)
-}
-
-func (a *API) listHosts(r *http.Request) (any, error) {
-	members := a.relay.Known(r.Context())
-	list := List[HostStatus]{Items: make([]HostStatus, len(members))}
-	var wg sync.WaitGroup
-	for i, m := range members {
-		wg.Go(func() {
-			list.Items[i] = a.statusOf(r.Context(), m)
-		})
-	}
-	wg.Wait()
-	return list, nil
-}
-
-func (a *API) statusOf(ctx context.Context, host membership.Host) HostStatus {
-	if self := a.members.Self(); self.Name == host.Name {
-		return HostStatus{Host: self, Reachable: true, Revision: a.catalog.Current().Revision,
-			KnowledgeAgeSeconds: a.catalog.Age(time.Now()).Seconds()}
-	}
-	status, err := a.peers.Status(ctx, host)
-	if err != nil {
-		return HostStatus{Host: host}
-	}
-	return status
-}
-
 func (a *API) listUpstreams(*http.Request) (any, error) {
 	list := List[dispatch.Status]{Items: a.pool.Statuses()}
 	return list, nil
 }
 
 func (a *API) listJobs(r *http.Request) (any, error) {
-	team := r.FormValue("team")
-	if team == "" {
-		return nil, apierr.New(apierr.Invalid, "the query names no team", "add ?team=NAME")
+	teams := []string{r.FormValue("team")}
+	if teams[0] == "" {
+		teams = slices.Sorted(maps.Keys(a.catalog.Current().Teams))
 	}
-	jobs, err := a.batches.Jobs(r.Context(), team)
-	if jobs == nil {
-		jobs = []job.Job{}
+	list := List[job.Job]{Items: []job.Job{}}
+	for _, team := range teams {
+		jobs, err := a.batches.Jobs(r.Context(), team)
+		if err != nil {
+			return nil, err
+		}
+		list.Items = append(list.Items, jobs...)
 	}
-	return List[job.Job]{Items: jobs}, err
+	return list, nil
 }
 
 // LogLevel asks for another log level.
--- /dev/null
+++ b/internal/admin/endpoints.go
@@ -0,0 +1,59 @@
+package admin
+
+import (
+	"net/http"
+
+	"github.com/urfave/negroni/v3"
+
+	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/config"
+	"github.com/masticscale/masticscale/internal/dispatch"
+	"github.com/masticscale/masticscale/internal/job"
+	"github.com/masticscale/masticscale/internal/route"
+	"github.com/masticscale/masticscale/internal/service"
+	"github.com/masticscale/masticscale/internal/team"
+)
+
+// endpoint is one call of the API. In and out are values of the types of the
+// bodies; nil stands for none.
+type endpoint struct {
+	method, path string
+	summary      string
+	query        []string
+	in, out      any
+	use          func(*http.Request) (any, error)
+}
+
+// endpoints is every call of the API. Its description is made from it too.
+func (a *API) endpoints() []endpoint {
+	all := []endpoint{
+		{"GET", "/config", "Read the configuration in force", nil, nil, config.Revision{}, a.showConfig},
+		{"POST", "/config", "Put a configuration in force", nil, ApplyConfig{}, config.Revision{}, a.applyConfig},
+		{"GET", "/config/history", "List the accepted revisions that are kept", nil, nil, List[catalog.PointerEntry]{}, a.configHistory},
+		{"GET", "/hosts", "List the hosts with their revisions", nil, nil, List[HostStatus]{}, a.listHosts},
+		{"POST", "/hosts/{name}/retire", "Forget a host that is gone for good", nil, nil, Named[HostStatus]{}, a.retireHost},
+		{"GET", "/upstreams", "List the upstreams as this host sees them", nil, nil, List[dispatch.Status]{}, a.listUpstreams},
+		{"GET", "/keys", "List the keys", nil, nil, List[Key]{}, a.listKeys},
+		{"POST", "/keys", "Create a key", nil, CreateKey{}, Key{}, a.createKey},
+		{"POST", "/keys/{id}/withdraw", "Withdraw a key", nil, WithdrawKey{}, Key{}, a.withdrawKey},
+		{"GET", "/jobs", "List the batch jobs of a team, or of all", []string{"team"}, nil, List[job.Job]{}, a.listJobs},
+		{"PUT", "/log-level", "Set the log level of this host", nil, LogLevel{}, LogLevel{}, a.setLogLevel},
+	}
+	all = append(all, teamObjects.endpoints(a, Named[team.Spec]{}, List[Named[team.Spec]]{})...)
+	all = append(all, routeObjects.endpoints(a, Named[route.Spec]{}, List[Named[route.Spec]]{})...)
+	return append(all, serviceObjects.endpoints(a, Named[service.Spec]{}, List[Named[service.Spec]]{})...)
+}
+
+// basePath stands before the path of every call.
+const basePath = "/admin/v1"
+
+// Handler returns the HTTP surface.
+func (a *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for _, e := range a.endpoints() {
+		mux.HandleFunc(e.method+" "+basePath+e.path, a.handle(e.use))
+	}
+	chain := negroni.New(negroni.HandlerFunc(a.authorize))
+	chain.UseHandler(mux)
+	return chain
+}
--- /dev/null
+++ b/internal/admin/hosts.go
@@ -0,0 +1,70 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+// HostStatus is one host as operators see it.
+type HostStatus struct {
+	membership.Host
+	Reachable           bool    `json:"reachable"`
+	Revision            int64   `json:"revision"`
+	KnowledgeAgeSeconds float64 `json:"knowledge_age_seconds"`
+}
+
+// StatusReader asks a peer for its status.
+type StatusReader interface {
+	Status(ctx context.Context, host membership.Host) (HostStatus, error)
+}
+
+func (a *API) listHosts(r *http.Request) (any, error) {
+	members := a.relay.Known(r.Context())
+	list := List[HostStatus]{Items: make([]HostStatus, len(members))}
+	var wg sync.WaitGroup
+	for i, m := range members {
+		wg.Go(func() {
+			list.Items[i] = a.statusOf(r.Context(), m)
+		})
+	}
+	wg.Wait()
+	return list, nil
+}
+
+func (a *API) statusOf(ctx context.Context, host membership.Host) HostStatus {
+	if self := a.members.Self(); self.Name == host.Name {
+		return HostStatus{Host: self, Reachable: true, Revision: a.catalog.Current().Revision,
+			KnowledgeAgeSeconds: a.catalog.Age(time.Now()).Seconds()}
+	}
+	status, err := a.peers.Status(ctx, host)
+	if err != nil {
+		return HostStatus{Host: host}
+	}
+	return status
+}
+
+// retireHost forgets a host that is gone for good, so that nothing waits for it.
+// Its object stays, and with it the epoch that a later host of the name exceeds.
+func (a *API) retireHost(r *http.Request) (any, error) {
+	name := r.PathValue("name")
+	stored, err := a.store.Get(r.Context(), platform.KindHost, name)
+	if err != nil {
+		return nil, err
+	}
+	var host membership.Host
+	if err := stored.Decode(&host); err != nil {
+		return nil, err
+	}
+	if a.statusOf(r.Context(), host).Reachable {
+		return nil, apierr.Newf(apierr.Conflict, "stop the host first", "host %q answers", name)
+	}
+	host.State = membership.Gone
+	_, err = a.store.Update(r.Context(), platform.KindHost, name, stored.Version, host)
+	return Named[HostStatus]{Name: name, Spec: HostStatus{Host: host}}, err
+}
--- /dev/null
+++ b/internal/admin/openapi.go
@@ -0,0 +1,118 @@
+package admin
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/google/jsonschema-go/jsonschema"
+)
+
+type (
+	openAPI struct {
+		OpenAPI string                          `json:"openapi"`
+		Info    openAPIInfo                     `json:"info"`
+		Paths   map[string]map[string]operation `json:"paths"`
+		Parts   components                      `json:"components"`
+		Secure  []map[string][]string           `json:"security"`
+	}
+	openAPIInfo struct {
+		Title   string `json:"title"`
+		Version string `json:"version"`
+	}
+	operation struct {
+		Summary    string              `json:"summary"`
+		Parameters []parameter         `json:"parameters,omitempty"`
+		Body       *content            `json:"requestBody,omitempty"`
+		Responses  map[string]response `json:"responses"`
+	}
+	parameter struct {
+		Name     string             `json:"name"`
+		In       string             `json:"in"`
+		Required bool               `json:"required"`
+		Schema   *jsonschema.Schema `json:"schema"`
+	}
+	content struct {
+		Content map[string]media `json:"content"`
+	}
+	media struct {
+		Schema *jsonschema.Schema `json:"schema"`
+	}
+	response struct {
+		Description string           `json:"description"`
+		Content     map[string]media `json:"content"`
+	}
+	components struct {
+		SecuritySchemes map[string]securityScheme `json:"securitySchemes"`
+	}
+	securityScheme struct {
+		Type   string `json:"type"`
+		Scheme string `json:"scheme"`
+	}
+)
+
+var pathParameter = regexp.MustCompile(`\{(\w+)\}`)
+
+// Description returns the OpenAPI description of the API, made from its calls.
+func Description() ([]byte, error) {
+	doc := openAPI{
+		OpenAPI: "3.1.0",
+		Info:    openAPIInfo{Title: "masticscale administration API", Version: "v1"},
+		Paths:   map[string]map[string]operation{},
+		Parts:   components{map[string]securityScheme{"operatorToken": {"http", "bearer"}}},
+		Secure:  []map[string][]string{{"operatorToken": {}}},
+	}
+	for _, e := range new(API).endpoints() {
+		described, err := describe(e)
+		if err != nil {
+			return nil, errors.Wrapf(err, "describe %s %s", e.method, e.path)
+		}
+		path := basePath + e.path
+		if doc.Paths[path] == nil {
+			doc.Paths[path] = map[string]operation{}
+		}
+		doc.Paths[path][strings.ToLower(e.method)] = described
+	}
+	var out bytes.Buffer
+	enc := json.NewEncoder(&out)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(doc); err != nil {
+		return nil, errors.Wrap(err, "encode description")
+	}
+	return out.Bytes(), nil
+}
+
+func describe(e endpoint) (operation, error) {
+	o := operation{Summary: e.summary, Responses: map[string]response{}}
+	for _, name := range pathParameter.FindAllStringSubmatch(e.path, -1) {
+		o.Parameters = append(o.Parameters, parameter{name[1], "path", true, &jsonschema.Schema{Type: "string"}})
+	}
+	for _, name := range e.query {
+		o.Parameters = append(o.Parameters, parameter{name, "query", false, &jsonschema.Schema{Type: "string"}})
+	}
+	out, err := bodyOf(e.out)
+	if err != nil {
+		return o, err
+	}
+	failed, err := bodyOf(ErrorBody{})
+	if err != nil {
+		return o, err
+	}
+	o.Responses["200"] = response{"done", out.Content}
+	o.Responses["default"] = response{"refused; the error names the remedy", failed.Content}
+	if e.in != nil {
+		o.Body, err = bodyOf(e.in)
+	}
+	return o, err
+}
+
+func bodyOf(v any) (*content, error) {
+	schema, err := jsonschema.ForType(reflect.TypeOf(v), &jsonschema.ForOptions{IgnoreInvalidTypes: true})
+	if err != nil {
+		return nil, err
+	}
+	return &content{map[string]media{"application/json": {schema}}}, nil
+}
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"maps"
 
 	"github.com/sirupsen/logrus"
 
@@ -91,7 +92,14 @@
 	return key[:]
 }
 
-func operatorToken(s config.Host) admin.Token { return admin.Token(s.OperatorToken) }
+func operatorTokens(s config.Host) admin.Tokens {
+	tokens := admin.Tokens{}
+	maps.Copy(tokens, s.OperatorTokens)
+	if s.OperatorToken != "" {
+		tokens[admin.SharedOperator] = s.OperatorToken
+	}
+	return tokens
+}
 
 func newRateMetrics(m *telemetry.Metrics) *ratelimit.Metrics {
 	return ratelimit.NewMetrics(m.Registry)
--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -55,5 +55,5 @@
 	claimstore.New, keeper.New, gateway.New,
 	peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)),
 	wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)),
-	operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	operatorTokens, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -132,6 +132,13 @@
 	return *c.accepted, true
 }
 
+// Fleet returns the fleet configuration in force.
+func (c *Catalog) Fleet() config.Fleet {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fleet
+}
+
 // Change edits the parts made one by one and publishes the result.
 func (c *Catalog) Change(edit func(*Parts)) {
 	c.mu.Lock()
