Speak TLS to callers, operators and peers, and tell wrong usage from failure

Cause: the tls settings were without effect; words that name no command printed help with exit code 0; operators' tokens went into the platform with each applied configuration.

Change: listeners and peer calls use certificates from files, which are read again when they change; between hosts both sides check each other. `host certificate` makes a development authority. Secrets of the host part are left out of revisions. Unknown words end with exit code 2 and a suggestion. The operator token can come from the environment.

Verified by TestScenarios/tls_hosts and config_commands, and by the tests of internal/certs: a stranger's certificate is refused by either side, and a half-replaced pair leaves the earlier one in use.

--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -101,14 +102,19 @@
 }
 
 func (h *Host) listen() ([]listener, error) {
+	public, peers, err := listenerTLS(h.Settings)
+	if err != nil {
+		return nil, err
+	}
 	var all []listener
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
+		tls           *tls.Config
 	}{
-		{"callers", h.Settings.Listen, h.callers()},
-		{"operators", h.Settings.AdminListen, h.Admin.Handler()},
-		{"peers", h.Settings.PeerListen, h.peerServices()},
+		{"callers", h.Settings.Listen, h.callers(), public},
+		{"operators", h.Settings.AdminListen, h.Admin.Handler(), public},
+		{"peers", h.Settings.PeerListen, h.peerServices(), peers},
 	} {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -117,11 +123,19 @@
 			}
 			return nil, errors.Wrapf(err, "listen for %s; free the address or choose another", l.name)
 		}
-		all = append(all, listener{name: l.name, socket: socket, server: h.newServer(l.handler)})
+		all = append(all, listener{name: l.name, socket: socket, server: h.newServer(l.handler, l.tls)})
 	}
 	return all, nil
 }
 
+// serve accepts connections, with TLS where the server has settings for it.
+func (l listener) serve() error {
+	if l.server.TLSConfig == nil {
+		return l.server.Serve(l.socket)
+	}
+	return l.server.ServeTLS(l.socket, "", "")
+}
+
 // peerServices returns the services of every duty that peers call.
 func (h *Host) peerServices() http.Handler {
 	return peer.NewHandler(
@@ -132,13 +146,14 @@
 	)
 }
 
-func (h *Host) newServer(handler http.Handler) *http.Server {
+func (h *Host) newServer(handler http.Handler, secure *tls.Config) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           handler,
+		TLSConfig:         secure,
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -172,7 +187,7 @@
 	failed := make(chan error, len(listeners))
 	for _, l := range listeners {
 		go func() {
-			err := l.server.Serve(l.socket)
+			err := l.serve()
 			if !errors.Is(err, http.ErrServerClosed) {
 				failed <- errors.Wrapf(err, "serve %s", l.name)
 			}
--- a/internal/app/host_test.go
+++ b/internal/app/host_test.go
@@ -100,7 +100,7 @@
 	})
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	listeners := []listener{{name: "callers", server: h.newServer(h.drain.track(blocked)), socket: socket}}
+	listeners := []listener{{name: "callers", server: h.newServer(h.drain.track(blocked), nil), socket: socket}}
 	h.serve(listeners)
 	caller := make(chan error, 1)
 	go func() {
--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -53,7 +53,7 @@
 	batch.NewRepository, batch.NewService, batch.NewRunner,
 	batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)),
 	claimstore.New, keeper.New, gateway.New,
-	peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)),
+	peer.NewServer, newPeerClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)),
 	wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)),
 	operatorTokens, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -44,7 +44,10 @@
 		return nil, err
 	}
 	registry := newRegistry(client, settings, logger)
-	peerClient := peer.NewClient()
+	peerClient, err := newPeerClient(settings)
+	if err != nil {
+		return nil, err
+	}
 	relay := newRelay(source, registry, peerClient, settings, logger)
 	pool := dispatch.NewPool()
 	engine := httpengine.New()
@@ -116,5 +119,5 @@
 // wire.go:
 
 var hostSet = wire.NewSet(
-	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource, newRelay, peer.NewCatalogServer, newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), claimstore.New, keeper.New, gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)), wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)), operatorTokens, wire.Struct(new(admin.Deps), "*"), admin.New,
+	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource, newRelay, peer.NewCatalogServer, newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), claimstore.New, keeper.New, gateway.New, peer.NewServer, newPeerClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)), wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)), operatorTokens, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/catalog/revision.go
+++ b/internal/catalog/revision.go
@@ -29,6 +29,7 @@
 	if err := bundle.Check(); err != nil {
 		return config.Revision{}, err
 	}
+	bundle = bundle.WithoutSecrets()
 	pointer, version, err := readPointer(ctx, store)
 	if err != nil {
 		return config.Revision{}, err
--- /dev/null
+++ b/internal/certs/authority.go
@@ -0,0 +1,139 @@
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	authorityName = "ca"
+	lifetime      = 365 * 24 * time.Hour
+	clockSlack    = time.Hour
+	publicMode    = 0o644
+	privateMode   = 0o600
+	folderMode    = 0o755
+	serialBits    = 128
+)
+
+// Authority signs certificates for development and tests.
+type Authority struct {
+	dir  string
+	cert *x509.Certificate
+	key  any
+}
+
+// OpenAuthority reads the authority ca.pem of a folder, and makes one where
+// there is none.
+func OpenAuthority(dir string) (*Authority, error) {
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return nil, errors.Wrap(err, "make folder")
+	}
+	a := &Authority{dir: dir}
+	pair, err := tls.LoadX509KeyPair(a.path(authorityName))
+	if errors.Is(err, os.ErrNotExist) {
+		return a, a.create()
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read authority")
+	}
+	a.cert, a.key = pair.Leaf, pair.PrivateKey
+	return a, nil
+}
+
+// path returns the files of a certificate and its key.
+func (a *Authority) path(name string) (string, string) {
+	return filepath.Join(a.dir, name+".pem"), filepath.Join(a.dir, name+"-key.pem")
+}
+
+func (a *Authority) create() error {
+	template, err := newTemplate("masticscale development authority")
+	if err != nil {
+		return err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "make key")
+	}
+	a.cert, a.key = template, key
+	der, err := a.write(authorityName, template, key)
+	if err != nil {
+		return err
+	}
+	a.cert, err = x509.ParseCertificate(der)
+	if err != nil {
+		return errors.Wrap(err, "read new authority")
+	}
+	return nil
+}
+
+// Issue writes NAME.pem and NAME-key.pem, for a server and a client at the
+// addresses.
+func (a *Authority) Issue(name string, addresses []net.IP) error {
+	template, err := newTemplate(name)
+	if err != nil {
+		return err
+	}
+	template.IPAddresses = addresses
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "make key")
+	}
+	_, err = a.write(name, template, key)
+	return err
+}
+
+func newTemplate(name string) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, errors.Wrap(err, "make serial number")
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSlack),
+		NotAfter:     now.Add(lifetime),
+	}, nil
+}
+
+// write signs a certificate and writes it and its key.
+func (a *Authority) write(name string, template *x509.Certificate, key *ecdsa.PrivateKey) ([]byte, error) {
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, key.Public(), a.key)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign certificate")
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode key")
+	}
+	certPath, keyPath := a.path(name)
+	if err := writePEM(keyPath, "PRIVATE KEY", private, privateMode); err != nil {
+		return nil, err
+	}
+	return der, writePEM(certPath, "CERTIFICATE", der, publicMode)
+}
+
+func writePEM(path, kind string, der []byte, mode os.FileMode) error {
+	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(path, text, mode); err != nil {
+		return errors.Wrap(err, "write certificate")
+	}
+	return nil
+}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,12 +16,14 @@
 
 	"github.com/masticscale/masticscale/internal/admin"
 	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/certs"
 )
 
 const (
 	adminTimeout = 30 * time.Second
 	addressEnv   = "MASTICSCALE_ADMIN"
 	tokenEnv     = "MASTICSCALE_TOKEN"
+	caEnv        = "MASTICSCALE_CA"
 )
 
 var errUnreachable = errors.New("host is unreachable; check --admin, or MASTICSCALE_ADMIN")
@@ -28,11 +32,13 @@
 type client struct {
 	base  string
 	token string
+	http  *http.Client
 }
 
 // addClientFlags gives a command the flags of a client.
 func addClientFlags(c *cobra.Command) {
 	c.PersistentFlags().String("admin", os.Getenv(addressEnv), "administration API of any host, as http://ip:port")
+	c.PersistentFlags().String("ca", os.Getenv(caEnv), "file with the authority of the host's certificate, in PEM form")
 	c.PersistentFlags().String("token", "", "operator token; MASTICSCALE_TOKEN where not given")
 	c.PersistentFlags().StringP("output", "o", "table", "form of the output: table or json")
 }
@@ -46,7 +52,27 @@
 	if base == "" {
 		return nil, errors.Wrapf(errUsage, "no host given; pass --admin http://ip:port or set %s", addressEnv)
 	}
-	return &client{base: base, token: token}, nil
+	ca, _ := c.Flags().GetString("ca")
+	transport, err := transportFor(ca)
+	if err != nil {
+		return nil, err
+	}
+	return &client{base: strings.TrimRight(base, "/"), token: token, http: &http.Client{Transport: transport}}, nil
+}
+
+// transportFor returns a transport that trusts the authority in a file in place
+// of those of the system.
+func transportFor(ca string) (*http.Transport, error) {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if ca == "" {
+		return transport, nil
+	}
+	pool, err := certs.ReadPool(ca)
+	if err != nil {
+		return nil, errors.Wrap(errUsage, err.Error())
+	}
+	transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	return transport, nil
 }
 
 // call sends one request and reads its answer into out.
@@ -66,7 +92,7 @@
 		return errors.Wrap(err, "build request")
 	}
 	req.Header.Set("Authorization", "Bearer "+c.token)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return errors.Wrap(errUnreachable, err.Error())
 	}
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -41,6 +41,15 @@
 	return files.Bundle(), files.Check()
 }
 
+// readUnchecked reads files that need not be valid, to compare with.
+func (b *bundleFlags) readUnchecked() (config.Bundle, error) {
+	files, err := config.ReadFiles(b.base, b.overlays)
+	if err != nil {
+		return config.Bundle{}, err
+	}
+	return files.Bundle(), nil
+}
+
 func newConfigCheck() *cobra.Command {
 	var files bundleFlags
 	c := &cobra.Command{
--- a/internal/cli/config_apply.go
+++ b/internal/cli/config_apply.go
@@ -51,7 +51,7 @@
 					return err
 				}
 			}
-			req := admin.ApplyConfig{Bundle: bundle, Author: os.Getenv("USER"), Note: note, Expected: &expected}
+			req := admin.ApplyConfig{Bundle: bundle.WithoutSecrets(), Author: os.Getenv("USER"), Note: note, Expected: &expected}
 			var accepted config.Revision
 			if err := api.call(c.Context(), http.MethodPost, "/admin/v1/config", req, &accepted); err != nil {
 				return err
--- a/internal/cli/config_compare.go
+++ b/internal/cli/config_compare.go
@@ -29,7 +29,7 @@
 			if err != nil {
 				return err
 			}
-			return printChanges(c, before.Changes(after))
+			return printChanges(c, before.WithoutSecrets().Changes(after.WithoutSecrets()))
 		},
 	}
 	files.add(c)
@@ -40,7 +40,7 @@
 
 func bundleBefore(c *cobra.Command, against bundleFlags) (config.Bundle, error) {
 	if against.base != "" {
-		return against.read()
+		return against.readUnchecked()
 	}
 	api, err := clientOf(c)
 	if err != nil {
--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -36,10 +37,15 @@
 	if err == nil {
 		return exitOK
 	}
-	fmt.Fprintln(os.Stderr, "error:", err)
+	fmt.Fprintln(os.Stderr, "error:", describe(err))
 	return exitCode(err)
 }
 
+// describe leaves out the mark of wrong usage, which the exit code tells.
+func describe(err error) string {
+	return strings.TrimSuffix(err.Error(), ": "+errUsage.Error())
+}
+
 func exitCode(err error) int {
 	var e *apierr.Error
 	switch {
@@ -71,9 +77,34 @@
 	})
 	root.AddCommand(newServe(), newEmulate(), newConfig(), newTeam(), newKey(), newRoute(), newService(),
 		newUpstream(), newHost(), newJob(), newLoad(), newDemo(), newVersion())
+	refuseUnknown(root)
 	return root
 }
 
+// refuseUnknown makes a word that names no command wrong usage, at every level.
+func refuseUnknown(c *cobra.Command) {
+	for _, child := range c.Commands() {
+		refuseUnknown(child)
+	}
+	if c.Runnable() {
+		return
+	}
+	c.Args = cobra.ArbitraryArgs
+	c.SuggestionsMinimumDistance = suggestionDistance
+	c.RunE = func(c *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return c.Help()
+		}
+		hint := ""
+		if near := c.SuggestionsFor(args[0]); len(near) > 0 {
+			hint = "; did you mean " + strings.Join(near, " or ") + "?"
+		}
+		return errors.Wrapf(errUsage, "%q is no command of '%s'%s; see '%s --help'", args[0], c.CommandPath(), hint, c.CommandPath())
+	}
+}
+
+const suggestionDistance = 2
+
 // exactly checks the number of arguments and names what is expected.
 func exactly(names ...string) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -23,7 +23,9 @@
 		Long: `Run an entry host until it is told to stop with SIGTERM or SIGINT.
 
 The host reads the "host" part of the file and its overlay; flags override it.
-A stop answers everything accepted first. A second signal forces it.`,
+A stop answers everything accepted first. A second signal forces it.
+
+MASTICSCALE_OPERATOR_TOKEN gives the operator token in place of the file.`,
 		Args: exactly(),
 		RunE: func(c *cobra.Command, _ []string) error {
 			settings, err := hostSettings(base, overlay, override)
@@ -83,9 +85,16 @@
 	if err != nil {
 		return config.Host{}, err
 	}
-	return apply(doc.Host, override).Complete()
+	settings := apply(doc.Host, override)
+	if token := os.Getenv(operatorTokenEnv); token != "" {
+		settings.OperatorToken = token
+	}
+	return settings.Complete()
 }
 
+// operatorTokenEnv gives the operator token, so that it need not stand in a file.
+const operatorTokenEnv = "MASTICSCALE_OPERATOR_TOKEN"
+
 // overlaySite is the name under which serve keeps its one overlay.
 const overlaySite = "site"
 
--- a/internal/config/bundle.go
+++ b/internal/config/bundle.go
@@ -64,6 +64,32 @@
 	return &c
 }
 
+// secretFields of the host part stay on the host.
+var secretFields = []string{"operator_token", "operator_tokens"}
+
+// WithoutSecrets returns the bundle as it may leave the operator's machine.
+func (b Bundle) WithoutSecrets() Bundle {
+	out := Bundle{Base: withoutSecrets(b.Base), Overlays: map[string]map[string]any{}}
+	for site, overlay := range b.Overlays {
+		out.Overlays[site] = withoutSecrets(overlay)
+	}
+	return out
+}
+
+func withoutSecrets(doc map[string]any) map[string]any {
+	host, ok := doc["host"].(map[string]any)
+	if !ok {
+		return doc
+	}
+	host = maps.Clone(host)
+	for _, field := range secretFields {
+		delete(host, field)
+	}
+	doc = maps.Clone(doc)
+	doc["host"] = host
+	return doc
+}
+
 // Files are the files of a bundle, for errors that name the place.
 type Files struct {
 	Base     *File
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"github.com/masticscale/masticscale/internal/admin"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/certs"
 	"github.com/masticscale/masticscale/internal/membership"
 	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
@@ -76,11 +79,28 @@
 
 // NewClient returns a client that speaks HTTP/2 without TLS.
 func NewClient() *Client {
-	transport := &http.Transport{
+	return &Client{http: &http.Client{Transport: newTransport()}, scheme: "http"}
+}
+
+// NewTLSClient returns a client that shows a certificate and checks the peer's.
+func NewTLSClient(files *certs.Reloader) *Client {
+	transport := newTransport()
+	transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		dialer := tls.Dialer{Config: files.Client(host)}
+		return dialer.DialContext(ctx, network, address)
+	}
+	return &Client{http: &http.Client{Transport: transport}, scheme: "https"}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
 		Protocols: Protocols(),
 		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: callTimeout},
 	}
-	return &Client{http: &http.Client{Transport: transport}, scheme: "http"}
 }
 
 // Protocols are the protocols between hosts: HTTP/2, with or without TLS.
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -54,7 +54,7 @@
 // environment is what a scenario's processes get.
 func environment(ts *testscript.TestScript) []string {
 	var env []string
-	for _, name := range []string{"PATH", "HOME", "TMPDIR", "WORK", "MASTICSCALE_ADMIN", "MASTICSCALE_TOKEN", "MASTICSCALE_KEY", "MASTICSCALE_HOST"} {
+	for _, name := range []string{"PATH", "HOME", "TMPDIR", "WORK", "MASTICSCALE_ADMIN", "MASTICSCALE_OPERATOR_TOKEN", "MASTICSCALE_TOKEN", "MASTICSCALE_KEY", "MASTICSCALE_HOST"} {
 		if v := ts.Getenv(name); v != "" {
 			env = append(env, name+"="+v)
 		}
--- a/internal/scenario/config_test.go
+++ b/internal/scenario/config_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os/exec"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -29,6 +31,8 @@
 	commands["stream"] = cmdStream
 	commands["streamed"] = cmdStreamed
 	commands["crash"] = cmdKill
+	commands["until"] = cmdUntil
+	commands["exits"] = cmdExits
 }
 
 // background is a watch that runs until the scenario ends.
@@ -275,3 +279,27 @@
 	})
 	_, _ = ts.Stdout().Write(b.text.Bytes())
 }
+
+// cmdUntil runs the program again and again until it succeeds:
+// until ARGUMENT...
+func cmdUntil(ts *testscript.TestScript, _ bool, args []string) {
+	usage(ts, len(args) >= 1, "until ARGUMENT...")
+	await(ts, strings.Join(args, " "), func() bool {
+		return ts.Exec("masticscale", args...) == nil
+	})
+}
+
+// cmdExits runs the program and checks its exit code: exits CODE ARGUMENT...
+func cmdExits(ts *testscript.TestScript, _ bool, args []string) {
+	usage(ts, len(args) >= 2, "exits CODE ARGUMENT...")
+	code := 0
+	var exit *exec.ExitError
+	if err := ts.Exec("masticscale", args[1:]...); errors.As(err, &exit) {
+		code = exit.ExitCode()
+	} else if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	if fmt.Sprint(code) != args[0] {
+		ts.Fatalf("masticscale %s ended with %d, want %s", strings.Join(args[1:], " "), code, args[0])
+	}
+}
