--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"maps"
 
 	"github.com/sirupsen/logrus"
 
@@ -76,10 +77,6 @@
 
 func newOrderTargets(c *catalog.Catalog) orderer.Targets { return orderTargets{c} }
 
-func newPeerClient(m *telemetry.Metrics) *peer.Client {
-	return peer.NewClient(m.CountingDial(telemetry.LinkPeers))
-}
-
 func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) (*catalog.Source, error) {
 	source := catalog.NewSource(store, c, s.Site, log)
 	if s.DataFolder == "" {
@@ -109,7 +106,14 @@
 	return key[:]
 }
 
-func operatorToken(s config.Host) admin.Token { return admin.Token(s.OperatorToken) }
+func operatorTokens(s config.Host) admin.Tokens {
+	tokens := admin.Tokens{}
+	maps.Copy(tokens, s.OperatorTokens)
+	if s.OperatorToken != "" {
+		tokens[admin.SharedOperator] = s.OperatorToken
+	}
+	return tokens
+}
 
 func newRateMetrics(m *telemetry.Metrics) *ratelimit.Metrics {
 	return ratelimit.NewMetrics(m.Registry)
--- a/internal/scenario/batch_test.go
+++ b/internal/scenario/batch_test.go
@@ -16,7 +16,7 @@
 func init() {
 	commands["batchfleet"] = cmdBatchFleet
 	commands["batchhost"] = cmdBatchHost
-	commands["executions"] = cmdExecutions
+	commands["totalruns"] = cmdTotalRuns
 	commands["ran"] = cmdRan
 	commands["checkcounts"] = cmdCheckCounts
 	commands["untilstate"] = cmdUntilState
@@ -99,9 +99,9 @@
 	return total
 }
 
-// cmdExecutions reads the number of runs at the engines: executions VAR
-func cmdExecutions(ts *testscript.TestScript, _ bool, args []string) {
-	usage(ts, len(args) == 1, "executions VAR")
+// cmdTotalRuns reads the number of runs at the engines: totalruns VAR
+func cmdTotalRuns(ts *testscript.TestScript, _ bool, args []string) {
+	usage(ts, len(args) == 1, "totalruns VAR")
 	ts.Setenv(args[0], strconv.Itoa(executionsOf(ts)))
 }
 
