--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -19,7 +19,7 @@
 const (
 	ringSize      = 1024
 	minRetryAfter = time.Second
-	pollInterval  = 200 * time.Millisecond // looks for room that nobody reported
+	pollInterval  = 50 * time.Millisecond // looks for room that nobody reported
 )
 
 // Places hands out places at upstreams.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -2,14 +2,51 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 )
 
+// Choice is a way to pick an upstream.
+type Choice int
+
+// The ways to pick an upstream.
+const (
+	TwoChoices    Choice = iota // the less loaded of two random ones, lag-corrected
+	LeastReported               // the one with the lowest load report
+	RoundRobin
+	Random
+)
+
+// BatchWay is a way to let batch requests in.
+type BatchWay int
+
+// The ways to let batch requests in.
+const (
+	Assigned   BatchWay = iota // an upstream's batch belongs to one host, yielding to online
+	SlotShares                 // an upstream's slots are divided among all hosts, yielding to online
+	Optimistic                 // every host by its own view, yielding to online
+	NoYield                    // every host by its own view, running to the end
+)
+
+// Policy says how a pool chooses. The zero value is the one in force; the others
+// are kept to be measured against it.
+type Policy struct {
+	Choice Choice
+	Batch  BatchWay
+}
+
+// SetPolicy replaces the policy.
+func (p *Pool) SetPolicy(policy Policy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.policy = policy
+}
+
 // choice is where a request goes and what has to give way for it.
 type choice struct {
-	target  *target
-	yields  int // own batch requests that stop
-	foreign int // other hosts' batch requests that should stop
+	target *target
+	yields int // own batch requests that stop
 }
 
 // choose picks an upstream for the request; the caller holds mu.
@@ -26,35 +63,41 @@
 	case n.Class == Batch:
 		return p.chooseBatch(eligible, now)
 	default:
-		return chooseOnline(eligible, now)
+		return p.chooseOnline(eligible, now)
 	}
 }
 
 // chooseBatch takes only capacity that is idle and falls to this host's share.
 func (p *Pool) chooseBatch(eligible []*target, now time.Time) choice {
 	room := keep(eligible, func(t *target) bool {
-		return len(t.batch) < p.shares.of(t, now) && t.load(now) < t.batchLimit()
+		return len(t.batch) < p.share(t) && t.load(now) < t.batchLimit() && t.prefilling(now) == 0
 	})
-	return choice{target: pickOfTwo(room, now)}
+	return choice{target: p.pick(room, now)}
 }
 
 // chooseOnline prefers a free slot, then the slot of an own batch request, then
 // the slot of another host's. Online requests wait only for each other.
-func chooseOnline(eligible []*target, now time.Time) choice {
+func (p *Pool) chooseOnline(eligible []*target, now time.Time) choice {
 	free := keep(eligible, func(t *target) bool { return t.load(now) < t.slots() })
-	if t := pickOfTwo(free, now); t != nil {
-		return choice{target: t, yields: max(t.prefilling(now), t.crowding(now))}
+	if t := p.pick(free, now); t != nil {
+		if p.policy.Batch == NoYield {
+			return choice{target: t}
+		}
+		return choice{target: t, yields: max(t.prefilling(now), t.crowding(1, now))}
+	}
+	if p.policy.Batch == NoYield {
+		return choice{}
 	}
 	own := keep(eligible, func(t *target) bool { return len(t.batch) > 0 })
-	if t := pickOfTwo(own, now); t != nil {
+	if t := p.pick(own, now); t != nil {
 		return choice{target: t, yields: max(t.prefilling(now), 1)}
 	}
 	foreign := keep(eligible, func(t *target) bool {
 		f := t.foreign(now)
 		return f.Batch > 0 && t.online+f.Online < t.slots()
 	})
-	if t := pickOfTwo(foreign, now); t != nil {
-		return choice{target: t, foreign: 1}
+	if t := p.pick(foreign, now); t != nil {
+		return choice{target: t}
 	}
 	return choice{}
 }
@@ -84,12 +127,28 @@
 	return out
 }
 
-// pickOfTwo returns the less loaded of two random candidates. Always taking the
-// least loaded one would send all hosts to the same upstream between reports.
-func pickOfTwo(candidates []*target, now time.Time) *target {
+// pick returns one of the candidates by the policy, or nil when there is none.
+func (p *Pool) pick(candidates []*target, now time.Time) *target {
 	if len(candidates) == 0 {
 		return nil
 	}
+	switch p.policy.Choice {
+	case LeastReported:
+		return slices.MinFunc(candidates, func(a, b *target) int { return a.reportedLoad() - b.reportedLoad() })
+	case RoundRobin:
+		slices.SortFunc(candidates, func(a, b *target) int { return strings.Compare(a.id.Name, b.id.Name) })
+		p.turn++
+		return candidates[p.turn%len(candidates)]
+	case Random:
+		return candidates[rand.IntN(len(candidates))]
+	default:
+		return pickOfTwo(candidates, now)
+	}
+}
+
+// pickOfTwo returns the less loaded of two random candidates. Always taking the
+// least loaded one would send all hosts to the same upstream between reports.
+func pickOfTwo(candidates []*target, now time.Time) *target {
 	a := candidates[rand.IntN(len(candidates))]
 	b := candidates[rand.IntN(len(candidates))]
 	if b.relativeLoad(now) < a.relativeLoad(now) {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -20,15 +20,15 @@
 	relayedRows      = 16
 	rowLifetime      = 5 * time.Second
 	knownLifetime    = 10 * time.Minute
-	yieldBound       = time.Second
-	crowdQueue       = 64
+	arriveBound      = time.Second
+	arriveCalls      = 16
 	distantOdds      = 8 // one round in so many goes to another data centre
 )
 
 // Peers is how the exchange reaches other hosts.
 type Peers interface {
 	Exchange(ctx context.Context, host membership.Host, rows []Row) ([]Row, error)
-	Yield(ctx context.Context, host membership.Host, id upstream.ID, n int) error
+	Arrive(ctx context.Context, host membership.Host, from string, arrivals []Arrival) error
 	Judge(ctx context.Context, host membership.Host, suspicions []Suspicion) error
 }
 
@@ -41,12 +41,14 @@
 	peers    Peers
 	members  membership.Feed
 	log      logrus.FieldLogger
-	crowds   chan crowd
+	wake     chan struct{}
+	sends    chan struct{} // bounds the calls in progress
 
 	mu       sync.Mutex
 	rows     map[string]Row
 	sequence uint64
-	known    map[string]acquaintance // by host
+	arrivals map[string]map[upstream.ID]int // by host; not sent yet
+	known    map[string]acquaintance        // by host
 }
 
 // acquaintance is a host that was a member lately. It is remembered beyond its
@@ -56,19 +58,19 @@
 	last time.Time // when it was a member or answered
 }
 
-// crowd asks for batch places of other hosts.
-type crowd struct {
-	id upstream.ID
-	n  int
+// Arrival tells of online requests that went to an upstream.
+type Arrival struct {
+	ID    upstream.ID
+	Count int
 }
 
 // NewExchange returns an exchange; Run starts it.
 func NewExchange(pool *Pool, suspects *Suspects, peers Peers, members membership.Feed, log logrus.FieldLogger) *Exchange {
 	x := &Exchange{
 		pool: pool, suspects: suspects, peers: peers, members: members, log: log,
-		crowds: make(chan crowd, crowdQueue), rows: map[string]Row{}, known: map[string]acquaintance{},
+		wake: make(chan struct{}, 1), sends: make(chan struct{}, arriveCalls), arrivals: map[string]map[upstream.ID]int{}, rows: map[string]Row{}, known: map[string]acquaintance{},
 	}
-	pool.OnCrowded(x.noteCrowd)
+	pool.OnArrived(x.noteArrival)
 	suspects.OnVerdict(x.judge)
 	return x
 }
@@ -77,7 +79,7 @@
 func (x *Exchange) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { every(ctx, exchangeInterval, x.round) })
-	wg.Go(func() { x.askForRoom(ctx) })
+	wg.Go(func() { x.sendArrivals(ctx) })
 	wg.Wait()
 }
 
@@ -215,42 +217,66 @@
 	x.pool.SetHosts(self.Name, hosts)
 }
 
-// noteCrowd asks other hosts for a batch place; with many waiting already, the
-// load reports have to do.
-func (x *Exchange) noteCrowd(id upstream.ID, n int) {
+// noteArrival remembers an online request for the hosts that run batch where it
+// went. Requests that come together go in one message.
+func (x *Exchange) noteArrival(id upstream.ID, hosts []string) {
+	x.mu.Lock()
+	for _, h := range hosts {
+		if x.arrivals[h] == nil {
+			x.arrivals[h] = map[upstream.ID]int{}
+		}
+		x.arrivals[h][id]++
+	}
+	x.mu.Unlock()
 	select {
-	case x.crowds <- crowd{id, n}:
+	case x.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (x *Exchange) askForRoom(ctx context.Context) {
+func (x *Exchange) sendArrivals(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case c := <-x.crowds:
-			x.ask(ctx, c)
+		case <-x.wake:
+		}
+		x.mu.Lock()
+		all := x.arrivals
+		x.arrivals = map[string]map[upstream.ID]int{}
+		x.mu.Unlock()
+		for name, counts := range all {
+			x.sendArrival(ctx, &wg, name, counts)
 		}
 	}
 }
 
-// ask sends the requests that have come together for one upstream to one host
-// that runs batch there.
-func (x *Exchange) ask(ctx context.Context, c crowd) {
-	hosts := x.pool.batchHosts(c.id)
-	if len(hosts) == 0 {
-		return
-	}
-	host, ok := x.member(hosts[rand.IntN(len(hosts))])
+// sendArrival tells one host. A host that cannot be told learns by the load
+// reports.
+func (x *Exchange) sendArrival(ctx context.Context, wg *sync.WaitGroup, name string, counts map[upstream.ID]int) {
+	host, ok := x.member(name)
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, yieldBound)
-	defer cancel()
-	if err := x.peers.Yield(ctx, host, c.id, c.n); err != nil {
-		x.log.WithError(err).WithFields(logrus.Fields{"event": "yield_not_asked", "upstream": c.id.String()}).Debug("peer did not answer")
+	var list []Arrival
+	for id, n := range counts {
+		list = append(list, Arrival{id, n})
+	}
+	select {
+	case x.sends <- struct{}{}:
+	default:
+		return
 	}
+	wg.Go(func() {
+		defer func() { <-x.sends }()
+		ctx, cancel := context.WithTimeout(ctx, arriveBound)
+		defer cancel()
+		if err := x.peers.Arrive(ctx, host, x.members.Self().Name, list); err != nil {
+			x.log.WithError(err).WithFields(logrus.Fields{"event": "arrival_not_told", "host": name}).Debug("peer did not answer")
+		}
+	})
 }
 
 func (x *Exchange) member(name string) (membership.Host, bool) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -75,13 +75,20 @@
 	}
 }
 
-// Yield stops that many of this host's batch requests at the upstream, newest
-// first, because another host has online work for it.
-func (p *Pool) Yield(id upstream.ID, n int) {
-	p.mu.Lock()
+// Arrive notes that another host sent that many online requests to the upstream
+// and stops the batch requests that are in their way, newest first.
+func (p *Pool) Arrive(host string, id upstream.ID, n int) {
+	now := time.Now()
 	var yields []*Place
+	p.mu.Lock()
 	if t, ok := p.targets[id]; ok {
-		yields = t.takeYields(n)
+		l := t.peers[host]
+		l.Online += n
+		l.At = now
+		t.peers[host] = l
+		if p.policy.Batch != NoYield {
+			yields = t.takeYields(max(t.crowding(0, now), t.prefilling(now)))
+		}
 	}
 	p.mu.Unlock()
 	cancelAll(yields)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -37,9 +37,11 @@
 	mu      sync.Mutex
 	targets map[upstream.ID]*target
 	shares  shares
-	freed   func()                 // called after a place may have become free
-	crowded func(upstream.ID, int) // called when other hosts' batch stands in the way
-	suspect func(upstream.ID)      // called when an attempt failed and a probe is due
+	policy  Policy
+	turn    int                         // of RoundRobin
+	freed   func()                      // called after a place may have become free
+	arrived func(upstream.ID, []string) // called when online work went to where other hosts run batch
+	suspect func(upstream.ID)           // called when an attempt failed and a probe is due
 }
 
 // NewPool returns an empty pool.
@@ -48,7 +50,7 @@
 		targets: map[upstream.ID]*target{},
 		shares:  newShares(),
 		freed:   func() {},
-		crowded: func(upstream.ID, int) {},
+		arrived: func(upstream.ID, []string) {},
 		suspect: func(upstream.ID) {},
 	}
 }
@@ -60,12 +62,13 @@
 	p.freed = f
 }
 
-// OnCrowded registers the function that is told when an online request found an
-// upstream full because of that many batch requests of other hosts.
-func (p *Pool) OnCrowded(f func(upstream.ID, int)) {
+// OnArrived registers the function that is told when an online request went to
+// an upstream at which the named other hosts may run batch requests. They are to
+// make room without waiting for a load report.
+func (p *Pool) OnArrived(f func(upstream.ID, []string)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.crowded = f
+	p.arrived = f
 }
 
 // OnSuspect registers the function that is told when an upstream failed an
@@ -88,12 +91,12 @@
 			p.put(id, u)
 		}
 	}
-	for id, t := range p.targets {
+	for id := range p.targets {
 		if !seen[id] {
-			delete(p.shares.divided, t)
 			delete(p.targets, id)
 		}
 	}
+	p.shares.forget()
 	freed := p.freed
 	p.mu.Unlock()
 	freed()
@@ -120,11 +123,15 @@
 	}
 	place := p.place(c.target, n, now)
 	yields := c.target.takeYields(c.yields)
-	crowded := p.crowded
+	var others []string
+	if n.Class == Online {
+		others = p.batchElsewhere(c.target, now)
+	}
+	arrived := p.arrived
 	p.mu.Unlock()
 	cancelAll(yields)
-	if c.foreign > 0 {
-		crowded(place.ID, c.foreign)
+	if len(others) > 0 {
+		arrived(place.ID, others)
 	}
 	return place, true
 }
@@ -198,13 +205,10 @@
 func (p *Pool) update(id upstream.ID, change func(*target)) {
 	p.mu.Lock()
 	t, ok := p.targets[id]
-	var yields []*Place
 	if ok {
 		change(t)
-		yields = t.takeYields(t.excess(time.Now()))
 	}
 	freed := p.freed
 	p.mu.Unlock()
-	cancelAll(yields)
 	freed()
 }
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -18,6 +18,7 @@
 }
 
 func (p *Pool) report(id upstream.ID, load upstream.Load, at time.Time, here bool) {
+	var yields []*Place
 	p.update(id, func(t *target) {
 		if !at.After(t.reportedAt) {
 			return
@@ -26,7 +27,11 @@
 		t.reportedAt = at
 		t.reportedHere = here
 		t.ownAtReport = t.own()
+		if p.policy.Batch != NoYield {
+			yields = t.takeYields(t.excess(time.Now()))
+		}
 	})
+	cancelAll(yields)
 }
 
 // ReportPeer takes over what another host runs at an upstream.
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -74,21 +74,3 @@
 		}
 	}
 }
-
-// batchHosts returns the hosts that run batch at the upstream, as far as known.
-func (p *Pool) batchHosts(id upstream.ID) []string {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t, ok := p.targets[id]
-	if !ok {
-		return nil
-	}
-	var out []string
-	for host, l := range t.peers {
-		if l.Batch > 0 && now.Sub(l.At) < peerLifetime {
-			out = append(out, host)
-		}
-	}
-	return out
-}
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -1,25 +1,26 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/masticscale/masticscale/internal/upstream"
 )
 
 const demandLifetime = 4 * time.Second // a host counts as having batch work for so long
 
-// shares divides the batch slots of each upstream among the hosts that have
-// batch work for its service. Every host computes the same division from the
-// same view, so no message is needed to start a batch request, and the hosts'
-// shares together never exceed the slots while their views agree.
+// shares divides the batch slots of the upstreams among the hosts that have
+// batch work for their service. Every host computes the same division from the
+// same view, so no message is needed to start a batch request.
 type shares struct {
-	self      string
-	hosts     map[string][]BatchHost // service to the hosts with batch work, self included
-	demand    map[string]time.Time   // service to this host's last need
-	divided   map[*target]division
-	viewCount int
+	self    string
+	hosts   map[string][]BatchHost // service to the hosts with batch work, in name order
+	demand  map[string]time.Time   // service to this host's last need
+	divided map[upstream.ID]division
 }
 
 // BatchHost is a host that has batch work.
@@ -28,15 +29,13 @@
 	DataCentre string
 }
 
-// division is the share of one upstream, for one view of the hosts.
+// division is how one upstream's batch slots are divided.
 type division struct {
-	view  int
-	slots int
-	share int
+	hosts []string // who may run batch there
 }
 
 func newShares() shares {
-	return shares{hosts: map[string][]BatchHost{}, demand: map[string]time.Time{}, divided: map[*target]division{}}
+	return shares{hosts: map[string][]BatchHost{}, demand: map[string]time.Time{}, divided: map[upstream.ID]division{}}
 }
 
 func (s *shares) noteDemand(n Need, now time.Time) {
@@ -45,16 +44,76 @@
 	}
 }
 
-// of returns the batch requests that this host may run at the upstream.
-func (s *shares) of(t *target, _ time.Time) int {
+// forget drops the divisions, because hosts or upstreams have changed.
+func (s *shares) forget() { s.divided = map[upstream.ID]division{} }
+
+// share returns the batch requests that this host may run at the upstream; the
+// caller holds mu.
+func (p *Pool) share(t *target) int {
 	slots := t.batchLimit()
-	d, known := s.divided[t]
-	if known && d.view == s.viewCount && d.slots == slots {
-		return d.share
+	switch p.policy.Batch {
+	case Optimistic, NoYield:
+		return slots
+	case SlotShares:
+		return rendezvousShare(p.shares.self, near(p.shares.hosts[t.id.Service], t.spec.DataCentre), t.id.String(), slots)
 	}
-	d = division{view: s.viewCount, slots: slots, share: share(s.self, near(s.hosts[t.id.Service], t.spec.DataCentre), t.id.String(), slots)}
-	s.divided[t] = d
-	return d.share
+	return assignedShare(p.shares.self, p.assigned(t), slots)
+}
+
+// assignedShare divides the slots evenly among the hosts of an upstream.
+func assignedShare(self string, hosts []string, slots int) int {
+	if len(hosts) == 0 {
+		return slots
+	}
+	i := slices.Index(hosts, self)
+	if i < 0 {
+		return 0
+	}
+	own := slots / len(hosts)
+	if i < slots%len(hosts) {
+		own++
+	}
+	return own
+}
+
+// assigned returns the hosts that may run batch at the upstream; none means that
+// no host is known to have batch work. The caller holds mu.
+func (p *Pool) assigned(t *target) []string {
+	if d, known := p.shares.divided[t.id]; known {
+		return d.hosts
+	}
+	var ids []upstream.ID
+	for id, other := range p.targets {
+		if id.Service == t.id.Service && other.spec.DataCentre == t.spec.DataCentre {
+			ids = append(ids, id)
+		}
+	}
+	hosts := near(p.shares.hosts[t.id.Service], t.spec.DataCentre)
+	for id, list := range assign(ids, hosts) {
+		p.shares.divided[id] = division{hosts: list}
+	}
+	return p.shares.divided[t.id].hosts
+}
+
+// assign gives each upstream to one host, and to more only where there are more
+// hosts than upstreams, so that each host has a part and one host knows all
+// batch requests at an upstream without asking.
+func assign(ids []upstream.ID, hosts []string) map[upstream.ID][]string {
+	out := map[upstream.ID][]string{}
+	ids = slices.SortedFunc(slices.Values(ids), func(a, b upstream.ID) int {
+		return cmp.Compare(xxhash.Sum64String(a.String()), xxhash.Sum64String(b.String()))
+	})
+	hosts = slices.SortedFunc(slices.Values(hosts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	if len(hosts) == 0 {
+		return out
+	}
+	for i := range max(len(ids), len(hosts)) {
+		id := ids[i%len(ids)]
+		out[id] = append(out[id], hosts[i%len(hosts)])
+	}
+	return out
 }
 
 // near returns the hosts of the upstream's data centre, or all hosts when none
@@ -73,48 +132,33 @@
 	return all
 }
 
-// share counts the slots of the upstream that fall to self. Each slot goes to
-// the host with the highest hash of slot and host (rendezvous hashing), so that
-// a host that comes or goes moves only its own slots.
-func share(self string, hosts []string, id string, slots int) int {
+// rendezvousShare counts the slots of the upstream that fall to self when each
+// slot goes to the host with the highest hash of slot and host.
+func rendezvousShare(self string, hosts []string, id string, slots int) int {
 	if len(hosts) == 0 {
 		return slots
 	}
 	own := 0
 	for slot := range slots {
-		if owner(hosts, id, slot) == self {
+		score := func(host string) uint64 {
+			return xxhash.Sum64String(id + "\x00" + host + string([]byte{0, byte(slot), byte(slot >> 8)}))
+		}
+		best := slices.MaxFunc(hosts, func(a, b string) int { return cmp.Compare(score(a), score(b)) })
+		if best == self {
 			own++
 		}
 	}
 	return own
 }
 
-func owner(hosts []string, id string, slot int) string {
-	var best string
-	var bestHash uint64
-	for _, h := range hosts {
-		d := xxhash.New()
-		_, _ = d.WriteString(id)
-		_, _ = d.Write([]byte{0, byte(slot), byte(slot >> 8), 0})
-		_, _ = d.WriteString(h)
-		sum := d.Sum64()
-		if best == "" || sum > bestHash || sum == bestHash && h < best {
-			best, bestHash = h, sum
-		}
-	}
-	return best
-}
-
 // SetHosts takes over which hosts have batch work, by service, in name order.
-// This host is among them.
 func (p *Pool) SetHosts(self string, hosts map[string][]BatchHost) {
 	p.mu.Lock()
 	same := p.shares.self == self && maps.EqualFunc(p.shares.hosts, hosts, slices.Equal)
 	if !same {
 		p.shares.self = self
 		p.shares.hosts = hosts
-		p.shares.viewCount++
-		p.shares.divided = map[*target]division{}
+		p.shares.forget()
 	}
 	freed := p.freed
 	p.mu.Unlock()
@@ -139,3 +183,20 @@
 	}
 	return out
 }
+
+// batchElsewhere returns the other hosts that may run batch at the upstream; the
+// caller holds mu.
+func (p *Pool) batchElsewhere(t *target, now time.Time) []string {
+	var out []string
+	for _, h := range p.assigned(t) {
+		if h != p.shares.self {
+			out = append(out, h)
+		}
+	}
+	for h, l := range t.peers {
+		if l.Batch > 0 && now.Sub(l.At) < peerLifetime && !slices.Contains(out, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -11,6 +11,7 @@
 	shedHeadroom   = 0.125           // part below which running batch requests yield
 	reportLifetime = 3 * time.Second // reports older than this say nothing
 	peerLifetime   = 5 * time.Second // peers' rows older than this say nothing
+	shedInterval   = time.Second     // longer than reports lag
 	hintLifetime   = 10 * time.Second
 	firstByteDecay = 0.1 // weight of a new sample in the time to first byte
 )
@@ -27,7 +28,8 @@
 
 	reported     upstream.Load
 	reportedAt   time.Time
-	reportedHere bool // this host read the report itself
+	shedAt       time.Time // last yields because of a report
+	reportedHere bool      // this host read the report itself
 	ownAtReport  int
 	peers        map[string]PeerLoad // by host
 	firstByte    time.Duration       // decayed mean of online requests
@@ -78,6 +80,8 @@
 	return max(known, t.reported.Running+t.reported.Waiting+t.own()-t.ownAtReport)
 }
 
+func (t *target) reportedLoad() int { return t.reported.Running + t.reported.Waiting }
+
 func (t *target) relativeLoad(now time.Time) float64 {
 	return float64(t.load(now)) / float64(t.slots())
 }
@@ -104,23 +108,18 @@
 	return max(int(float64(t.slots())*(1-shedHeadroom)), 1)
 }
 
-// excess is the number of own batch requests that have to yield because the
-// upstream has become busier than batch work may make it.
+// excess is the number of own batch requests that have to yield because
+// requests wait inside the upstream. Reports lag, so one report is acted on only
+// when the effect of the last yields can be seen in it.
 func (t *target) excess(now time.Time) int {
-	if len(t.batch) == 0 {
-		return 0
-	}
-	over := t.load(now) - t.highWater()
-	if over <= 0 {
-		return 0
-	}
-	f := t.foreign(now)
-	if t.online+f.Online == 0 && t.reported.Waiting == 0 {
+	waiting := t.reported.Waiting
+	if len(t.batch) == 0 || waiting == 0 || t.reportedAt.Sub(t.shedAt) < shedInterval {
 		return 0
 	}
+	t.shedAt = now
 	// Every host that runs batch here gives up its part, rounded up.
-	all := len(t.batch) + f.Batch
-	return min((over*len(t.batch)+all-1)/all, len(t.batch))
+	all := len(t.batch) + t.foreign(now).Batch
+	return min((waiting*len(t.batch)+all-1)/all, len(t.batch))
 }
 
 // prefilling returns the number of own batch requests that started so recently
@@ -128,18 +127,18 @@
 func (t *target) prefilling(now time.Time) int {
 	n := 0
 	for p := range t.batch {
-		if now.Sub(p.start) < t.firstByte {
+		if now.Sub(p.start) < t.firstByte/2 {
 			n++
 		}
 	}
 	return n
 }
 
-// crowding is the number of own batch requests that have to yield when one more
-// online request comes. It begins before the last slot is taken, since other
-// hosts may be taking the same one.
-func (t *target) crowding(now time.Time) int {
-	over := t.load(now) + 1 - t.highWater()
+// crowding is the number of own batch requests that have to yield when that many
+// more online requests come. It begins before the last slot is taken, since
+// other hosts may be taking the same one.
+func (t *target) crowding(more int, now time.Time) int {
+	over := t.load(now) + more - t.highWater()
 	return min(max(over, 0), len(t.batch))
 }
 
--- /dev/null
+++ b/internal/experiment/fleet.go
@@ -0,0 +1,186 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/admission"
+	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/dispatch"
+	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/service"
+	"github.com/masticscale/masticscale/internal/serving"
+	"github.com/masticscale/masticscale/internal/telemetry"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+const (
+	serviceName = "model"
+	warmUp      = 5 * time.Second // before anything is measured
+)
+
+// Deployment is the size of a fleet.
+type Deployment struct {
+	Name    string
+	Hosts   int
+	Engines int
+	Delay   time.Duration // one way between hosts and engines
+}
+
+// Deployments are those of today's users.
+func Deployments() []Deployment {
+	return []Deployment{
+		{Name: "consortium", Hosts: 8, Engines: 10, Delay: time.Millisecond},
+		{Name: "quillwood", Hosts: 8, Engines: 20, Delay: 500 * time.Microsecond},
+	}
+}
+
+// fleet is a deployment that runs.
+type fleet struct {
+	deployment Deployment
+	engines    map[string]*engine
+	hosts      []*host
+	wg         sync.WaitGroup
+}
+
+// host is the serving part of one entry host.
+type host struct {
+	name     string
+	pool     *dispatch.Pool
+	exchange *dispatch.Exchange
+	path     *serving.Path
+}
+
+func newFleet(ctx context.Context, d Deployment, policy dispatch.Policy) *fleet {
+	f := &fleet{deployment: d, engines: map[string]*engine{}}
+	specs := map[string]upstream.Spec{}
+	for i := range d.Engines {
+		name := fmt.Sprintf("e%02d", i)
+		e := newEngine(DefaultEngineCost())
+		f.engines[name] = e
+		specs[name] = upstream.Spec{Address: name, Slots: e.cost.Slots}
+		f.wg.Go(func() { e.run(ctx) })
+	}
+	snapshot := &catalog.Snapshot{Services: map[string]service.Spec{serviceName: {Kind: service.Engine, Upstreams: specs}}}
+	for i := range d.Hosts {
+		f.addHost(ctx, fmt.Sprintf("h%d", i), snapshot, policy)
+	}
+	return f
+}
+
+func (f *fleet) addHost(ctx context.Context, name string, s *catalog.Snapshot, policy dispatch.Policy) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	members := feed{fleet: f, name: name}
+	metrics := telemetry.NewMetrics()
+	pool := dispatch.NewPool()
+	pool.SetPolicy(policy)
+	pool.Apply(s)
+	suspects := dispatch.NewSuspects(dispatch.FingerprintKey(name), nil, members, log)
+	controller := admission.NewController(pool, metrics)
+	pool.OnFreed(controller.Wake)
+	observer := dispatch.NewObserver(pool, f, f, members, log)
+	h := &host{
+		name: name, pool: pool,
+		exchange: dispatch.NewExchange(pool, suspects, f, members, log),
+		path:     serving.NewPath(controller, dispatch.NewDispatcher(pool, f, suspects, metrics)),
+	}
+	f.hosts = append(f.hosts, h)
+	f.wg.Go(func() { controller.Run(ctx) })
+	f.wg.Go(func() { observer.Run(ctx) })
+	f.wg.Go(func() { h.exchange.Run(ctx) })
+}
+
+// Start implements upstream.Engine.
+func (f *fleet) Start(ctx context.Context, address string, call upstream.Call) (*upstream.Answer, error) {
+	time.Sleep(f.deployment.Delay)
+	answer, err := f.engines[address].start(ctx, call)
+	time.Sleep(f.deployment.Delay)
+	return answer, err
+}
+
+// Load implements upstream.Engine.
+func (f *fleet) Load(_ context.Context, address string) (upstream.Load, error) {
+	time.Sleep(2 * f.deployment.Delay)
+	return f.engines[address].load(), nil
+}
+
+// Healthy implements upstream.Engine.
+func (f *fleet) Healthy(context.Context, string) error { return nil }
+
+// Hosts implements platform.HostLister.
+func (f *fleet) Hosts(context.Context) ([]platform.HostEntry, error) { return nil, nil }
+
+func (f *fleet) host(name string) *host {
+	for _, h := range f.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// Exchange implements dispatch.Peers.
+func (f *fleet) Exchange(_ context.Context, to membership.Host, rows []dispatch.Row) ([]dispatch.Row, error) {
+	time.Sleep(2 * f.deployment.Delay)
+	h := f.host(to.Name)
+	h.exchange.Absorb(rows)
+	return h.exchange.Rows(), nil
+}
+
+// Arrive implements dispatch.Peers.
+func (f *fleet) Arrive(_ context.Context, to membership.Host, from string, arrivals []dispatch.Arrival) error {
+	time.Sleep(f.deployment.Delay)
+	for _, a := range arrivals {
+		f.host(to.Name).pool.Arrive(from, a.ID, a.Count)
+	}
+	return nil
+}
+
+// Judge implements dispatch.Peers.
+func (f *fleet) Judge(context.Context, membership.Host, []dispatch.Suspicion) error { return nil }
+
+// feed implements membership.Feed: all hosts are always members.
+type feed struct {
+	fleet *fleet
+	name  string
+}
+
+// Self implements membership.Feed.
+func (m feed) Self() membership.Host {
+	return membership.Host{Name: m.name, Epoch: 1, PeerAddress: m.name}
+}
+
+// Owns implements membership.Feed.
+func (m feed) Owns() bool { return true }
+
+// Members implements membership.Feed.
+func (m feed) Members() []membership.Host {
+	var out []membership.Host
+	for i := range m.fleet.deployment.Hosts {
+		out = append(out, feed{m.fleet, fmt.Sprintf("h%d", i)}.Self())
+	}
+	return out
+}
+
+// Lapsed implements membership.Feed.
+func (m feed) Lapsed(membership.Owner) bool { return false }
+
+// tally sums the tokens of all engines.
+func (f *fleet) tally() tally {
+	var sum tally
+	for _, e := range f.engines {
+		e.mu.Lock()
+		sum.Online += e.total.Online
+		sum.Batch += e.total.Batch
+		sum.Wasted += e.total.Wasted
+		e.mu.Unlock()
+	}
+	return sum
+}
--- a/internal/peer/gen/masticscale/peer/v1/peerv1connect/load.connect.go
+++ b/internal/peer/gen/masticscale/peer/v1/peerv1connect/load.connect.go
@@ -35,8 +35,8 @@
 const (
 	// LoadServiceExchangeProcedure is the fully-qualified name of the LoadService's Exchange RPC.
 	LoadServiceExchangeProcedure = "/masticscale.peer.v1.LoadService/Exchange"
-	// LoadServiceYieldProcedure is the fully-qualified name of the LoadService's Yield RPC.
-	LoadServiceYieldProcedure = "/masticscale.peer.v1.LoadService/Yield"
+	// LoadServiceArriveProcedure is the fully-qualified name of the LoadService's Arrive RPC.
+	LoadServiceArriveProcedure = "/masticscale.peer.v1.LoadService/Arrive"
 	// LoadServiceJudgeProcedure is the fully-qualified name of the LoadService's Judge RPC.
 	LoadServiceJudgeProcedure = "/masticscale.peer.v1.LoadService/Judge"
 )
@@ -45,9 +45,9 @@
 type LoadServiceClient interface {
 	// Exchange gives the caller's rows and returns the callee's.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Yield asks the callee to stop batch requests at an upstream, because the
-	// caller has online work for it.
-	Yield(context.Context, *connect.Request[v1.YieldRequest]) (*connect.Response[v1.YieldResponse], error)
+	// Arrive tells of online requests that the caller sent to upstreams at which
+	// the callee may run batch requests, so that those make room at once.
+	Arrive(context.Context, *connect.Request[v1.ArriveRequest]) (*connect.Response[v1.ArriveResponse], error)
 	// Judge tells of requests under which upstreams died.
 	Judge(context.Context, *connect.Request[v1.JudgeRequest]) (*connect.Response[v1.JudgeResponse], error)
 }
@@ -69,10 +69,10 @@
 			connect.WithSchema(loadServiceMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
-		yield: connect.NewClient[v1.YieldRequest, v1.YieldResponse](
+		arrive: connect.NewClient[v1.ArriveRequest, v1.ArriveResponse](
 			httpClient,
-			baseURL+LoadServiceYieldProcedure,
-			connect.WithSchema(loadServiceMethods.ByName("Yield")),
+			baseURL+LoadServiceArriveProcedure,
+			connect.WithSchema(loadServiceMethods.ByName("Arrive")),
 			connect.WithClientOptions(opts...),
 		),
 		judge: connect.NewClient[v1.JudgeRequest, v1.JudgeResponse](
@@ -87,7 +87,7 @@
 // loadServiceClient implements LoadServiceClient.
 type loadServiceClient struct {
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
-	yield    *connect.Client[v1.YieldRequest, v1.YieldResponse]
+	arrive   *connect.Client[v1.ArriveRequest, v1.ArriveResponse]
 	judge    *connect.Client[v1.JudgeRequest, v1.JudgeResponse]
 }
 
@@ -96,9 +96,9 @@
 	return c.exchange.CallUnary(ctx, req)
 }
 
-// Yield calls masticscale.peer.v1.LoadService.Yield.
-func (c *loadServiceClient) Yield(ctx context.Context, req *connect.Request[v1.YieldRequest]) (*connect.Response[v1.YieldResponse], error) {
-	return c.yield.CallUnary(ctx, req)
+// Arrive calls masticscale.peer.v1.LoadService.Arrive.
+func (c *loadServiceClient) Arrive(ctx context.Context, req *connect.Request[v1.ArriveRequest]) (*connect.Response[v1.ArriveResponse], error) {
+	return c.arrive.CallUnary(ctx, req)
 }
 
 // Judge calls masticscale.peer.v1.LoadService.Judge.
@@ -110,9 +110,9 @@
 type LoadServiceHandler interface {
 	// Exchange gives the caller's rows and returns the callee's.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Yield asks the callee to stop batch requests at an upstream, because the
-	// caller has online work for it.
-	Yield(context.Context, *connect.Request[v1.YieldRequest]) (*connect.Response[v1.YieldResponse], error)
+	// Arrive tells of online requests that the caller sent to upstreams at which
+	// the callee may run batch requests, so that those make room at once.
+	Arrive(context.Context, *connect.Request[v1.ArriveRequest]) (*connect.Response[v1.ArriveResponse], error)
 	// Judge tells of requests under which upstreams died.
 	Judge(context.Context, *connect.Request[v1.JudgeRequest]) (*connect.Response[v1.JudgeResponse], error)
 }
@@ -130,10 +130,10 @@
 		connect.WithSchema(loadServiceMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
-	loadServiceYieldHandler := connect.NewUnaryHandler(
-		LoadServiceYieldProcedure,
-		svc.Yield,
-		connect.WithSchema(loadServiceMethods.ByName("Yield")),
+	loadServiceArriveHandler := connect.NewUnaryHandler(
+		LoadServiceArriveProcedure,
+		svc.Arrive,
+		connect.WithSchema(loadServiceMethods.ByName("Arrive")),
 		connect.WithHandlerOptions(opts...),
 	)
 	loadServiceJudgeHandler := connect.NewUnaryHandler(
@@ -146,8 +146,8 @@
 		switch r.URL.Path {
 		case LoadServiceExchangeProcedure:
 			loadServiceExchangeHandler.ServeHTTP(w, r)
-		case LoadServiceYieldProcedure:
-			loadServiceYieldHandler.ServeHTTP(w, r)
+		case LoadServiceArriveProcedure:
+			loadServiceArriveHandler.ServeHTTP(w, r)
 		case LoadServiceJudgeProcedure:
 			loadServiceJudgeHandler.ServeHTTP(w, r)
 		default:
@@ -163,8 +163,8 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.LoadService.Exchange is not implemented"))
 }
 
-func (UnimplementedLoadServiceHandler) Yield(context.Context, *connect.Request[v1.YieldRequest]) (*connect.Response[v1.YieldResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.LoadService.Yield is not implemented"))
+func (UnimplementedLoadServiceHandler) Arrive(context.Context, *connect.Request[v1.ArriveRequest]) (*connect.Response[v1.ArriveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.LoadService.Arrive is not implemented"))
 }
 
 func (UnimplementedLoadServiceHandler) Judge(context.Context, *connect.Request[v1.JudgeRequest]) (*connect.Response[v1.JudgeResponse], error) {
--- a/internal/peer/load.go
+++ b/internal/peer/load.go
@@ -13,7 +13,7 @@
 	"github.com/masticscale/masticscale/internal/upstream"
 )
 
-const maxYields = 256 // batch requests that one call may stop
+const maxArrivals = 1024 // online requests that one entry may tell of
 
 // LoadServer answers the calls of peers about upstreams.
 type LoadServer struct {
@@ -40,10 +40,12 @@
 	return connect.NewResponse(&peerv1.ExchangeResponse{Rows: rowsTo(s.exchange.Rows(), now)}), nil
 }
 
-// Yield implements peerv1connect.LoadServiceHandler.
-func (s *LoadServer) Yield(_ context.Context, r *connect.Request[peerv1.YieldRequest]) (*connect.Response[peerv1.YieldResponse], error) {
-	s.pool.Yield(upstream.ID{Service: r.Msg.Service, Name: r.Msg.Name}, int(min(r.Msg.Count, maxYields)))
-	return connect.NewResponse(&peerv1.YieldResponse{}), nil
+// Arrive implements peerv1connect.LoadServiceHandler.
+func (s *LoadServer) Arrive(_ context.Context, r *connect.Request[peerv1.ArriveRequest]) (*connect.Response[peerv1.ArriveResponse], error) {
+	for _, a := range r.Msg.Arrivals {
+		s.pool.Arrive(r.Msg.Host, upstream.ID{Service: a.Service, Name: a.Name}, int(min(a.Count, maxArrivals)))
+	}
+	return connect.NewResponse(&peerv1.ArriveResponse{}), nil
 }
 
 // Judge implements peerv1connect.LoadServiceHandler.
@@ -76,11 +78,15 @@
 	return rowsFrom(resp.Msg.Rows, time.Now()), nil
 }
 
-// Yield implements dispatch.Peers.
-func (c *Client) Yield(ctx context.Context, host membership.Host, id upstream.ID, n int) error {
+// Arrive implements dispatch.Peers.
+func (c *Client) Arrive(ctx context.Context, host membership.Host, from string, arrivals []dispatch.Arrival) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := c.loads(host).Yield(ctx, connect.NewRequest(&peerv1.YieldRequest{Service: id.Service, Name: id.Name, Count: uint32(n)}))
+	msg := &peerv1.ArriveRequest{Host: from}
+	for _, a := range arrivals {
+		msg.Arrivals = append(msg.Arrivals, &peerv1.Arrival{Service: a.ID.Service, Name: a.ID.Name, Count: uint32(a.Count)})
+	}
+	_, err := c.loads(host).Arrive(ctx, connect.NewRequest(msg))
 	return err
 }
 
