--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	batchHeadroom  = 0.25            // part of an upstream's slots that batch leaves free
+	batchHeadroom  = 0.25           // part of an upstream's slots that batch leaves free
 	shedHeadroom   = 0.125           // part below which running batch requests yield
 	reportLifetime = 3 * time.Second // reports older than this say nothing
 	peerLifetime   = 5 * time.Second // peers' rows older than this say nothing
@@ -68,12 +68,17 @@
 	return sum
 }
 
+// known is the number of requests that the hosts have told of.
+func (t *target) known(now time.Time) int {
+	f := t.foreign(now)
+	return t.own() + f.Online + f.Batch
+}
+
 // load is the lag-corrected number of requests at the upstream: its last report
 // and what this host has changed since, or what the hosts know of, whichever is
 // more.
 func (t *target) load(now time.Time) int {
-	f := t.foreign(now)
-	known := t.own() + f.Online + f.Batch
+	known := t.known(now)
 	if now.Sub(t.reportedAt) >= reportLifetime {
 		return known
 	}
@@ -138,7 +143,7 @@
 // more online requests come. It begins before the last slot is taken, since
 // other hosts may be taking the same one.
 func (t *target) crowding(more int, now time.Time) int {
-	over := t.load(now) + more - t.highWater()
+	over := t.known(now) + more - t.highWater()
 	return min(max(over, 0), len(t.batch))
 }
 
