--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -14,15 +14,16 @@
 )
 
 const (
-	exchangeInterval = time.Second
-	exchangeFanOut   = 1 // peers that one round calls; each call passes rows both ways
-	relayedUpstreams = 64
-	relayedRows      = 16
-	rowLifetime      = 5 * time.Second
-	knownLifetime    = 10 * time.Minute
-	arriveBound      = time.Second
-	arriveCalls      = 16
-	distantOdds      = 8 // one round in so many goes to another data centre
+	exchangeInterval  = time.Second
+	exchangeFanOut    = 1 // peers that one round calls; each call passes rows both ways
+	relayedUpstreams  = 64
+	relayedRows       = 16
+	rowLifetime       = 5 * time.Second
+	knownLifetime     = 10 * time.Minute
+	arriveBound       = time.Second
+	arriveCalls       = 16
+	departureInterval = 250 * time.Millisecond
+	distantOdds       = 8 // one round in so many goes to another data centre
 )
 
 // Peers is how the exchange reaches other hosts.
@@ -58,10 +59,10 @@
 	last time.Time // when it was a member or answered
 }
 
-// Arrival tells of online requests that went to an upstream.
+// Arrival tells how many online requests more, or less, run at an upstream.
 type Arrival struct {
-	ID    upstream.ID
-	Count int
+	ID     upstream.ID
+	Change int
 }
 
 // NewExchange returns an exchange; Run starts it.
@@ -217,17 +218,20 @@
 	x.pool.SetHosts(self.Name, hosts)
 }
 
-// noteArrival remembers an online request for the hosts that run batch where it
-// went. Requests that come together go in one message.
-func (x *Exchange) noteArrival(id upstream.ID, hosts []string) {
+// noteArrival remembers an online request that came or went, for the hosts that
+// run batch there. Arrivals are told at once, what went with the next message.
+func (x *Exchange) noteArrival(id upstream.ID, hosts []string, change int) {
 	x.mu.Lock()
 	for _, h := range hosts {
 		if x.arrivals[h] == nil {
 			x.arrivals[h] = map[upstream.ID]int{}
 		}
-		x.arrivals[h][id]++
+		x.arrivals[h][id] += change
 	}
 	x.mu.Unlock()
+	if change < 0 {
+		return
+	}
 	select {
 	case x.wake <- struct{}{}:
 	default:
@@ -237,11 +241,14 @@
 func (x *Exchange) sendArrivals(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	ticker := time.NewTicker(departureInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-x.wake:
+		case <-ticker.C:
 		}
 		x.mu.Lock()
 		all := x.arrivals
@@ -262,7 +269,9 @@
 	}
 	var list []Arrival
 	for id, n := range counts {
-		list = append(list, Arrival{id, n})
+		if n != 0 {
+			list = append(list, Arrival{id, n})
+		}
 	}
 	select {
 	case x.sends <- struct{}{}:
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -75,18 +75,18 @@
 	}
 }
 
-// Arrive notes that another host sent that many online requests to the upstream
-// and stops the batch requests that are in their way, newest first.
+// Arrive notes that another host has that many online requests more, or less, at
+// the upstream and stops the batch requests that are in their way, newest first.
 func (p *Pool) Arrive(host string, id upstream.ID, n int) {
 	now := time.Now()
 	var yields []*Place
 	p.mu.Lock()
 	if t, ok := p.targets[id]; ok {
 		l := t.peers[host]
-		l.Online += n
+		l.Online = max(l.Online+n, 0)
 		l.At = now
 		t.peers[host] = l
-		if p.policy.Batch != NoYield {
+		if n > 0 && p.policy.Batch != NoYield {
 			yields = t.takeYields(max(t.crowding(0, now), t.prefilling(now)))
 		}
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -38,10 +38,10 @@
 	targets map[upstream.ID]*target
 	shares  shares
 	policy  Policy
-	turn    int                         // of RoundRobin
-	freed   func()                      // called after a place may have become free
-	arrived func(upstream.ID, []string) // called when online work went to where other hosts run batch
-	suspect func(upstream.ID)           // called when an attempt failed and a probe is due
+	turn    int                              // of RoundRobin
+	freed   func()                           // called after a place may have become free
+	arrived func(upstream.ID, []string, int) // called when online work came or went where other hosts run batch
+	suspect func(upstream.ID)                // called when an attempt failed and a probe is due
 }
 
 // NewPool returns an empty pool.
@@ -50,7 +50,7 @@
 		targets: map[upstream.ID]*target{},
 		shares:  newShares(),
 		freed:   func() {},
-		arrived: func(upstream.ID, []string) {},
+		arrived: func(upstream.ID, []string, int) {},
 		suspect: func(upstream.ID) {},
 	}
 }
@@ -63,9 +63,9 @@
 }
 
 // OnArrived registers the function that is told when an online request went to
-// an upstream at which the named other hosts may run batch requests. They are to
-// make room without waiting for a load report.
-func (p *Pool) OnArrived(f func(upstream.ID, []string)) {
+// an upstream at which the named other hosts may run batch requests (1) or has
+// ended there (-1). They are to make room without waiting for a load report.
+func (p *Pool) OnArrived(f func(id upstream.ID, hosts []string, change int)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.arrived = f
@@ -131,7 +131,7 @@
 	p.mu.Unlock()
 	cancelAll(yields)
 	if len(others) > 0 {
-		arrived(place.ID, others)
+		arrived(place.ID, others, 1)
 	}
 	return place, true
 }
@@ -193,8 +193,15 @@
 	if failed {
 		t.health.fail(time.Now())
 	}
-	freed, suspect := p.freed, p.suspect
+	var others []string
+	if place.Class == Online {
+		others = p.batchElsewhere(t, time.Now())
+	}
+	freed, suspect, arrived := p.freed, p.suspect, p.arrived
 	p.mu.Unlock()
+	if len(others) > 0 {
+		arrived(place.ID, others, -1)
+	}
 	if failed {
 		suspect(place.ID)
 	}
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -93,7 +93,7 @@
 	hosts := map[string][]BatchHost{testService: {{Name: "runner"}}}
 	runner.SetHosts("runner", hosts)
 	other.SetHosts("other", hosts)
-	other.OnArrived(func(id upstream.ID, to []string) {
+	other.OnArrived(func(id upstream.ID, to []string, _ int) {
 		c.Assert(to, qt.DeepEquals, []string{"runner"})
 		runner.Arrive("other", id, 1)
 	})
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	batchHeadroom  = 0.25           // part of an upstream's slots that batch leaves free
+	batchHeadroom  = 0.25            // part of an upstream's slots that batch leaves free
 	shedHeadroom   = 0.125           // part below which running batch requests yield
 	reportLifetime = 3 * time.Second // reports older than this say nothing
 	peerLifetime   = 5 * time.Second // peers' rows older than this say nothing
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -138,7 +138,7 @@
 func (f *fleet) Arrive(_ context.Context, to membership.Host, from string, arrivals []dispatch.Arrival) error {
 	time.Sleep(f.deployment.Delay)
 	for _, a := range arrivals {
-		f.host(to.Name).pool.Arrive(from, a.ID, a.Count)
+		f.host(to.Name).pool.Arrive(from, a.ID, a.Change)
 	}
 	return nil
 }
--- a/internal/peer/gen/masticscale/peer/v1/peerv1connect/load.connect.go
+++ b/internal/peer/gen/masticscale/peer/v1/peerv1connect/load.connect.go
@@ -45,8 +45,9 @@
 type LoadServiceClient interface {
 	// Exchange gives the caller's rows and returns the callee's.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Arrive tells of online requests that the caller sent to upstreams at which
-	// the callee may run batch requests, so that those make room at once.
+	// Arrive tells of online requests of the caller that came to or went from
+	// upstreams at which the callee may run batch requests, so that those make
+	// room at once.
 	Arrive(context.Context, *connect.Request[v1.ArriveRequest]) (*connect.Response[v1.ArriveResponse], error)
 	// Judge tells of requests under which upstreams died.
 	Judge(context.Context, *connect.Request[v1.JudgeRequest]) (*connect.Response[v1.JudgeResponse], error)
@@ -110,8 +111,9 @@
 type LoadServiceHandler interface {
 	// Exchange gives the caller's rows and returns the callee's.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
-	// Arrive tells of online requests that the caller sent to upstreams at which
-	// the callee may run batch requests, so that those make room at once.
+	// Arrive tells of online requests of the caller that came to or went from
+	// upstreams at which the callee may run batch requests, so that those make
+	// room at once.
 	Arrive(context.Context, *connect.Request[v1.ArriveRequest]) (*connect.Response[v1.ArriveResponse], error)
 	// Judge tells of requests under which upstreams died.
 	Judge(context.Context, *connect.Request[v1.JudgeRequest]) (*connect.Response[v1.JudgeResponse], error)
--- a/internal/peer/load.go
+++ b/internal/peer/load.go
@@ -43,7 +43,7 @@
 // Arrive implements peerv1connect.LoadServiceHandler.
 func (s *LoadServer) Arrive(_ context.Context, r *connect.Request[peerv1.ArriveRequest]) (*connect.Response[peerv1.ArriveResponse], error) {
 	for _, a := range r.Msg.Arrivals {
-		s.pool.Arrive(r.Msg.Host, upstream.ID{Service: a.Service, Name: a.Name}, int(min(a.Count, maxArrivals)))
+		s.pool.Arrive(r.Msg.Host, upstream.ID{Service: a.Service, Name: a.Name}, int(max(min(a.Change, maxArrivals), -maxArrivals)))
 	}
 	return connect.NewResponse(&peerv1.ArriveResponse{}), nil
 }
@@ -84,7 +84,7 @@
 	defer cancel()
 	msg := &peerv1.ArriveRequest{Host: from}
 	for _, a := range arrivals {
-		msg.Arrivals = append(msg.Arrivals, &peerv1.Arrival{Service: a.ID.Service, Name: a.ID.Name, Count: uint32(a.Count)})
+		msg.Arrivals = append(msg.Arrivals, &peerv1.Arrival{Service: a.ID.Service, Name: a.ID.Name, Change: int32(a.Change)})
 	}
 	_, err := c.loads(host).Arrive(ctx, connect.NewRequest(msg))
 	return err
