--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -12,8 +13,9 @@
 
 // The ways to pick an upstream.
 const (
-	TwoChoices    Choice = iota // the less loaded of two random ones, lag-corrected
-	LeastReported               // the one with the lowest load report
+	LeastOutstanding Choice = iota // the one that runs the fewest of this host's requests
+	TwoChoices                     // the less loaded of two random ones, lag-corrected
+	LeastReported                  // the one with the lowest load report
 	RoundRobin
 	Random
 )
@@ -133,6 +135,8 @@
 		return nil
 	}
 	switch p.policy.Choice {
+	case TwoChoices:
+		return pickOfTwo(candidates, now)
 	case LeastReported:
 		return slices.MinFunc(candidates, func(a, b *target) int { return a.reportedLoad() - b.reportedLoad() })
 	case RoundRobin:
@@ -142,12 +146,21 @@
 	case Random:
 		return candidates[rand.IntN(len(candidates))]
 	default:
-		return pickOfTwo(candidates, now)
+		return leastOutstanding(candidates)
 	}
 }
 
-// pickOfTwo returns the less loaded of two random candidates. Always taking the
-// least loaded one would send all hosts to the same upstream between reports.
+// leastOutstanding returns the candidate that runs the fewest of this host's
+// requests for its slots; a random one among equals. What the host runs itself
+// it knows without lag, and hosts that see different numbers do not herd.
+func leastOutstanding(candidates []*target) *target {
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return slices.MinFunc(candidates, func(a, b *target) int {
+		return cmp.Compare(a.own()*b.slots(), b.own()*a.slots())
+	})
+}
+
+// pickOfTwo returns the less loaded of two random candidates.
 func pickOfTwo(candidates []*target, now time.Time) *target {
 	a := candidates[rand.IntN(len(candidates))]
 	b := candidates[rand.IntN(len(candidates))]
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -88,7 +88,6 @@
 	t.health.served()
 	if place.Class == Online && firstByte > 0 {
 		t.firstByte += time.Duration(float64(firstByte-t.firstByte) * firstByteDecay)
-		t.limit.observe(firstByte)
 	}
 }
 
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -12,7 +12,6 @@
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
 	Slots      int    `json:"slots"`
-	Limit      int    `json:"limit"` // slots in force, after adapting to latency
 	Online     int    `json:"online"`
 	Batch      int    `json:"batch"`
 	Reported   int    `json:"reported"`
@@ -28,7 +27,7 @@
 	for _, t := range p.targets {
 		out = append(out, Status{
 			Service: t.id.Service, Name: t.id.Name, Address: t.spec.Address, DataCentre: t.spec.DataCentre,
-			Slots: t.spec.EffectiveSlots(), Limit: t.slots(), Online: t.online, Batch: len(t.batch),
+			Slots: t.spec.EffectiveSlots(), Online: t.online, Batch: len(t.batch),
 			Reported: t.reported.Running + t.reported.Waiting, State: t.state(now),
 		})
 	}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -24,7 +24,6 @@
 	batch  map[*Place]struct{} // own batch attempts in progress
 	trial  bool                // a suspect runs here; nothing else may start
 	health health
-	limit  limit
 
 	reported     upstream.Load
 	reportedAt   time.Time
@@ -47,10 +46,10 @@
 }
 
 func newTarget(id upstream.ID, spec upstream.Spec) *target {
-	return &target{id: id, spec: spec, batch: map[*Place]struct{}{}, peers: map[string]PeerLoad{}, limit: newLimit()}
+	return &target{id: id, spec: spec, batch: map[*Place]struct{}{}, peers: map[string]PeerLoad{}}
 }
 
-func (t *target) slots() int { return t.limit.of(t.spec.EffectiveSlots()) }
+func (t *target) slots() int { return t.spec.EffectiveSlots() }
 
 func (t *target) own() int { return t.online + len(t.batch) }
 
