--- a/internal/admin/config.go
+++ b/internal/admin/config.go
@@ -1,9 +1,9 @@
 package admin
 
 import (
-	"context"
+	"maps"
 	"net/http"
-	"sync"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
@@ -12,14 +12,13 @@
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/job"
-	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/platform"
 )
 
 // ApplyConfig asks for a bundle to be put in force.
 type ApplyConfig struct {
 	Bundle   config.Bundle `json:"bundle"`
-	Author   string        `json:"author,omitempty"`
+	Author   string        `json:"author,omitempty"` // used with the shared token only
 	Note     string        `json:"note,omitempty"`
 	Expected *int64        `json:"expected,omitempty"` // revision that the operator saw
 }
@@ -45,37 +44,24 @@
 	if req.Expected != nil {
 		expected = *req.Expected
 	}
-	return catalog.Accept(r.Context(), a.store, req.Bundle, req.Author, req.Note, expected)
-}
-
-// HostStatus is one host as operators see it.
-type HostStatus struct {
-	membership.Host
-	Reachable           bool    `json:"reachable"`
-	Revision            int64   `json:"revision"`
-	KnowledgeAgeSeconds float64 `json:"knowledge_age_seconds"`
-}
-
-// StatusReader asks a peer for its status.
-type StatusReader interface {
-	Status(ctx context.Context, host membership.Host) (HostStatus, error)
+	author := operatorOf(r.Context())
+	if author == SharedOperator && req.Author != "" {
+		author = req.Author
+	}
+	accepted, err := catalog.Accept(r.Context(), a.store, req.Bundle, author, req.Note, expected)
+	if err != nil {
+		return nil, err
+	}
+	a.source.AdoptRevision(accepted) // the relay tells the other hosts
+	return accepted, nil
 }
 
-func (a *API) listHosts(r *http.Request) (any, error) {
-	members := a.members.Members()
-	list := List[HostStatus]{Items: make([]HostStatus, len(members))}
-	var wg sync.WaitGroup
-	for i, m := range members {
-		wg.Go(func() {
-			status, err := a.peers.Status(r.Context(), m)
-			if err != nil {
-				status = HostStatus{Host: m}
-			}
-			list.Items[i] = status
-		})
+func (a *API) configHistory(r *http.Request) (any, error) {
+	entries, err := catalog.History(r.Context(), a.store)
+	if err != nil {
+		return nil, err
 	}
-	wg.Wait()
-	return list, nil
+	return List[catalog.PointerEntry]{Items: entries}, nil
 }
 
 func (a *API) listUpstreams(*http.Request) (any, error) {
@@ -84,15 +70,19 @@
 }
 
 func (a *API) listJobs(r *http.Request) (any, error) {
-	team := r.FormValue("team")
-	if team == "" {
-		return nil, apierr.New(apierr.Invalid, "the query names no team", "add ?team=NAME")
+	teams := []string{r.FormValue("team")}
+	if teams[0] == "" {
+		teams = slices.Sorted(maps.Keys(a.catalog.Current().Teams))
 	}
-	jobs, err := a.batches.Jobs(r.Context(), team)
-	if jobs == nil {
-		jobs = []job.Job{}
+	list := List[job.Job]{Items: []job.Job{}}
+	for _, team := range teams {
+		jobs, err := a.batches.Jobs(r.Context(), team)
+		if err != nil {
+			return nil, err
+		}
+		list.Items = append(list.Items, jobs...)
 	}
-	return List[job.Job]{Items: jobs}, err
+	return list, nil
 }
 
 // LogLevel asks for another log level.
--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -13,27 +14,14 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
-	"github.com/masticscale/masticscale/internal/admin"
-	"github.com/masticscale/masticscale/internal/admission"
-	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
-	"github.com/masticscale/masticscale/internal/config"
-	"github.com/masticscale/masticscale/internal/dispatch"
-	"github.com/masticscale/masticscale/internal/gateway"
-	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/peer"
-	"github.com/masticscale/masticscale/internal/platform"
-	"github.com/masticscale/masticscale/internal/ratelimit"
 	"github.com/masticscale/masticscale/internal/telemetry"
-	"github.com/masticscale/masticscale/internal/upstream/httpengine"
 )
 
 const (
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
-	defaultDrain   = 500 * time.Millisecond
-	defaultStop    = 60 * time.Second
-	resignTimeout  = 5 * time.Second
 	maxHeaderBytes = 64 << 10
 )
 
@@ -42,31 +30,10 @@
 
 // Host is one entry host.
 type Host struct {
-	settings  config.Host
-	log       *logrus.Logger
-	metrics   *telemetry.Metrics
-	catalog   *catalog.Catalog
-	source    *catalog.Source
-	registry  *membership.Registry
-	pool      *dispatch.Pool
-	observer  *dispatch.Observer
-	admission *admission.Controller
-	runner    *batch.Runner
-	gateway   *gateway.Gateway
-	admin     *admin.API
-	peers     *peer.Server
-	client    *platform.Client
-	engine    *httpengine.Engine
-	peerCalls *peer.Client
-	rates     *ratelimit.Escrow
-	ratePeers *peer.RateLimitServer
-
-	stopping sync.Once
-	notReady chan struct{} // closed when a stop begins
-}
+	parts
 
-// Log returns the host's logger.
-func (h *Host) Log() *logrus.Logger { return h.log }
+	drain *drain
+}
 
 // listener is one server with its socket.
 type listener struct {
@@ -83,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	flush, err := telemetry.StartTraces(ctx, h.settings.Traces, h.settings.Name)
+	flush, err := telemetry.StartTraces(ctx, h.Settings.Traces, h.Settings.Name)
 	if err != nil {
 		return err
 	}
@@ -94,8 +61,8 @@
 	defer stopRunner()
 	wg, runnerDone := h.startDuties(duties, runnerCtx)
 	failed := h.serve(listeners)
-	h.log.WithFields(logrus.Fields{"event": "host_started", "listen": h.settings.Listen,
-		"admin": h.settings.AdminListen, "peer": h.settings.PeerListen}).Info("host started")
+	h.Log.WithFields(logrus.Fields{"event": "host_started", "listen": h.Settings.Listen,
+		"admin": h.Settings.AdminListen, "peer": h.Settings.PeerListen}).Info("host started")
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
@@ -103,41 +70,52 @@
 	h.stop(force, listeners, stopRunner, runnerDone)
 	stopDuties()
 	wg.Wait()
-	h.client.Close()
-	h.engine.Close()
-	h.peerCalls.Close()
-	h.log.WithField("event", "host_stopped").Info("host stopped")
+	h.Client.Close()
+	h.Engine.Close()
+	h.PeerCalls.Close()
+	h.Log.WithField("event", "host_stopped").Info("host stopped")
 	return err
 }
 
 // startDuties starts a goroutine for each duty.
 func (h *Host) startDuties(ctx, runnerCtx context.Context) (*sync.WaitGroup, <-chan struct{}) {
-	h.pool.OnFreed(h.admission.Wake)
-	h.catalog.OnChange(h.pool.Apply)
-	h.catalog.OnChange(func(s *catalog.Snapshot) { h.metrics.Revision.Set(float64(s.Revision)) })
+	h.Pool.OnFreed(h.Admission.Wake)
+	h.Catalog.OnChange(h.Pool.Apply)
+	h.Catalog.OnChange(func(s *catalog.Snapshot) { h.Metrics.Revision.Set(float64(s.Revision)) })
+	h.Metrics.KnowledgeAge(func() float64 { return h.Catalog.Age(time.Now()).Seconds() })
 	var wg sync.WaitGroup
-	wg.Go(func() { h.source.Run(ctx) })
-	wg.Go(func() { h.registry.Run(ctx) })
-	wg.Go(func() { h.rates.Run(ctx) })
-	wg.Go(func() { h.observer.Run(ctx) })
-	wg.Go(func() { h.admission.Run(ctx) })
+	wg.Go(func() { h.Source.Run(ctx) })
+	wg.Go(func() { h.Relay.Run(ctx) })
+	wg.Go(func() { h.Registry.Run(ctx) })
+	wg.Go(func() { h.Rates.Run(ctx) })
+	wg.Go(func() { h.Observer.Run(ctx) })
+	wg.Go(func() { h.Orderer.Run(ctx) })
+	wg.Go(func() { h.Exchange.Run(ctx) })
+	wg.Go(func() { h.Suspects.Run(ctx) })
+	wg.Go(func() { h.Claims.Run(ctx) })
+	wg.Go(func() { h.Admission.Run(ctx) })
 	runnerDone := make(chan struct{})
 	go func() {
 		defer close(runnerDone)
-		h.runner.Run(runnerCtx)
+		h.Runner.Run(runnerCtx)
 	}()
 	return &wg, runnerDone
 }
 
 func (h *Host) listen() ([]listener, error) {
+	public, peers, err := listenerTLS(h.Settings)
+	if err != nil {
+		return nil, err
+	}
 	var all []listener
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
+		tls           *tls.Config
 	}{
-		{"callers", h.settings.Listen, h.callers()},
-		{"operators", h.settings.AdminListen, h.admin.Handler()},
-		{"peers", h.settings.PeerListen, peer.NewHandler(h.peers.Registration(), h.ratePeers.Registration())},
+		{"callers", h.Settings.Listen, h.callers(), public},
+		{"operators", h.Settings.AdminListen, h.Admin.Handler(), public},
+		{"peers", h.Settings.PeerListen, h.peerServices(), peers},
 	} {
 		socket, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -146,18 +124,37 @@
 			}
 			return nil, errors.Wrapf(err, "listen for %s; free the address or choose another", l.name)
 		}
-		all = append(all, listener{name: l.name, socket: socket, server: h.newServer(l.handler)})
+		all = append(all, listener{name: l.name, socket: socket, server: h.newServer(l.handler, l.tls)})
 	}
 	return all, nil
 }
 
-func (h *Host) newServer(handler http.Handler) *http.Server {
+// serve accepts connections, with TLS where the server has settings for it.
+func (l listener) serve() error {
+	if l.server.TLSConfig == nil {
+		return l.server.Serve(l.socket)
+	}
+	return l.server.ServeTLS(l.socket, "", "")
+}
+
+// peerServices returns the services of every duty that peers call.
+func (h *Host) peerServices() http.Handler {
+	return peer.NewHandler(
+		h.Peers.Registration(),
+		h.Catalogs.Registration(),
+		h.RatePeers.Registration(),
+		h.Loads.Registration(),
+	)
+}
+
+func (h *Host) newServer(handler http.Handler, secure *tls.Config) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           handler,
+		TLSConfig:         secure,
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -170,19 +167,17 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /readyz", h.ready)
-	mux.Handle("GET /metrics", promhttp.HandlerFor(h.metrics.Registry, promhttp.HandlerOpts{}))
-	mux.Handle("/", h.gateway.Handler())
+	mux.Handle("GET /metrics", promhttp.HandlerFor(h.Metrics.Registry, promhttp.HandlerOpts{}))
+	mux.Handle("/", h.drain.track(h.Gateway.Handler()))
 	return mux
 }
 
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	select {
-	case <-h.notReady:
+	if h.drain.stopping() {
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
-	default:
 	}
-	if !h.source.Ready() {
+	if !h.Source.Ready() || !h.Relay.Introduced() {
 		http.Error(w, "configuration has not been read yet", http.StatusServiceUnavailable)
 		return
 	}
@@ -193,7 +188,7 @@
 	failed := make(chan error, len(listeners))
 	for _, l := range listeners {
 		go func() {
-			err := l.server.Serve(l.socket)
+			err := l.serve()
 			if !errors.Is(err, http.ErrServerClosed) {
 				failed <- errors.Wrapf(err, "serve %s", l.name)
 			}
@@ -201,48 +196,3 @@
 	}
 	return failed
 }
-
-// stop is the graceful shutdown.
-func (h *Host) stop(force context.Context, listeners []listener, stopRunner func(), runnerDone <-chan struct{}) {
-	h.stopping.Do(func() { close(h.notReady) })
-	h.log.WithField("event", "host_stopping").Info("host stops; it takes no new connections soon")
-	bounded, cancel := context.WithTimeout(force, h.stopTime())
-	defer cancel()
-	h.registry.Leave(bounded)
-	wait(bounded, h.drainTime())
-	stopRunner()
-	select {
-	case <-runnerDone:
-	case <-bounded.Done():
-	}
-	for _, l := range listeners {
-		if err := l.server.Shutdown(bounded); err != nil {
-			h.log.WithError(err).WithFields(logrus.Fields{"event": "stop_forced", "listener": l.name}).Warn("requests in progress were cut")
-			_ = l.server.Close()
-		}
-	}
-	resign, done := context.WithTimeout(context.WithoutCancel(force), resignTimeout)
-	defer done()
-	h.rates.Release(resign)
-	h.registry.Resign(resign)
-}
-
-func (h *Host) drainTime() time.Duration { return seconds(h.settings.DrainSeconds, defaultDrain) }
-
-func (h *Host) stopTime() time.Duration { return seconds(h.settings.StopSeconds, defaultStop) }
-
-func seconds(n float64, fallback time.Duration) time.Duration {
-	if n <= 0 {
-		return fallback
-	}
-	return time.Duration(n * float64(time.Second))
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -1,16 +1,21 @@
 package app
 
 import (
+	"crypto/sha256"
+	"maps"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/admin"
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/order/orderer"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
@@ -26,14 +31,21 @@
 	Metrics   *telemetry.Metrics
 	Catalog   *catalog.Catalog
 	Source    *catalog.Source
+	Relay     *catalog.Relay
 	Registry  *membership.Registry
 	Pool      *dispatch.Pool
 	Observer  *dispatch.Observer
+	Exchange  *dispatch.Exchange
+	Suspects  *dispatch.Suspects
+	Loads     *peer.LoadServer
 	Admission *admission.Controller
 	Runner    *batch.Runner
+	Orderer   *orderer.Orderer
 	Gateway   *gateway.Gateway
+	Claims    *keeper.Keeper
 	Admin     *admin.API
 	Peers     *peer.Server
+	Catalogs  *peer.CatalogServer
 	Client    *platform.Client
 	Engine    *httpengine.Engine
 	PeerCalls *peer.Client
@@ -42,24 +54,44 @@
 }
 
 func assemble(p parts) *Host {
-	return &Host{
-		settings: p.Settings, log: p.Log, metrics: p.Metrics, catalog: p.Catalog, source: p.Source,
-		registry: p.Registry, pool: p.Pool, observer: p.Observer, admission: p.Admission, runner: p.Runner,
-		gateway: p.Gateway, admin: p.Admin, peers: p.Peers, client: p.Client, engine: p.Engine,
-		peerCalls: p.PeerCalls, rates: p.Rates, ratePeers: p.RatePeers, notReady: make(chan struct{}),
-	}
+	return &Host{parts: p, drain: newDrain()}
 }
 
 func newLogger(s config.Host, out LogOutput) (*logrus.Logger, error) {
 	return telemetry.NewLogger(out, s.LogLevel, s.Name)
 }
 
-func newPlatformClient(s config.Host) *platform.Client {
-	return platform.NewClient(s.Platform, s.Name)
+func newPlatformClient(s config.Host, m *telemetry.Metrics) *platform.Client {
+	return platform.NewClient(s.Platform, s.Name,
+		platform.WithDial(m.CountingDial(telemetry.LinkPlatform)), platform.WithObserver(m))
+}
+
+// orderTargets finds the upstreams of the catalog.
+type orderTargets struct{ catalog *catalog.Catalog }
+
+// Target implements orderer.Targets.
+func (t orderTargets) Target(service, name string) (orderer.Target, bool) {
+	spec, known := t.catalog.Current().Services[service].Upstreams[name]
+	return orderer.Target{Address: spec.Address, ChecksFencing: spec.ChecksFencing}, known
+}
+
+func newOrderTargets(c *catalog.Catalog) orderer.Targets { return orderTargets{c} }
+
+func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) (*catalog.Source, error) {
+	source := catalog.NewSource(store, c, s.Site, log)
+	if s.DataFolder == "" {
+		return source, nil
+	}
+	folder, err := catalog.NewFolder(s.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	source.KeepIn(folder)
+	return source, nil
 }
 
-func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) *catalog.Source {
-	return catalog.NewSource(store, c, s.Site, log)
+func newRelay(source *catalog.Source, members membership.Feed, peers catalog.Peers, s config.Host, log logrus.FieldLogger) *catalog.Relay {
+	return catalog.NewRelay(source, members, peers, s.Peers, log)
 }
 
 func newRegistry(store platform.Store, s config.Host, log logrus.FieldLogger) *membership.Registry {
@@ -68,7 +100,20 @@
 	}, log)
 }
 
-func operatorToken(s config.Host) admin.Token { return admin.Token(s.OperatorToken) }
+// fingerprintKey is the same on every host, since all share the operators' token.
+func fingerprintKey(s config.Host) dispatch.FingerprintKey {
+	key := sha256.Sum256([]byte("request fingerprint\x00" + s.OperatorToken))
+	return key[:]
+}
+
+func operatorTokens(s config.Host) admin.Tokens {
+	tokens := admin.Tokens{}
+	maps.Copy(tokens, s.OperatorTokens)
+	if s.OperatorToken != "" {
+		tokens[admin.SharedOperator] = s.OperatorToken
+	}
+	return tokens
+}
 
 func newRateMetrics(m *telemetry.Metrics) *ratelimit.Metrics {
 	return ratelimit.NewMetrics(m.Registry)
--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -10,10 +10,14 @@
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/claimstore"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/order/orderer"
+	"github.com/masticscale/masticscale/internal/order/orderstore"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
@@ -21,6 +25,7 @@
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
+	"github.com/masticscale/masticscale/internal/upstream/httporder"
 )
 
 // NewHost builds an entry host from its settings.
@@ -36,10 +41,11 @@
 	newPlatformClient,
 	wire.Bind(new(platform.Store), new(*platform.Client)),
 	wire.Bind(new(platform.HostLister), new(*platform.Client)),
-	catalog.New, newSource,
+	catalog.New, newSource, newRelay, peer.NewCatalogServer,
 	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)),
 	httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)),
 	dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher,
+	fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer,
 	admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)),
 	serving.NewPath,
 	newRateMetrics, newSpecs,
@@ -49,7 +55,11 @@
 	peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)),
 	batch.NewRepository, batch.NewService, batch.NewRunner,
 	batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)),
-	gateway.New,
-	peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)),
-	operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	claimstore.New, keeper.New, gateway.New,
+	peer.NewServer, newPeerClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)),
+	wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)),
+	orderstore.New, wire.Bind(new(orderer.Repository), new(*orderstore.Store)), newOrderTargets,
+	httporder.New, wire.Bind(new(orderer.Sender), new(*httporder.Sender)),
+	wire.Bind(new(orderer.Prober), new(*peer.Client)), orderer.NewOrderer,
+	operatorTokens, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/app/wire_gen.go
+++ b/internal/app/wire_gen.go
@@ -12,10 +12,14 @@
 	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/batch"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/claim/claimstore"
+	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/order/orderer"
+	"github.com/masticscale/masticscale/internal/order/orderstore"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
@@ -23,6 +27,7 @@
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
+	"github.com/masticscale/masticscale/internal/upstream/httporder"
 	"github.com/sirupsen/logrus"
 )
 
@@ -36,37 +41,57 @@
 	}
 	metrics := telemetry.NewMetrics()
 	catalogCatalog := catalog.New()
-	client := newPlatformClient(settings)
-	source := newSource(client, catalogCatalog, settings, logger)
+	client := newPlatformClient(settings, metrics)
+	source, err := newSource(client, catalogCatalog, settings, logger)
+	if err != nil {
+		return nil, err
+	}
 	registry := newRegistry(client, settings, logger)
+	peerClient, err := newPeerClient(settings, metrics)
+	if err != nil {
+		return nil, err
+	}
+	relay := newRelay(source, registry, peerClient, settings, logger)
 	pool := dispatch.NewPool()
 	engine := httpengine.New()
-	observer := dispatch.NewObserver(pool, engine, client, logger)
+	observer := dispatch.NewObserver(pool, engine, client, registry, logger)
+	dispatchFingerprintKey := fingerprintKey(settings)
+	suspects := dispatch.NewSuspects(dispatchFingerprintKey, client, registry, logger)
+	exchange := dispatch.NewExchange(pool, suspects, peerClient, registry, logger)
+	loadServer := peer.NewLoadServer(exchange, pool, suspects)
 	controller := admission.NewController(pool, metrics)
 	repository := batch.NewRepository(client)
-	dispatcher := dispatch.NewDispatcher(pool, engine, metrics)
-	path := serving.NewPath(controller, dispatcher, pool, metrics)
+	dispatcher := dispatch.NewDispatcher(pool, engine, suspects, metrics)
+	path := serving.NewPath(controller, dispatcher)
 	pathExecutor := batch.NewPathExecutor(catalogCatalog, path)
 	runner := batch.NewRunner(repository, client, pathExecutor, registry, metrics, logger)
-	peerClient := peer.NewClient()
+	store := orderstore.New(client)
+	targets := newOrderTargets(catalogCatalog)
+	sender := httporder.New()
+	ordererOrderer := orderer.NewOrderer(store, targets, sender, peerClient, registry, logger)
 	specs := newSpecs(catalogCatalog)
 	ratelimitMetrics := newRateMetrics(metrics)
 	escrow := ratelimit.NewEscrow(client, registry, peerClient, specs, ratelimitMetrics, logger)
 	service := batch.NewService(repository)
-	gatewayGateway := gateway.New(catalogCatalog, escrow, path, service, metrics, logger)
-	token := operatorToken(settings)
+	claimRepository := claimstore.New(client)
+	keeperKeeper := keeper.New(claimRepository, registry, logger)
+	gatewayGateway := gateway.New(catalogCatalog, escrow, path, service, keeperKeeper, metrics, logger)
+	tokens := operatorTokens(settings)
 	deps := admin.Deps{
-		Token:   token,
+		Tokens:  tokens,
 		Store:   client,
 		Catalog: catalogCatalog,
 		Pool:    pool,
 		Members: registry,
 		Peers:   peerClient,
+		Source:  source,
+		Relay:   relay,
 		Batches: service,
 		Log:     logger,
 	}
 	api := admin.New(deps)
 	server := peer.NewServer(catalogCatalog, registry)
+	catalogServer := peer.NewCatalogServer(relay, catalogCatalog)
 	rateLimitServer := peer.NewRateLimitServer(escrow)
 	appParts := parts{
 		Settings:  settings,
@@ -74,14 +99,21 @@
 		Metrics:   metrics,
 		Catalog:   catalogCatalog,
 		Source:    source,
+		Relay:     relay,
 		Registry:  registry,
 		Pool:      pool,
 		Observer:  observer,
+		Exchange:  exchange,
+		Suspects:  suspects,
+		Loads:     loadServer,
 		Admission: controller,
 		Runner:    runner,
+		Orderer:   ordererOrderer,
 		Gateway:   gatewayGateway,
+		Claims:    keeperKeeper,
 		Admin:     api,
 		Peers:     server,
+		Catalogs:  catalogServer,
 		Client:    client,
 		Engine:    engine,
 		PeerCalls: peerClient,
@@ -95,6 +127,5 @@
 // wire.go:
 
 var hostSet = wire.NewSet(
-	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource,
-	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), gateway.New, peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	assemble, wire.Struct(new(parts), "*"), newLogger, wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)), telemetry.NewMetrics, newPlatformClient, wire.Bind(new(platform.Store), new(*platform.Client)), wire.Bind(new(platform.HostLister), new(*platform.Client)), catalog.New, newSource, newRelay, peer.NewCatalogServer, newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)), httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)), dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher, fingerprintKey, dispatch.NewSuspects, dispatch.NewExchange, wire.Bind(new(dispatch.Peers), new(*peer.Client)), peer.NewLoadServer, admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)), serving.NewPath, newRateMetrics, newSpecs, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)), wire.Bind(new(ratelimit.Members), new(*membership.Registry)), wire.Bind(new(ratelimit.Exchange), new(*peer.Client)), peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)), batch.NewRepository, batch.NewService, batch.NewRunner, batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)), claimstore.New, keeper.New, gateway.New, peer.NewServer, newPeerClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)), wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)), orderstore.New, wire.Bind(new(orderer.Repository), new(*orderstore.Store)), newOrderTargets, httporder.New, wire.Bind(new(orderer.Sender), new(*httporder.Sender)), wire.Bind(new(orderer.Prober), new(*peer.Client)), orderer.NewOrderer, operatorTokens, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,8 +32,10 @@
 type Limits struct {
 	MaxBodyBytes          int64   `json:"max_body_bytes,omitempty"`
 	RequestTimeoutSeconds float64 `json:"request_timeout_seconds,omitempty"`
-	MaxQueuedPerTeam      int     `json:"max_queued_per_team,omitempty"`
-	MaxItemsPerJob        int     `json:"max_items_per_job,omitempty"`
+	// AnswerSilenceSeconds bounds the time in which a begun answer sends nothing.
+	AnswerSilenceSeconds float64 `json:"answer_silence_seconds,omitempty"`
+	MaxQueuedPerTeam     int     `json:"max_queued_per_team,omitempty"`
+	MaxItemsPerJob       int     `json:"max_items_per_job,omitempty"`
 	// MaxKnowledgeAgeSeconds refuses callers when the host has not heard from
 	// the platform or a peer for so long. 0 serves on without bound.
 	MaxKnowledgeAgeSeconds float64 `json:"max_knowledge_age_seconds,omitempty"`
@@ -43,6 +45,7 @@
 const (
 	DefaultMaxBodyBytes     = 4 << 20
 	DefaultRequestTimeout   = 60 * time.Second
+	DefaultAnswerSilence    = 30 * time.Second
 	DefaultMaxQueuedPerTeam = 256
 	DefaultMaxItemsPerJob   = 100_000
 )
@@ -55,6 +58,9 @@
 	if l.RequestTimeoutSeconds == 0 {
 		l.RequestTimeoutSeconds = DefaultRequestTimeout.Seconds()
 	}
+	if l.AnswerSilenceSeconds == 0 {
+		l.AnswerSilenceSeconds = DefaultAnswerSilence.Seconds()
+	}
 	if l.MaxQueuedPerTeam == 0 {
 		l.MaxQueuedPerTeam = DefaultMaxQueuedPerTeam
 	}
@@ -69,21 +75,37 @@
 	return time.Duration(l.RequestTimeoutSeconds * float64(time.Second))
 }
 
+// AnswerSilence returns the time in which a begun answer may send nothing.
+func (l Limits) AnswerSilence() time.Duration {
+	return time.Duration(l.AnswerSilenceSeconds * float64(time.Second))
+}
+
+// MaxKnowledgeAge returns the bound of MaxKnowledgeAgeSeconds; 0 is none.
+func (l Limits) MaxKnowledgeAge() time.Duration {
+	return time.Duration(l.MaxKnowledgeAgeSeconds * float64(time.Second))
+}
+
 // Host is the part that one process reads at its start.
 type Host struct {
-	Name          string `json:"name,omitempty"`
-	Site          string `json:"site,omitempty"`        // selects the overlay
-	DataCentre    string `json:"data_centre,omitempty"` // where this host stands
-	Listen        string `json:"listen,omitempty"`      // callers, ip:port
-	AdminListen   string `json:"admin_listen,omitempty"`
-	PeerListen    string `json:"peer_listen,omitempty"`
-	PeerAddress   string `json:"peer_address,omitempty"`  // as peers reach it; default is PeerListen
-	AdminAddress  string `json:"admin_address,omitempty"` // as operators reach it; default is AdminListen
-	Platform      string `json:"platform,omitempty"`      // base URL of the object API
-	DataFolder    string `json:"data_folder,omitempty"`   // empty keeps nothing on disk
-	OperatorToken string `json:"operator_token,omitempty"`
-	LogLevel      string `json:"log_level,omitempty"`
-	Traces        string `json:"traces,omitempty"` // none, stdout or an OTLP URL
+	Name         string `json:"name,omitempty"`
+	Site         string `json:"site,omitempty"`        // selects the overlay
+	DataCentre   string `json:"data_centre,omitempty"` // where this host stands
+	Listen       string `json:"listen,omitempty"`      // callers, ip:port
+	AdminListen  string `json:"admin_listen,omitempty"`
+	PeerListen   string `json:"peer_listen,omitempty"`
+	PeerAddress  string `json:"peer_address,omitempty"`  // as peers reach it; default is PeerListen
+	AdminAddress string `json:"admin_address,omitempty"` // as operators reach it; default is AdminListen
+	Platform     string `json:"platform,omitempty"`      // base URL of the object API
+	// Peers are addresses of other hosts, ip:port, that a host asks when it
+	// starts while the platform cannot be reached.
+	Peers      []string `json:"peers,omitempty"`
+	DataFolder string   `json:"data_folder,omitempty"` // empty keeps nothing on disk
+	// OperatorTokens give each operator a token of their own; the name stands
+	// in the log of changes.
+	OperatorTokens map[string]string `json:"operator_tokens,omitempty"`
+	OperatorToken  string            `json:"operator_token,omitempty"`
+	LogLevel       string            `json:"log_level,omitempty"`
+	Traces         string            `json:"traces,omitempty"` // none, stdout or an OTLP URL
 	// DrainSeconds is the time between "not ready" and the last accepted
 	// connection, for the balancer to notice.
 	DrainSeconds float64 `json:"drain_seconds,omitempty"`
--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -26,6 +26,8 @@
 	Name  string
 	Slots int // requests that run at once; more wait in order
 	Cost  Cost
+	// IgnoreFencing carries out orders with old fencing numbers too.
+	IgnoreFencing bool
 	// Crash is called when a marked prompt or a fault asks for it.
 	Crash func()
 }
@@ -38,12 +40,14 @@
 	slots   chan struct{}
 	running atomic.Int64
 	waiting atomic.Int64
+	arrived atomic.Int64
 	started atomic.Int64
 	done    atomic.Int64
 	aborted atomic.Int64
 	tokens  atomic.Int64
 
 	mu         sync.Mutex
+	orders     orders
 	executions map[string]int // prompt to times run
 	seen       strings.Builder
 }
@@ -61,6 +65,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", s.chat)
 	mux.HandleFunc("POST /v1/completions", s.chat)
+	mux.HandleFunc("POST /v1/orders", s.order)
+	mux.HandleFunc("GET /control/orders", s.listOrders)
 	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /health", s.health)
 	mux.Handle("/control/faults", &s.Faults)
@@ -102,6 +108,7 @@
 		return
 	}
 	prompt := req.promptText()
+	s.arrived.Add(1)
 	s.remember(r, body, prompt)
 	f := s.Faults.Get()
 	if f.Crash || strings.Contains(prompt, crashMarker) {
@@ -200,6 +207,7 @@
 	_, _ = fmt.Fprintf(w, "engine_requests_running %d\n", s.running.Load())
 	_, _ = fmt.Fprintf(w, "engine_requests_waiting %d\n", s.waiting.Load())
 	_, _ = fmt.Fprintf(w, "engine_slots %d\n", s.options.Slots)
+	_, _ = fmt.Fprintf(w, "engine_requests_arrived_total %d\n", s.arrived.Load())
 	_, _ = fmt.Fprintf(w, "engine_requests_started_total %d\n", s.started.Load())
 	_, _ = fmt.Fprintf(w, "engine_requests_finished_total %d\n", s.done.Load())
 	_, _ = fmt.Fprintf(w, "engine_requests_aborted_total %d\n", s.aborted.Load())
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
 	"net/http"
 	"time"
 
@@ -13,12 +15,17 @@
 
 	"github.com/masticscale/masticscale/internal/admin"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/certs"
 	"github.com/masticscale/masticscale/internal/membership"
 	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
+	"github.com/masticscale/masticscale/internal/telemetry"
 )
 
-const callTimeout = time.Second
+const (
+	callTimeout = time.Second
+	pingAfter   = 2 * time.Second // silence on a connection before it is checked
+)
 
 // Registration is one service that this host offers to its peers. Each duty
 // brings its own.
@@ -72,10 +79,46 @@
 }
 
 // NewClient returns a client that speaks HTTP/2 without TLS.
-func NewClient() *Client {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &Client{http: &http.Client{Transport: &http.Transport{Protocols: protocols}}, scheme: "http"}
+func NewClient(dial telemetry.Dial) *Client {
+	return &Client{http: &http.Client{Transport: newTransport(dial)}, scheme: "http"}
+}
+
+// NewTLSClient returns a client that shows a certificate and checks the peer's.
+func NewTLSClient(dial telemetry.Dial, files *certs.Reloader) *Client {
+	transport := newTransport(dial)
+	transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secure := tls.Client(conn, files.Client(host))
+		if err := secure.HandshakeContext(ctx); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		return secure, nil
+	}
+	return &Client{http: &http.Client{Transport: transport}, scheme: "https"}
+}
+
+func newTransport(dial telemetry.Dial) *http.Transport {
+	return &http.Transport{
+		DialContext: dial,
+		Protocols:   Protocols(),
+		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: callTimeout},
+	}
+}
+
+// Protocols are the protocols between hosts: HTTP/2, with or without TLS.
+func Protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
 }
 
 // Close drops idle connections.
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -33,6 +33,7 @@
 	"kill":         cmdKill,
 	"freeze":       func(ts *testscript.TestScript, _ bool, a []string) { sendSignal(ts, a, syscall.SIGSTOP) },
 	"thaw":         func(ts *testscript.TestScript, _ bool, a []string) { sendSignal(ts, a, syscall.SIGCONT) },
+	"attempt":      cmdAttempt,
 	"await":        cmdAwait,
 	"eventually":   cmdEventually,
 	"http":         cmdHTTP,
@@ -53,7 +54,7 @@
 // environment is what a scenario's processes get.
 func environment(ts *testscript.TestScript) []string {
 	var env []string
-	for _, name := range []string{"PATH", "HOME", "TMPDIR", "WORK", "MASTICSCALE_ADMIN", "MASTICSCALE_TOKEN", "MASTICSCALE_KEY", "MASTICSCALE_HOST"} {
+	for _, name := range []string{"PATH", "HOME", "TMPDIR", "WORK", "MASTICSCALE_ADMIN", "MASTICSCALE_OPERATOR_TOKEN", "MASTICSCALE_TOKEN", "MASTICSCALE_KEY", "MASTICSCALE_HOST"} {
 		if v := ts.Getenv(name); v != "" {
 			env = append(env, name+"="+v)
 		}
@@ -287,3 +288,12 @@
 		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o644))
 	}
 }
+
+// cmdAttempt runs a program whose exit code is not judged: attempt PROGRAM
+// ARGUMENT...
+func cmdAttempt(ts *testscript.TestScript, _ bool, args []string) {
+	usage(ts, len(args) >= 1, "attempt PROGRAM ARGUMENT...")
+	if err := ts.Exec(args[0], args[1:]...); err != nil {
+		ts.Logf("%s ended with: %v", args[0], err)
+	}
+}
