--- a/internal/emulator/engine/engine.go
+++ b/internal/emulator/engine/engine.go
@@ -19,6 +19,7 @@
 	crashMarker      = "crash-this-engine" // a prompt with this text ends the process
 	crashExitCode    = 70
 	seenBytesKept    = 8 << 20
+	requestIDHeader  = "X-Request-Id" // echoed, so that a crossed answer can be told
 )
 
 // Options describe one engine.
@@ -97,6 +98,9 @@
 }
 
 func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(requestIDHeader); id != "" {
+		w.Header().Set(requestIDHeader, id)
+	}
 	body, req, err := readRequest(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,6 +117,8 @@
 	elapsed := time.Since(info.start)
 	g.metrics.Requests.WithLabelValues(class, string(o.State)).Inc()
 	g.metrics.Duration.WithLabelValues(class).Observe(elapsed.Seconds())
+	g.metrics.Tokens.WithLabelValues(class, "prompt").Add(float64(o.Tokens.Prompt))
+	g.metrics.Tokens.WithLabelValues(class, "generated").Add(float64(o.Tokens.Generated))
 	fields := logrus.Fields{
 		"event": "request", "class": class, "team": team, "outcome": o.State, "status": o.Status,
 		"ms": elapsed.Milliseconds(), "method": r.Method, "path": loggedPath(r),
--- /dev/null
+++ b/internal/gateway/queue_test.go
@@ -0,0 +1,53 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticscale/masticscale/internal/emulator/fault"
+	"github.com/masticscale/masticscale/internal/service"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+// TestRefusedInQueue fills the only place and the queue. What is refused as not
+// run, at once or when its time runs out, is never sent.
+func TestRefusedInQueue(t *testing.T) {
+	c := qt.New(t)
+	s := newStandIns(c)
+	s.parts.Services["cards"] = service.Spec{Kind: service.Plain, Upstreams: map[string]upstream.Spec{"u0": {Address: s.cardsAt, Slots: 1}}}
+	s.limits.MaxQueuedPerTeam = 1
+	s.limits.RequestTimeoutSeconds = 3
+	s.cards.Faults.Put(fault.Set{Silent: true})
+	at := s.host("h1")
+	replies := make(chan reply, 4)
+	ask := func(number string) {
+		go func() { replies <- s.send("POST", at+"/disputes/a", number) }()
+	}
+	ask("running")
+	for s.executions()["running"] == 0 {
+	}
+	ask("waiting")
+	ask("refused")
+	ask("refused")
+	states := map[int]int{}
+	notRun := 0
+	for range 4 {
+		r := <-replies
+		states[r.status]++
+		if r.execution() == "not_run" {
+			notRun++
+		}
+		if r.status == http.StatusServiceUnavailable {
+			c.Check(r.execution(), qt.Equals, "not_run")
+			c.Check(r.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		}
+	}
+	c.Assert(states, qt.DeepEquals, map[int]int{http.StatusServiceUnavailable: 2, http.StatusGatewayTimeout: 2})
+	ran := 0
+	for _, n := range s.executions() {
+		ran += n
+	}
+	c.Assert(ran+notRun, qt.Equals, 4)
+}
