--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -114,3 +114,26 @@
 		})
 	}
 }
+
+// BenchmarkStreamedEvents relays long streams without a pause between events.
+func BenchmarkStreamedEvents(b *testing.B) {
+	const events = 2000
+	for _, place := range []string{"direct", "host"} {
+		b.Run(place, func(b *testing.B) {
+			c := qt.New(b)
+			f := newFleet(c)
+			target := newHTTP(c, engine.New(engine.Options{Name: "e1", Slots: 1024}).Handler())
+			f.service("m", service.Engine, target)
+			if place == "host" {
+				target = f.host("h1")
+			}
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for b.Loop() {
+				_, err := streamOnce(client, target, f.secret, "2000")
+				c.Assert(err, qt.IsNil)
+			}
+			b.ReportMetric(float64(b.N*events)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
