--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -81,11 +81,14 @@
 	h.Pool.OnFreed(h.Admission.Wake)
 	h.Catalog.OnChange(h.Pool.Apply)
 	h.Catalog.OnChange(func(s *catalog.Snapshot) { h.Metrics.Revision.Set(float64(s.Revision)) })
+	h.Metrics.KnowledgeAge(func() float64 { return h.Catalog.Age(time.Now()).Seconds() })
 	var wg sync.WaitGroup
 	wg.Go(func() { h.Source.Run(ctx) })
+	wg.Go(func() { h.Relay.Run(ctx) })
 	wg.Go(func() { h.Registry.Run(ctx) })
 	wg.Go(func() { h.Rates.Run(ctx) })
 	wg.Go(func() { h.Observer.Run(ctx) })
+	wg.Go(func() { h.Orderer.Run(ctx) })
 	wg.Go(func() { h.Exchange.Run(ctx) })
 	wg.Go(func() { h.Suspects.Run(ctx) })
 	wg.Go(func() { h.Claims.Run(ctx) })
@@ -124,6 +127,7 @@
 func (h *Host) peerServices() http.Handler {
 	return peer.NewHandler(
 		h.Peers.Registration(),
+		h.Catalogs.Registration(),
 		h.RatePeers.Registration(),
 		h.Loads.Registration(),
 	)
@@ -158,7 +162,7 @@
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
 	}
-	if !h.Source.Ready() {
+	if !h.Source.Ready() || !h.Relay.Introduced() {
 		http.Error(w, "configuration has not been read yet", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -14,6 +14,7 @@
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/order/orderer"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
@@ -29,6 +30,7 @@
 	Metrics   *telemetry.Metrics
 	Catalog   *catalog.Catalog
 	Source    *catalog.Source
+	Relay     *catalog.Relay
 	Registry  *membership.Registry
 	Pool      *dispatch.Pool
 	Observer  *dispatch.Observer
@@ -37,10 +39,12 @@
 	Loads     *peer.LoadServer
 	Admission *admission.Controller
 	Runner    *batch.Runner
+	Orderer   *orderer.Orderer
 	Gateway   *gateway.Gateway
 	Claims    *keeper.Keeper
 	Admin     *admin.API
 	Peers     *peer.Server
+	Catalogs  *peer.CatalogServer
 	Client    *platform.Client
 	Engine    *httpengine.Engine
 	PeerCalls *peer.Client
@@ -56,12 +60,41 @@
 	return telemetry.NewLogger(out, s.LogLevel, s.Name)
 }
 
-func newPlatformClient(s config.Host) *platform.Client {
-	return platform.NewClient(s.Platform, s.Name)
+func newPlatformClient(s config.Host, m *telemetry.Metrics) *platform.Client {
+	return platform.NewClient(s.Platform, s.Name,
+		platform.WithDial(m.CountingDial(telemetry.LinkPlatform)), platform.WithObserver(m))
 }
 
-func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) *catalog.Source {
-	return catalog.NewSource(store, c, s.Site, log)
+// orderTargets finds the upstreams of the catalog.
+type orderTargets struct{ catalog *catalog.Catalog }
+
+// Target implements orderer.Targets.
+func (t orderTargets) Target(service, name string) (orderer.Target, bool) {
+	spec, known := t.catalog.Current().Services[service].Upstreams[name]
+	return orderer.Target{Address: spec.Address, ChecksFencing: spec.ChecksFencing}, known
+}
+
+func newOrderTargets(c *catalog.Catalog) orderer.Targets { return orderTargets{c} }
+
+func newPeerClient(m *telemetry.Metrics) *peer.Client {
+	return peer.NewClient(m.CountingDial(telemetry.LinkPeers))
+}
+
+func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) (*catalog.Source, error) {
+	source := catalog.NewSource(store, c, s.Site, log)
+	if s.DataFolder == "" {
+		return source, nil
+	}
+	folder, err := catalog.NewFolder(s.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	source.KeepIn(folder)
+	return source, nil
+}
+
+func newRelay(source *catalog.Source, members membership.Feed, peers catalog.Peers, s config.Host, log logrus.FieldLogger) *catalog.Relay {
+	return catalog.NewRelay(source, members, peers, s.Peers, log)
 }
 
 func newRegistry(store platform.Store, s config.Host, log logrus.FieldLogger) *membership.Registry {
--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -16,6 +16,8 @@
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/order/orderer"
+	"github.com/masticscale/masticscale/internal/order/orderstore"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
@@ -23,6 +25,7 @@
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream"
 	"github.com/masticscale/masticscale/internal/upstream/httpengine"
+	"github.com/masticscale/masticscale/internal/upstream/httporder"
 )
 
 // NewHost builds an entry host from its settings.
@@ -38,7 +41,7 @@
 	newPlatformClient,
 	wire.Bind(new(platform.Store), new(*platform.Client)),
 	wire.Bind(new(platform.HostLister), new(*platform.Client)),
-	catalog.New, newSource,
+	catalog.New, newSource, newRelay, peer.NewCatalogServer,
 	newRegistry, wire.Bind(new(membership.Feed), new(*membership.Registry)),
 	httpengine.New, wire.Bind(new(upstream.Engine), new(*httpengine.Engine)),
 	dispatch.NewPool, dispatch.NewObserver, dispatch.NewDispatcher,
@@ -53,6 +56,10 @@
 	batch.NewRepository, batch.NewService, batch.NewRunner,
 	batch.NewPathExecutor, wire.Bind(new(batch.Executor), new(*batch.PathExecutor)),
 	claimstore.New, keeper.New, gateway.New,
-	peer.NewServer, peer.NewClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)),
+	peer.NewServer, newPeerClient, wire.Bind(new(admin.StatusReader), new(*peer.Client)), wire.Bind(new(catalog.Peers), new(*peer.Client)),
+	wire.Bind(new(admin.Adopter), new(*catalog.Source)), wire.Bind(new(admin.Spreader), new(*catalog.Relay)),
+	orderstore.New, wire.Bind(new(orderer.Repository), new(*orderstore.Store)), newOrderTargets,
+	httporder.New, wire.Bind(new(orderer.Sender), new(*httporder.Sender)),
+	wire.Bind(new(orderer.Prober), new(*peer.Client)), orderer.NewOrderer,
 	operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,16 +14,24 @@
 )
 
 const (
-	leasePoll     = 100 * time.Millisecond
-	retryBackoff  = 250 * time.Millisecond
-	retryMax      = 10 * time.Second
-	commitBackoff = 100 * time.Millisecond
-	commitMax     = time.Second
+	leasePoll      = 100 * time.Millisecond
+	retryBackoff   = 250 * time.Millisecond
+	retryMax       = 10 * time.Second
+	commitBackoff  = 100 * time.Millisecond
+	commitMax      = time.Second
+	releaseTimeout = 2 * time.Second
 )
 
 // errLost means that another host has taken the chunk.
 var errLost = errors.New("the chunk was taken by another host")
 
+// gate is a lock that is held across calls of the platform and waits.
+type gate chan struct{}
+
+func (g gate) lock() { g <- struct{}{} }
+
+func (g gate) unlock() { <-g }
+
 // run is one chunk in the hands of this host.
 type run struct {
 	r     *Runner
@@ -33,15 +42,16 @@
 	stopped chan struct{} // closed by cancel
 	once    sync.Once
 
-	mu      sync.Mutex // guards the claim
+	mu      gate // guards the claim, also while it is written
 	chunk   job.Chunk
 	version job.Version
-	term    int64
+	term    atomic.Int64
 	lost    bool
+	settled bool
 }
 
 func newRun(r *Runner, t task) *run {
-	return &run{r: r, job: t.job, index: t.index, chunk: t.stored.Chunk, version: t.stored.Version, stopped: make(chan struct{})}
+	return &run{r: r, job: t.job, index: t.index, chunk: t.stored.Chunk, version: t.stored.Version, stopped: make(chan struct{}), mu: make(gate, 1)}
 }
 
 // cancel stops the items: none is dispatched any more, and those that run end.
@@ -58,14 +68,15 @@
 
 // do claims the chunk, runs its items and commits their results.
 func (u *run) do(ctx context.Context) {
-	u.mu.Lock()
+	u.mu.lock()
 	err := u.claim(ctx, true)
 	u.trial = u.chunk.Trial
-	u.mu.Unlock()
+	u.mu.unlock()
 	if err != nil {
 		u.logFailure("chunk_not_claimed", err)
 		return
 	}
+	defer u.release(ctx)
 	if u.cancelled() {
 		u.commit(ctx, nil)
 		return
@@ -87,6 +98,24 @@
 	u.commit(ctx, lines)
 }
 
+// release gives an unfinished chunk back when the host stops, so that another
+// host takes it at once and does not count this owner as lost.
+func (u *run) release(ctx context.Context) {
+	if ctx.Err() == nil {
+		return
+	}
+	u.mu.lock()
+	defer u.mu.unlock()
+	if u.settled || u.lost {
+		return
+	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	if _, err := u.r.repo.PutChunk(bounded, u.job.ID, u.index, u.chunk.Release(), u.version); err != nil {
+		u.logFailure("chunk_not_released", err)
+	}
+}
+
 func (u *run) logFailure(event string, err error) {
 	u.r.log.WithError(err).WithFields(logrus.Fields{"event": event, "job": u.job.ID, "chunk": u.index}).Debug("chunk was not done by this host")
 }
@@ -120,7 +149,7 @@
 	if j.State != job.Running {
 		u.cancel()
 	}
-	u.term = term
+	u.term.Store(term)
 	return nil
 }
 
@@ -128,11 +157,11 @@
 // host lease is not confirmed. After a gap in the lease it claims the chunk
 // again, since another host may have had it meanwhile.
 func (u *run) ready(ctx context.Context) error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.mu.lock()
+	defer u.mu.unlock()
 	for ctx.Err() == nil && !u.lost {
 		term, held := u.r.tenure.check()
-		if held && term == u.term {
+		if held && term == u.term.Load() {
 			return ctx.Err()
 		}
 		if held {
@@ -205,8 +234,8 @@
 	if err == nil {
 		err = ctx.Err()
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.mu.lock()
+	defer u.mu.unlock()
 	if u.lost {
 		err = errLost
 	}
@@ -237,7 +266,7 @@
 // runOneByOne runs the items of a chunk that several owners did not survive. It
 // writes which item it runs before it does.
 func (u *run) runOneByOne(ctx context.Context, items []job.Item, lines []job.ResultLine, from int) error {
-	for i := from; i < len(items) && !u.cancelled(); i++ {
+	for i := from; i < len(items) && ctx.Err() == nil; i++ {
 		allowed, err := u.startTrial(ctx, i)
 		if err != nil {
 			return err
@@ -252,8 +281,8 @@
 }
 
 func (u *run) startTrial(ctx context.Context, i int) (bool, error) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.mu.lock()
+	defer u.mu.unlock()
 	trial, allowed := u.chunk.Trial.Start(i)
 	next := u.chunk
 	next.Trial = &trial
@@ -291,8 +320,8 @@
 // still owns it. It goes on through an outage until the chunk is settled. No
 // lines stop the chunk of a cancelled job.
 func (u *run) commit(ctx context.Context, lines []job.ResultLine) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	u.mu.lock()
+	defer u.mu.unlock()
 	var segments []job.Segment
 	if lines != nil {
 		var err error
@@ -313,6 +342,7 @@
 	for written := 0; ctx.Err() == nil; {
 		settled, committed := u.tryCommit(ctx, segments, next, &written)
 		if settled {
+			u.settled = true
 			u.committed(next, committed)
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,7 @@
 	mux.HandleFunc("/v1/", g.unknownPath)
 	mux.HandleFunc("/", g.plain)
 	handler := refuseOddPaths(g, mux)
-	chain := negroni.New(negroni.HandlerFunc(g.identify))
+	chain := negroni.New(negroni.HandlerFunc(g.identify), negroni.HandlerFunc(g.requireKnowledge))
 	chain.UseHandler(handler)
 	return chain
 }
@@ -137,7 +137,7 @@
 
 // fail answers with an error and records the outcome.
 func (g *Gateway) fail(w http.ResponseWriter, r *http.Request, class, team string, err error) {
-	o := outcome.FromError(err)
+	o := outcome.FromError(explainWithdrawn(r.Context(), err))
 	writeError(w, o.Err)
 	g.end(r, class, team, o)
 }
