--- a/internal/scenario/gateway_test.go
+++ b/internal/scenario/gateway_test.go
@@ -19,7 +19,7 @@
 	commands["sigkill"] = cmdKill // testscript has a kill of its own, for its background programs
 	commands["background"] = cmdBackground
 	commands["ended"] = cmdEnded
-	commands["executions"] = cmdExecutions
+	commands["runs"] = cmdRuns
 	commands["atmostonce"] = cmdAtMostOnce
 	commands["answered"] = cmdAnswered
 }
@@ -82,7 +82,7 @@
 	}
 }
 
-func executionsAt(ts *testscript.TestScript, target string) map[string]int {
+func runsAt(ts *testscript.TestScript, target string) map[string]int {
 	resp, err := (&http.Client{Timeout: awaitBound}).Get(target + "/control/executions")
 	ts.Check(err)
 	defer func() { _ = resp.Body.Close() }()
@@ -91,16 +91,16 @@
 	return counts
 }
 
-// cmdExecutions waits until a request has run so often at a stand-in:
-// executions URL NUMBER COUNT
-func cmdExecutions(ts *testscript.TestScript, _ bool, args []string) {
-	usage(ts, len(args) == 3, "executions URL NUMBER COUNT")
+// cmdRuns waits until a request has run so often at a stand-in:
+// runs URL NUMBER COUNT
+func cmdRuns(ts *testscript.TestScript, _ bool, args []string) {
+	usage(ts, len(args) == 3, "runs URL NUMBER COUNT")
 	want, err := strconv.Atoi(args[2])
 	ts.Check(err)
 	deadline := time.Now().Add(awaitBound)
-	for executionsAt(ts, args[0])[args[1]] != want {
+	for runsAt(ts, args[0])[args[1]] != want {
 		if time.Now().After(deadline) {
-			ts.Fatalf("%s has run %d times, want %d", args[1], executionsAt(ts, args[0])[args[1]], want)
+			ts.Fatalf("%s has run %d times, want %d", args[1], runsAt(ts, args[0])[args[1]], want)
 		}
 		time.Sleep(awaitInterval)
 	}
@@ -109,7 +109,7 @@
 // cmdAtMostOnce checks that no request has run twice at a stand-in: atmostonce URL
 func cmdAtMostOnce(ts *testscript.TestScript, _ bool, args []string) {
 	usage(ts, len(args) == 1, "atmostonce URL")
-	for number, count := range executionsAt(ts, args[0]) {
+	for number, count := range runsAt(ts, args[0]) {
 		if count > 1 {
 			ts.Fatalf("%s has run %d times", number, count)
 		}
