--- /dev/null
+++ b/internal/batch/bench_test.go
@@ -0,0 +1,86 @@
+package batch
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/masticscale/masticscale/internal/emulator/objectapi"
+	"github.com/masticscale/masticscale/internal/job"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+// instant is an Executor that answers at once.
+type instant struct{}
+
+func (instant) Execute(_ context.Context, t Task) (job.ResultLine, error) {
+	if err := t.Permit(); err != nil {
+		return job.ResultLine{}, err
+	}
+	return answer(t.Item, 200), nil
+}
+
+const benchItems = 100 * job.MaxPartLines
+
+// benchmarkJob runs one large job through one host, from its submission to its
+// end, and reports items a second.
+func benchmarkJob(b *testing.B, store platform.Store) {
+	members := newFleet("h1")
+	s := NewService(NewRepository(store))
+	text := inputOf(goodIDs(benchItems)...)
+	r := NewRunner(NewRepository(store), store, instant{}, feed{members, "h1"}, testMetrics, quietLog())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	defer func() { cancel(); <-done }()
+	b.ResetTimer()
+	for b.Loop() {
+		f, err := s.Upload(ctx, Upload{Team: "t"}, strings.NewReader(text))
+		if err != nil {
+			b.Fatal(err)
+		}
+		started := time.Now()
+		j, err := s.Submit(ctx, Submission{Team: "t", File: f.ID, Endpoint: endpoints[0]})
+		if err != nil {
+			b.Fatal(err)
+		}
+		for !j.State.Terminal() {
+			time.Sleep(time.Millisecond)
+			if j, _, err = s.repo.Job(ctx, j.ID); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if j.Counts.Completed != benchItems {
+			b.Fatalf("job ended as %+v", j.Counts)
+		}
+		b.ReportMetric(float64(benchItems)/time.Since(started).Seconds(), "items/s")
+	}
+}
+
+func BenchmarkRunnerInMemory(b *testing.B) { benchmarkJob(b, newMemoryStore()) }
+
+func BenchmarkRunnerOverHTTP(b *testing.B) {
+	server := objectapi.New()
+	web := httptest.NewServer(server.Handler())
+	defer web.Close()
+	client := platform.NewClient(web.URL, "bench")
+	defer client.Close()
+	benchmarkJob(b, client)
+}
+
+// BenchmarkUpload measures the checks and packing of a large file.
+func BenchmarkUpload(b *testing.B) {
+	text := inputOf(goodIDs(benchItems)...)
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		s := NewService(NewRepository(newMemoryStore()))
+		if _, err := s.Upload(context.Background(), Upload{Team: "t"}, strings.NewReader(text)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/batch/runner_test.go
+++ b/internal/batch/runner_test.go
@@ -253,11 +253,12 @@
 		const chunks = 40
 		j, err := submit(s, goodIDs(chunks*job.MaxPartLines))
 		c.Assert(err, qt.IsNil)
-		before := store.version
+		before, reads := store.version, store.reads
 		for _, name := range []string{"h1", "h2", "h3"} {
 			defer startHost(store, members, name, e).kill()
 		}
 		c.Assert(waitEnded(c, s, j.ID).Counts.Completed, qt.Equals, chunks*job.MaxPartLines)
+		t.Logf("%d writes and %d reads for %d chunks", store.version-before, store.reads-reads, chunks)
 		// Claim, segment and commit for each chunk, and the end of the job.
 		c.Assert(store.version-before, qt.Equals, int64(3*chunks+1))
 	})
--- /dev/null
+++ b/internal/platform/linearizable_test.go
@@ -0,0 +1,109 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+// registerInput is a create (on 0) or an update of one object.
+type registerInput struct {
+	on int // value that the object must have; zero when it must not exist
+	id int
+}
+
+type registerOutput int
+
+const (
+	wrote registerOutput = iota
+	conflicted
+	unknown
+)
+
+// registerModel is one object that is replaced by compare and set.
+var registerModel = porcupine.Model{
+	Init: func() any { return 0 },
+	Step: func(state, input, output any) (bool, any) {
+		in := input.(registerInput)
+		matches := state.(int) == in.on
+		switch output.(registerOutput) {
+		case wrote:
+			return matches, in.id
+		case conflicted:
+			return !matches, state
+		default:
+			// May have taken effect or not; the caller records it as open-ended.
+			if matches {
+				return true, in.id
+			}
+			return true, state
+		}
+	},
+}
+
+// TestClientIsLinearizable has four clients claim one object by conditional
+// writes, while answers of the platform are lost.
+func TestClientIsLinearizable(t *testing.T) {
+	const clients, writes = 4, 25
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			b := newBench(t)
+			var mu sync.Mutex
+			var operations []porcupine.Operation
+			start := time.Now()
+			var wg sync.WaitGroup
+			for client := range clients {
+				wg.Go(func() {
+					rng := rand.New(rand.NewPCG(seed, uint64(client)))
+					c, loss := b.client(fmt.Sprintf("c%d", client), func() {})
+					for n := range writes {
+						loss.lose = rng.IntN(3)
+						op := claimOnce(c, client*writes+n+1, start)
+						op.ClientId = client
+						mu.Lock()
+						operations = append(operations, op)
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			result := porcupine.CheckOperationsTimeout(registerModel, operations, time.Minute)
+			qt.Assert(t, result, qt.Equals, porcupine.Ok)
+		})
+	}
+}
+
+// claimOnce reads the object and replaces what it read.
+func claimOnce(c *platform.Client, id int, start time.Time) porcupine.Operation {
+	ctx := context.Background()
+	var before value
+	o, err := c.Get(ctx, testKind, testName)
+	if err == nil {
+		_ = o.Decode(&before)
+	}
+	op := porcupine.Operation{Input: registerInput{on: before.ID, id: id}, Call: int64(time.Since(start))}
+	if err == nil {
+		_, err = c.Update(ctx, testKind, testName, o.Version, value{ID: id})
+	} else {
+		_, err = c.Create(ctx, testKind, testName, value{ID: id})
+	}
+	op.Return = int64(time.Since(start))
+	switch {
+	case err == nil:
+		op.Output = wrote
+	case errors.Is(err, platform.ErrConflict):
+		op.Output = conflicted
+	default:
+		op.Output, op.Return = unknown, int64(time.Hour)
+	}
+	return op
+}
