--- a/internal/admin/endpoints.go
+++ b/internal/admin/endpoints.go
@@ -9,6 +9,7 @@
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/job"
+	"github.com/masticscale/masticscale/internal/order"
 	"github.com/masticscale/masticscale/internal/route"
 	"github.com/masticscale/masticscale/internal/service"
 	"github.com/masticscale/masticscale/internal/team"
@@ -37,6 +38,8 @@
 		{"POST", "/keys", "Create a key", nil, CreateKey{}, Key{}, a.createKey},
 		{"POST", "/keys/{id}/withdraw", "Withdraw a key", nil, WithdrawKey{}, Key{}, a.withdrawKey},
 		{"GET", "/jobs", "List the batch jobs of a team, or of all", []string{"team"}, nil, List[job.Job]{}, a.listJobs},
+		{"GET", "/orders", "List the orders to upstreams", nil, nil, List[order.Order]{}, a.listOrders},
+		{"POST", "/orders", "Ask for a state of an upstream", nil, CreateOrder{}, order.Order{}, a.createOrder},
 		{"PUT", "/log-level", "Set the log level of this host", nil, LogLevel{}, LogLevel{}, a.setLogLevel},
 	}
 	all = append(all, teamObjects.endpoints(a, Named[team.Spec]{}, List[Named[team.Spec]]{})...)
--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -15,6 +15,7 @@
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
 	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/order/orderer"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/platform"
 	"github.com/masticscale/masticscale/internal/ratelimit"
@@ -39,6 +40,7 @@
 	Loads     *peer.LoadServer
 	Admission *admission.Controller
 	Runner    *batch.Runner
+	Orderer   *orderer.Orderer
 	Gateway   *gateway.Gateway
 	Claims    *keeper.Keeper
 	Admin     *admin.API
@@ -59,10 +61,22 @@
 	return telemetry.NewLogger(out, s.LogLevel, s.Name)
 }
 
-func newPlatformClient(s config.Host) *platform.Client {
-	return platform.NewClient(s.Platform, s.Name)
+func newPlatformClient(s config.Host, m *telemetry.Metrics) *platform.Client {
+	return platform.NewClient(s.Platform, s.Name,
+		platform.WithDial(m.CountingDial(telemetry.LinkPlatform)), platform.WithObserver(m))
 }
 
+// orderTargets finds the upstreams of the catalog.
+type orderTargets struct{ catalog *catalog.Catalog }
+
+// Target implements orderer.Targets.
+func (t orderTargets) Target(service, name string) (orderer.Target, bool) {
+	spec, known := t.catalog.Current().Services[service].Upstreams[name]
+	return orderer.Target{Address: spec.Address, ChecksFencing: spec.ChecksFencing}, known
+}
+
+func newOrderTargets(c *catalog.Catalog) orderer.Targets { return orderTargets{c} }
+
 func newSource(store platform.Store, c *catalog.Catalog, s config.Host, log logrus.FieldLogger) (*catalog.Source, error) {
 	source := catalog.NewSource(store, c, s.Site, log)
 	if s.DataFolder == "" {
--- a/internal/app/tls.go
+++ b/internal/app/tls.go
@@ -6,6 +6,7 @@
 	"github.com/masticscale/masticscale/internal/certs"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/peer"
+	"github.com/masticscale/masticscale/internal/telemetry"
 )
 
 // publicTLS returns the settings of the listeners for callers and operators,
@@ -30,12 +31,16 @@
 	return certs.NewReloader(certs.Files{Cert: s.TLS.PeerCertFile, Key: s.TLS.PeerKeyFile, CA: s.TLS.PeerCAFile})
 }
 
-func newPeerClient(s config.Host) (*peer.Client, error) {
+func newPeerClient(s config.Host, m *telemetry.Metrics) (*peer.Client, error) {
+	dial := m.CountingDial(telemetry.LinkPeers)
 	files, err := peerTLS(s)
-	if err != nil || files == nil {
-		return peer.NewClient(), err
+	if err != nil {
+		return nil, err
+	}
+	if files == nil {
+		return peer.NewClient(dial), nil
 	}
-	return peer.NewTLSClient(files), nil
+	return peer.NewTLSClient(dial, files), nil
 }
 
 // listenerTLS returns the settings of the three listeners.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,7 @@
 	"github.com/masticscale/masticscale/internal/membership"
 	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
+	"github.com/masticscale/masticscale/internal/telemetry"
 )
 
 const (
@@ -78,28 +79,41 @@
 }
 
 // NewClient returns a client that speaks HTTP/2 without TLS.
-func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: newTransport()}, scheme: "http"}
+func NewClient(dial telemetry.Dial) *Client {
+	return &Client{http: &http.Client{Transport: newTransport(dial)}, scheme: "http"}
 }
 
 // NewTLSClient returns a client that shows a certificate and checks the peer's.
-func NewTLSClient(files *certs.Reloader) *Client {
-	transport := newTransport()
+func NewTLSClient(dial telemetry.Dial, files *certs.Reloader) *Client {
+	transport := newTransport(dial)
 	transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		host, _, err := net.SplitHostPort(address)
-		if err != nil {
-			return nil, err
-		}
-		dialer := tls.Dialer{Config: files.Client(host)}
-		return dialer.DialContext(ctx, network, address)
+		return dialTLS(ctx, dial, files, network, address)
 	}
 	return &Client{http: &http.Client{Transport: transport}, scheme: "https"}
 }
 
-func newTransport() *http.Transport {
+func dialTLS(ctx context.Context, dial telemetry.Dial, files *certs.Reloader, network, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	conn := tls.Client(raw, files.Client(host))
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func newTransport(dial telemetry.Dial) *http.Transport {
 	return &http.Transport{
-		Protocols: Protocols(),
-		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: callTimeout},
+		DialContext: dial,
+		Protocols:   Protocols(),
+		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: callTimeout},
 	}
 }
 
