--- a/internal/admin/endpoints.go
+++ b/internal/admin/endpoints.go
@@ -39,7 +39,7 @@
 		{"POST", "/keys/{id}/withdraw", "Withdraw a key", nil, WithdrawKey{}, Key{}, a.withdrawKey},
 		{"GET", "/jobs", "List the batch jobs of a team, or of all", []string{"team"}, nil, List[job.Job]{}, a.listJobs},
 		{"GET", "/orders", "List the orders to upstreams", nil, nil, List[order.Order]{}, a.listOrders},
-		{"POST", "/orders", "Order a state of an upstream", nil, CreateOrder{}, order.Order{}, a.createOrder},
+		{"POST", "/orders", "Ask for a state of an upstream", nil, CreateOrder{}, order.Order{}, a.createOrder},
 		{"PUT", "/log-level", "Set the log level of this host", nil, LogLevel{}, LogLevel{}, a.setLogLevel},
 	}
 	all = append(all, teamObjects.endpoints(a, Named[team.Spec]{}, List[Named[team.Spec]]{})...)
