Measure the processor time of streams through a host

Change: the capacity experiment sends the same streams through a host and straight to the engine's stand-in, and takes the difference.

--- a/internal/experiment/capacity/capacity.go
+++ b/internal/experiment/capacity/capacity.go
@@ -52,6 +52,11 @@
 		return nil, err
 	}
 	all = append(all, fleets...)
+	streams, err := measureStreams(ctx, o, progress)
+	if err != nil {
+		return nil, errors.Wrap(err, "streams")
+	}
+	all = append(all, streams...)
 	catalogs, err := measureCatalogs(o.Teams, progress)
 	return append(all, catalogs...), err
 }
@@ -135,5 +140,5 @@
 
 // Target returns the sizes that the users expect within two years.
 func Target() map[string]float64 {
-	return map[string]float64{"hosts in the fleet": 380, "teams": 7200}
+	return map[string]float64{"hosts in the fleet": 380, "teams": 7200, "events a second and host": 660_000.0 / 380}
 }
--- /dev/null
+++ b/internal/experiment/capacity/stream.go
@@ -0,0 +1,130 @@
+package capacity
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/config"
+	"github.com/masticscale/masticscale/internal/emulator/engine"
+	"github.com/masticscale/masticscale/internal/key"
+	"github.com/masticscale/masticscale/internal/load"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+const (
+	streamSeconds = 6
+	streamTokens  = 100
+	streamModel   = "model"
+	streamSlots   = 1024
+	streamTeam    = "team"
+	plenty        = 1e6
+)
+
+// streamRates are the requests a second of each size.
+var streamRates = []float64{20, 60, 120}
+
+// measureStreams compares the processor time of the same streams through a host
+// and straight from the engine; the load tool and the engine cost the same in
+// both.
+func measureStreams(ctx context.Context, o Options, progress Progress) ([]Series, error) {
+	f, err := startIdle(ctx, 1, o)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen on loopback")
+	}
+	server := &http.Server{
+		Handler:           engine.New(engine.Options{Name: "e", Slots: streamSlots, Cost: engine.DefaultCost()}).Handler(),
+		ReadHeaderTimeout: readyBound,
+	}
+	go func() { _ = server.Serve(socket) }()
+	defer func() { _ = server.Close() }()
+	engineURL := "http://" + socket.Addr().String()
+	secret, err := f.configureStreams(ctx, engineURL)
+	if err != nil {
+		return nil, err
+	}
+	var points []Point
+	for _, rate := range streamRates {
+		progress("%.0f streams a second of %d events", rate, streamTokens)
+		direct, _, err := streamCost(ctx, engineURL, secret, rate)
+		if err != nil {
+			return nil, err
+		}
+		through, events, err := streamCost(ctx, "http://"+f.hosts[0].Listen, secret, rate)
+		if err != nil {
+			return nil, err
+		}
+		points = append(points, Point{Size: events, Value: through - direct})
+	}
+	return []Series{newSeries("processor time of streams", "% of a core", "events a second and host", points)}, nil
+}
+
+// configureStreams makes the engine and a key known, and waits until the host
+// takes it.
+func (f *idleFleet) configureStreams(ctx context.Context, engineURL string) (string, error) {
+	store := platform.NewClient(f.url, "capacity")
+	defer store.Close()
+	bundle := config.Bundle{Base: map[string]any{"fleet": map[string]any{
+		"teams": map[string]any{streamTeam: map[string]any{"rate": float64(plenty), "burst": float64(plenty)}},
+		"services": map[string]any{"lm": map[string]any{
+			"kind": "engine", "models": []any{streamModel},
+			"upstreams": map[string]any{"e": map[string]any{"address": engineURL, "slots": float64(streamSlots)}},
+		}},
+	}}}
+	if _, err := catalog.Accept(ctx, store, bundle, "capacity", "", -1); err != nil {
+		return "", err
+	}
+	secret := key.NewSecret()
+	if _, err := store.Create(ctx, platform.KindKey, string(key.IDOf(secret)), key.Spec{Team: streamTeam, Created: time.Now()}); err != nil {
+		return "", err
+	}
+	plan := streamPlan("http://"+f.hosts[0].Listen, secret, 1, 1)
+	for deadline := time.Now().Add(readyBound); time.Now().Before(deadline); {
+		r, err := load.Run(ctx, plan, nil)
+		if err != nil {
+			return "", err
+		}
+		if r.Ended(load.Answered) > 0 {
+			return secret, nil
+		}
+	}
+	return "", errors.New("the host does not answer streams")
+}
+
+func streamPlan(target, secret string, rate, seconds float64) load.Plan {
+	return load.Plan{Hosts: []string{target}, Seconds: seconds, Seed: 1, Teams: []load.Team{
+		{Name: streamTeam, Key: secret, Model: streamModel, Rate: rate, MaxTokens: streamTokens},
+	}}
+}
+
+// streamCost returns the processor time of the whole process, in percent of a
+// core, and the events a second.
+func streamCost(ctx context.Context, target, secret string, rate float64) (percent, events float64, err error) {
+	before, err := processorTime()
+	if err != nil {
+		return 0, 0, err
+	}
+	started := time.Now()
+	r, err := load.Run(ctx, streamPlan(target, secret, rate, streamSeconds), nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	after, err := processorTime()
+	if err != nil {
+		return 0, 0, err
+	}
+	if n := r.All.Offered - r.Ended(load.Answered); n > 0 {
+		return 0, 0, errors.Errorf("%d of %d streams were not answered: %v", n, r.All.Offered, r.All.Kinds)
+	}
+	seconds := time.Since(started).Seconds()
+	return 100 * (after - before).Seconds() / seconds, float64(r.All.Events) / seconds, nil
+}
