--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -81,7 +81,7 @@
 	kept, err := g.batches.Upload(r.Context(), batch.Upload{
 		Team: who.team, Filename: file.FileName(), Purpose: batchClass,
 		MaxLines: g.catalog.Current().Limits.MaxItemsPerJob, Confirm: f.finish,
-	}, file)
+	}, guardSecret(file, who.secret))
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/secret.go
+++ b/internal/gateway/secret.go
@@ -93,12 +93,17 @@
 	if !bytes.ContainsRune(body, '\\') {
 		return false
 	}
-	var v any
-	if json.Unmarshal(body, &v) != nil {
-		return false
+	documents := json.NewDecoder(bytes.NewReader(body)) // one, or one a line
+	for {
+		var v any
+		if documents.Decode(&v) != nil {
+			return false
+		}
+		plain, err := json.Marshal(v) // resolves escapes such as \u006d
+		if err == nil && carriesSecret(string(plain), secret) {
+			return true
+		}
 	}
-	plain, err := json.Marshal(v) // resolves escapes such as \u006d
-	return err == nil && carriesSecret(string(plain), secret)
 }
 
 func secretIn(place string) error {
--- /dev/null
+++ b/internal/upstream/httpengine/conn_test.go
@@ -0,0 +1,31 @@
+package httpengine
+
+import (
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestSealedConnection shows the order that a cancelled call can meet: its error
+// is returned, then the transport writes.
+func TestSealedConnection(t *testing.T) {
+	c := qt.New(t)
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	defer func() { _ = far.Close() }()
+	read := make(chan int, 2)
+	go func() {
+		buf := make([]byte, 8)
+		n, _ := far.Read(buf)
+		read <- n
+	}()
+	conn := &guardedConn{Conn: near}
+	var s sending
+	s.use(conn)
+	c.Assert(s.stop(), qt.IsFalse)
+	_, err := conn.Write([]byte("late"))
+	c.Assert(err, qt.ErrorIs, net.ErrClosed)
+	_ = near.Close()
+	c.Assert(<-read, qt.Equals, 0)
+}
