--- a/internal/cli/config_apply.go
+++ b/internal/cli/config_apply.go
@@ -42,9 +42,6 @@
 			if err != nil {
 				return err
 			}
-			if err := bundle.Check(); err != nil {
-				return err
-			}
 			api, err := clientOf(c)
 			if err != nil {
 				return err
@@ -54,7 +51,7 @@
 					return err
 				}
 			}
-			req := admin.ApplyConfig{Bundle: bundle, Author: os.Getenv("USER"), Note: note, Expected: &expected}
+			req := admin.ApplyConfig{Bundle: bundle.WithoutSecrets(), Author: os.Getenv("USER"), Note: note, Expected: &expected}
 			var accepted config.Revision
 			if err := api.call(c.Context(), http.MethodPost, "/admin/v1/config", req, &accepted); err != nil {
 				return err
--- a/internal/cli/load_experiment.go
+++ b/internal/cli/load_experiment.go
@@ -5,7 +5,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/masticscale/masticscale/internal/experiment"
+	"github.com/masticscale/masticscale/internal/experiment/capacity"
 )
 
 func newLoadExperiment() *cobra.Command {
@@ -18,7 +18,7 @@
 }
 
 func newExperimentCapacity() *cobra.Command {
-	options := experiment.DefaultCapacityOptions()
+	options := capacity.DefaultOptions()
 	c := &cobra.Command{
 		Use:   "capacity",
 		Short: "Measure the slopes of docs/CAPACITY.md, in about two minutes",
@@ -29,11 +29,11 @@
 		Args: exactly(),
 		RunE: func(c *cobra.Command, _ []string) error {
 			progress := func(format string, args ...any) { _, _ = fmt.Fprintf(c.ErrOrStderr(), format+"\n", args...) }
-			all, err := experiment.Capacity(c.Context(), options, progress)
+			all, err := capacity.Measure(c.Context(), options, progress)
 			if err != nil {
 				return err
 			}
-			return experiment.WriteMarkdown(c.OutOrStdout(), all, experiment.Target())
+			return capacity.WriteMarkdown(c.OutOrStdout(), all, capacity.Target())
 		},
 	}
 	c.Flags().IntSliceVar(&options.Hosts, "hosts", options.Hosts, "sizes of the fleet")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"github.com/masticscale/masticscale/internal/admin"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/certs"
 	"github.com/masticscale/masticscale/internal/membership"
 	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
@@ -77,12 +80,37 @@
 
 // NewClient returns a client that speaks HTTP/2 without TLS.
 func NewClient(dial telemetry.Dial) *Client {
-	transport := &http.Transport{
+	return &Client{http: &http.Client{Transport: newTransport(dial)}, scheme: "http"}
+}
+
+// NewTLSClient returns a client that shows a certificate and checks the peer's.
+func NewTLSClient(dial telemetry.Dial, files *certs.Reloader) *Client {
+	transport := newTransport(dial)
+	transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secure := tls.Client(conn, files.Client(host))
+		if err := secure.HandshakeContext(ctx); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		return secure, nil
+	}
+	return &Client{http: &http.Client{Transport: transport}, scheme: "https"}
+}
+
+func newTransport(dial telemetry.Dial) *http.Transport {
+	return &http.Transport{
 		DialContext: dial,
 		Protocols:   Protocols(),
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: callTimeout},
 	}
-	return &Client{http: &http.Client{Transport: transport}, scheme: "http"}
 }
 
 // Protocols are the protocols between hosts: HTTP/2, with or without TLS.
