--- a/internal/gateway/flights.go
+++ b/internal/gateway/flights.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/masticscale/masticscale/internal/claim"
@@ -12,6 +13,7 @@
 const (
 	maxFlights     = 4096      // keys remembered by one host
 	maxFlightBytes = 256 << 10 // larger answers are not kept
+	maxKnownBytes  = 32 << 20  // of all kept answers
 )
 
 // flights joins resends of keyed requests that may be repeated: one that comes
@@ -21,6 +23,7 @@
 	mu    sync.Mutex
 	known map[string]*flight
 	order []string
+	bytes int // of all kept answers
 }
 
 // flight is one keyed request.
@@ -40,8 +43,7 @@
 		return known, false
 	}
 	if len(f.order) >= maxFlights {
-		delete(f.known, f.order[0])
-		f.order = f.order[1:]
+		f.forget(f.order[0])
 	}
 	first := &flight{fingerprint: fingerprint, done: make(chan struct{})}
 	f.known[name] = first
@@ -55,19 +57,27 @@
 	defer f.mu.Unlock()
 	first.answer = answer
 	close(first.done)
-	if answer == nil && f.known[name] == first {
-		delete(f.known, name)
+	if f.known[name] != first {
+		return
+	}
+	if answer == nil {
 		f.forget(name)
+		return
+	}
+	f.bytes += len(answer.Body)
+	for f.bytes > maxKnownBytes {
+		f.forget(f.order[0])
 	}
 }
 
+// forget drops a flight; the caller holds mu.
 func (f *flights) forget(name string) {
-	for i, n := range f.order {
-		if n == name {
-			f.order = append(f.order[:i], f.order[i+1:]...)
-			return
-		}
+	if kept := f.known[name].answer; kept != nil {
+		f.bytes -= len(kept.Body)
 	}
+	delete(f.known, name)
+	i := slices.Index(f.order, name)
+	f.order = slices.Delete(f.order, i, i+1)
 }
 
 // wait returns the flight's answer, or nil when it ended without one.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,6 +20,7 @@
 	relayBufferBytes = 32 << 10
 	drainBound       = 100 * time.Millisecond // for the end of a stream after its terminal event
 	drainBytes       = 4 << 10
+	extendInterval   = time.Second
 )
 
 var (
@@ -58,6 +59,8 @@
 	usage   outcome.Usage
 	counted int
 	partial bool // the last piece did not end its line
+
+	extended time.Time // when the caller's write deadline was last moved
 }
 
 // beginStream waits for the first byte of the answer's body. Until then nothing
@@ -100,8 +103,8 @@
 
 // pass writes a line, and flushes at the end of an event.
 func (s *stream) pass(line []byte) error {
+	s.extend()
 	if len(line) > 0 && !s.partial && len(bytes.TrimRight(line, "\r\n")) == 0 {
-		extendWrite(s.w)
 		if _, err := s.w.Write(line); err != nil {
 			return err
 		}
@@ -111,6 +114,16 @@
 	return err
 }
 
+// extend moves the caller's write deadline, at most once an interval.
+func (s *stream) extend() {
+	now := time.Now()
+	if now.Sub(s.extended) < extendInterval {
+		return
+	}
+	s.extended = now
+	extendWrite(s.w)
+}
+
 // observe counts events, reads the usage, and reports the terminal event.
 func (s *stream) observe(line []byte, whole bool) bool {
 	startsLine := !s.partial
