--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -20,8 +20,8 @@
 		func(s dispatch.Status) []any {
 			return []any{s.Service, s.Name, s.Address, s.Slots, s.Online, s.Batch, s.Reported, s.State}
 		})
-	return newNoun("upstream", "List, add, remove and order upstreams", list, newUpstreamAdd(), newUpstreamRemove(),
-		newUpstreamOrder(), newUpstreamOrders())
+	return newNoun("upstream", "List, add and remove upstreams, and give them orders",
+		list, newUpstreamAdd(), newUpstreamRemove(), newUpstreamOrder(), newUpstreamOrders())
 }
 
 func newHost() *cobra.Command {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -87,24 +87,28 @@
 func NewTLSClient(dial telemetry.Dial, files *certs.Reloader) *Client {
 	transport := newTransport(dial)
 	transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		host, _, err := net.SplitHostPort(address)
-		if err != nil {
-			return nil, err
-		}
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		secure := tls.Client(conn, files.Client(host))
-		if err := secure.HandshakeContext(ctx); err != nil {
-			_ = conn.Close()
-			return nil, err
-		}
-		return secure, nil
+		return dialTLS(ctx, dial, files, network, address)
 	}
 	return &Client{http: &http.Client{Transport: transport}, scheme: "https"}
 }
 
+func dialTLS(ctx context.Context, dial telemetry.Dial, files *certs.Reloader, network, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	conn := tls.Client(raw, files.Client(host))
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
 func newTransport(dial telemetry.Dial) *http.Transport {
 	return &http.Transport{
 		DialContext: dial,
