Keep the batch tests within the race detector's count of timers

The race detector aborted (tsan_rtl.cpp, epoch == kEpochLast) in tests that fire more than about 16,000 timers in one bubble of virtual time: the outage test polled for ten minutes, and each run of an item set a timer of zero.

--- a/internal/batch/item.go
+++ b/internal/batch/item.go
@@ -14,6 +14,7 @@
 const (
 	maxItemAttempts = 5  // that may have run and had no answer
 	maxBusyAnswers  = 50 // by which an upstream turned the item away
+	yieldPause      = 100 * time.Millisecond
 )
 
 // tries counts how the runs of one item ended.
@@ -27,7 +28,7 @@
 func (t *tries) next(item job.Item, err error) (*job.ResultLine, time.Duration) {
 	switch {
 	case errors.Is(err, dispatch.ErrYielded):
-		return nil, leasePoll
+		return nil, yieldPause
 	case errors.Is(err, ErrBusy):
 		t.busy++
 	case final(err):
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	leasePoll      = 100 * time.Millisecond
+	leasePoll      = 250 * time.Millisecond
 	retryBackoff   = 250 * time.Millisecond
 	retryMax       = 10 * time.Second
 	commitBackoff  = 100 * time.Millisecond
@@ -307,7 +307,11 @@
 	return job.NewFailure(item.CustomID, job.CodeCondemned, "the hosts that ran this item did not survive it; it is not run again")
 }
 
+// pause waits for a time or until ctx is done.
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
