--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -61,5 +61,5 @@
 	orderstore.New, wire.Bind(new(orderer.Repository), new(*orderstore.Store)), newOrderTargets,
 	httporder.New, wire.Bind(new(orderer.Sender), new(*httporder.Sender)),
 	wire.Bind(new(orderer.Prober), new(*peer.Client)), orderer.NewOrderer,
-	operatorToken, wire.Struct(new(admin.Deps), "*"), admin.New,
+	operatorTokens, wire.Struct(new(admin.Deps), "*"), admin.New,
 )
--- a/internal/experiment/capacity.go
+++ b/internal/experiment/capacity/capacity.go
@@ -1,4 +1,4 @@
-package experiment
+package capacity
 
 import (
 	"context"
@@ -27,25 +27,25 @@
 // Progress is told what an experiment does.
 type Progress func(format string, args ...any)
 
-// CapacityOptions bound the experiment.
-type CapacityOptions struct {
+// Options bound the experiment.
+type Options struct {
 	Hosts   []int         // sizes of the fleet
 	Teams   []int         // sizes of the catalog
 	Observe time.Duration // time that each fleet is observed while idle
 	Log     io.Writer     // of the hosts
 }
 
-// DefaultCapacityOptions take about two minutes.
-func DefaultCapacityOptions() CapacityOptions {
-	return CapacityOptions{
+// DefaultOptions take about two minutes.
+func DefaultOptions() Options {
+	return Options{
 		Hosts: []int{2, 4, 8, 16}, Teams: []int{1000, 3600, 7200}, Observe: 10 * time.Second, Log: io.Discard,
 	}
 }
 
-// Capacity measures the slopes of CAPACITY.md: control traffic, platform calls
+// Measure measures the slopes of CAPACITY.md: control traffic, platform calls
 // and processor time of idle hosts against the size of the fleet, and the
 // memory of the catalog against the number of teams.
-func Capacity(ctx context.Context, o CapacityOptions, progress Progress) ([]Series, error) {
+func Measure(ctx context.Context, o Options, progress Progress) ([]Series, error) {
 	var all []Series
 	fleets, err := measureFleets(ctx, o, progress)
 	if err != nil {
@@ -57,7 +57,7 @@
 }
 
 // measureFleets observes idle fleets of several sizes.
-func measureFleets(ctx context.Context, o CapacityOptions, progress Progress) ([]Series, error) {
+func measureFleets(ctx context.Context, o Options, progress Progress) ([]Series, error) {
 	figures := map[string][]Point{}
 	for _, n := range o.Hosts {
 		progress("%d hosts, idle for %v", n, o.Observe)
--- a/internal/scenario/config_test.go
+++ b/internal/scenario/config_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os/exec"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -29,6 +31,8 @@
 	commands["stream"] = cmdStream
 	commands["streamed"] = cmdStreamed
 	commands["crash"] = cmdKill
+	commands["until"] = cmdUntil
+	commands["exits"] = cmdExits
 }
 
 // background is a watch that runs until the scenario ends.
@@ -40,7 +44,7 @@
 	fell  []string         // hosts whose revision fell
 	seen  map[string]int64 // highest revision by host
 	since time.Time
-	after map[string]int // calls begun after the mark, by host
+	after map[string]int // calls begun after the mark and refused for their key, by host
 	bad   []string       // successes after the mark
 	text  bytes.Buffer   // what a stream has brought
 	ended bool
@@ -188,7 +192,9 @@
 	if b.since.IsZero() || begun.Before(b.since) {
 		return
 	}
-	b.after[target]++
+	if resp.StatusCode == http.StatusUnauthorized {
+		b.after[target]++
+	}
 	if resp.StatusCode == http.StatusOK && !bytes.Contains(answer, []byte("event: error")) {
 		b.bad = append(b.bad, fmt.Sprintf("%s %v after the mark", target, begun.Sub(b.since)))
 	}
@@ -205,8 +211,8 @@
 	b.after = map[string]int{}
 }
 
-// cmdNoSuccess checks that no call begun after the mark succeeded, over some
-// calls to each of the hosts: nosuccess NAME HOSTS
+// cmdNoSuccess checks that no call begun after the mark succeeded, until some
+// calls to each of the hosts were refused for their key: nosuccess NAME HOSTS
 func cmdNoSuccess(ts *testscript.TestScript, _ bool, args []string) {
 	usage(ts, len(args) == 2, "nosuccess NAME HOSTS")
 	b := backgroundOf(ts, args[0])
@@ -273,3 +279,27 @@
 	})
 	_, _ = ts.Stdout().Write(b.text.Bytes())
 }
+
+// cmdUntil runs the program again and again until it succeeds:
+// until ARGUMENT...
+func cmdUntil(ts *testscript.TestScript, _ bool, args []string) {
+	usage(ts, len(args) >= 1, "until ARGUMENT...")
+	await(ts, strings.Join(args, " "), func() bool {
+		return ts.Exec("masticscale", args...) == nil
+	})
+}
+
+// cmdExits runs the program and checks its exit code: exits CODE ARGUMENT...
+func cmdExits(ts *testscript.TestScript, _ bool, args []string) {
+	usage(ts, len(args) >= 2, "exits CODE ARGUMENT...")
+	code := 0
+	var exit *exec.ExitError
+	if err := ts.Exec("masticscale", args[1:]...); errors.As(err, &exit) {
+		code = exit.ExitCode()
+	} else if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	if fmt.Sprint(code) != args[0] {
+		ts.Fatalf("masticscale %s ended with %d, want %s", strings.Join(args[1:], " "), code, args[0])
+	}
+}
