--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -163,44 +164,51 @@
 	return c
 }
 
+// upload sends a file as it is read, so that it is never held whole.
 func (c *callerClient) upload(ctx context.Context, path string) (string, error) {
-	text, err := os.ReadFile(path)
+	file, err := os.Open(path)
 	if err != nil {
 		return "", errors.Wrap(err, "read items")
 	}
-	var body bytes.Buffer
-	form := multipart.NewWriter(&body)
-	if err := form.WriteField("purpose", "batch"); err != nil {
-		return "", err
-	}
-	part, err := form.CreateFormFile("file", filepath.Base(path))
-	if err != nil {
-		return "", err
-	}
-	if _, err := part.Write(text); err != nil {
-		return "", err
-	}
-	if err := form.Close(); err != nil {
-		return "", err
-	}
+	defer func() { _ = file.Close() }()
 	ctx, cancel := context.WithTimeout(ctx, uploadTimeout)
 	defer cancel()
-	resp, err := c.do(ctx, http.MethodPost, "/v1/files", form.FormDataContentType(), &body, nil)
+	body, sink := io.Pipe()
+	defer func() { _ = body.Close() }()
+	form := multipart.NewWriter(sink)
+	go func() { _ = sink.CloseWithError(writeForm(form, filepath.Base(path), file)) }()
+	resp, err := c.do(ctx, http.MethodPost, "/v1/files", form.FormDataContentType(), body, nil)
 	if err != nil {
 		return "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var file struct {
+	var kept struct {
 		ID string `json:"id"`
 	}
-	err = readJSON(resp.Body, &file)
-	return file.ID, err
+	err = readJSON(resp.Body, &kept)
+	return kept.ID, err
+}
+
+func writeForm(form *multipart.Writer, name string, file io.Reader) error {
+	if err := form.WriteField("purpose", "batch"); err != nil {
+		return err
+	}
+	part, err := form.CreateFormFile("file", name)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(part, file); err != nil {
+		return err
+	}
+	return form.Close()
 }
 
 func newJobList() *cobra.Command {
-	return &cobra.Command{
+	var after string
+	var limit int
+	c := &cobra.Command{
 		Use:   "list",
-		Short: "List the team's jobs",
+		Short: "List the team's jobs, newest first",
 		Args:  exactly(),
 		RunE: func(c *cobra.Command, _ []string) error {
 			api, err := callerOf(c)
@@ -208,14 +216,22 @@
 				return err
 			}
 			var list struct {
-				Data []batchView `json:"data"`
+				Data    []batchView `json:"data"`
+				HasMore bool        `json:"has_more"`
+			}
+			query := url.Values{"limit": {strconv.Itoa(limit)}}
+			if after != "" {
+				query.Set("after", after)
 			}
-			if err := api.callJSON(c.Context(), http.MethodGet, "/v1/batches", nil, nil, &list); err != nil {
+			if err := api.callJSON(c.Context(), http.MethodGet, "/v1/batches?"+query.Encode(), nil, nil, &list); err != nil {
 				return err
 			}
 			return printBatches(c, list, list.Data...)
 		},
 	}
+	c.Flags().IntVar(&limit, "limit", 20, "jobs to list, 100 at most")
+	c.Flags().StringVar(&after, "after", "", "id of the last job of the page before")
+	return c
 }
 
 // newJobCommand returns a command that makes one call for one job.
@@ -244,7 +260,7 @@
 }
 
 func newJobCancel() *cobra.Command {
-	return newJobCommand("cancel", "Cancel a job; no further item is started", http.MethodPost, "/cancel")
+	return newJobCommand("cancel", "Cancel a job; once it is cancelled no further item is started", http.MethodPost, "/cancel")
 }
 
 func newJobWait() *cobra.Command {
