--- a/internal/ratelimit/escrow_test.go
+++ b/internal/ratelimit/escrow_test.go
@@ -172,3 +172,26 @@
 		c.Assert(f.take(f.hosts[1]), quicktest.IsNil)
 	})
 }
+
+// A data centre without the platform and the others serves its part, and the
+// others theirs, long after every lease of the lone one has lapsed.
+func TestDataCentreAloneGoesOnServing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		f := newFleet(fleetHosts, team.Spec{Rate: 100, Burst: 100})
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		r := rand.New(rand.NewPCG(5, 6))
+		f.run(load{perSecond: 80, time: settlingTime, place: anyHost}, r)
+		f.cutOff(0, true)
+		time.Sleep(3 * membership.LapseTime)
+		alone := func(_ time.Duration, r *rand.Rand) int { return r.IntN(fleetCentres) * fleetCentres }
+		a := f.run(load{perSecond: 20, time: loadTime, place: alone}, r)
+		t.Logf("alone: %d of %d admitted", a.admitted, a.requests)
+		c.Assert(a.admitted, quicktest.Equals, a.requests)
+		a = f.run(load{perSecond: 40, time: loadTime, place: outside(0)}, r)
+		t.Logf("the others: %d of %d admitted", a.admitted, a.requests)
+		c.Assert(a.admitted, quicktest.Equals, a.requests)
+		c.Assert(f.excess, quicktest.Equals, 0.0)
+	})
+}
--- a/internal/ratelimit/verdict.go
+++ b/internal/ratelimit/verdict.go
@@ -6,6 +6,10 @@
 	"github.com/masticscale/masticscale/internal/membership"
 )
 
+// reclaimTime is how long others wait before they take a reserved part over. It
+// is longer than ReserveTime by more than two clocks can drift apart meanwhile.
+const reclaimTime = ReserveTime + ReserveTime*4*MaxClockDrift
+
 // VerdictOf says which part of a holder's share is out of use, from what the
 // membership knows of its host lease.
 //
@@ -20,7 +24,7 @@
 		return Gone
 	case l.Resigned:
 		return Alive
-	case l.For >= ReserveTime:
+	case l.For >= reclaimTime:
 		return Gone
 	default:
 		return Lapsed
