--- a/internal/ratelimit/verdict.go
+++ b/internal/ratelimit/verdict.go
@@ -8,7 +8,7 @@
 
 // reclaimTime is how long others wait before they take a reserved part over. It
 // is longer than ReserveTime by more than two clocks can drift apart meanwhile.
-const reclaimTime = ReserveTime + ReserveTime*4*MaxClockDrift
+const reclaimTime = ReserveTime + ReserveTime/500
 
 // VerdictOf says which part of a holder's share is out of use, from what the
 // membership knows of its host lease.
