--- a/internal/experiment/catalog.go
+++ b/internal/experiment/capacity/catalog.go
@@ -1,4 +1,4 @@
-package experiment
+package capacity
 
 import (
 	"fmt"
