--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,6 +15,8 @@
 	maxAttempts    = 3
 	firstByteBound = 30 * time.Second
 	probeBound     = 2 * time.Second
+	retryInterval  = 50 * time.Millisecond
+	retryWait      = 2 * time.Second
 )
 
 // ErrYielded is what reading a batch answer returns after its place was given
@@ -90,7 +92,7 @@
 		case died:
 			return d.runAlone(ctx, r, place.settle)
 		}
-		next, ok := d.pool.Reserve(Need{Service: r.Service, Class: r.Class, Avoid: r.avoid})
+		next, ok := d.reserveAgain(ctx, r)
 		if !ok {
 			place.Settle(0)
 			return nil, failure
@@ -100,6 +102,20 @@
 	}
 }
 
+// reserveAgain finds a place for another attempt. It waits for one only while an
+// upstream may become free.
+func (d *Dispatcher) reserveAgain(ctx context.Context, r *run) (*Place, bool) {
+	for waited := time.Duration(0); ; waited += retryInterval {
+		place, ok := d.pool.Reserve(Need{Service: r.Service, Class: r.Class, Avoid: r.avoid})
+		if ok || waited >= retryWait || !d.pool.Availability(r.Service).Usable {
+			return place, ok
+		}
+		if !sleep(ctx, retryInterval) {
+			return nil, false
+		}
+	}
+}
+
 // mayRepeat reports whether another attempt does no harm and is affordable.
 func (d *Dispatcher) mayRepeat(ctx context.Context, r *run, failure *apierr.Error, attempt int) bool {
 	if ctx.Err() != nil || attempt >= maxAttempts {
