--- a/internal/app/tls.go
+++ b/internal/app/tls.go
@@ -34,8 +34,11 @@
 func newPeerClient(s config.Host, m *telemetry.Metrics) (*peer.Client, error) {
 	dial := m.CountingDial(telemetry.LinkPeers)
 	files, err := peerTLS(s)
-	if err != nil || files == nil {
-		return peer.NewClient(dial), err
+	if err != nil {
+		return nil, err
+	}
+	if files == nil {
+		return peer.NewClient(dial), nil
 	}
 	return peer.NewTLSClient(dial, files), nil
 }
