Give each TLS server settings of its own

Cause: the servers for callers and operators shared one tls.Config, which each of them changes when it begins to serve; the race detector saw it in TestScenarios/tls_hosts (exit status 66 of a host). Change: each server gets a copy.

--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -154,7 +154,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           handler,
-		TLSConfig:         secure,
+		TLSConfig:         secure.Clone(), // a server changes its settings
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -33,6 +33,9 @@
 		return
 	}
 	s.Required = nil
+	if len(s.Types) > 0 { // lists, which Go could hold as nil
+		s.Type, s.Types = s.Types[len(s.Types)-1], nil
+	}
 	for _, property := range s.Properties {
 		relax(property)
 	}
