--- a/internal/experiment/fit.go
+++ b/internal/experiment/capacity/fit.go
@@ -1,6 +1,6 @@
-// Package experiment measures what decides the design: the slopes from which
-// the costs at the target size are worked out.
-package experiment
+// Package capacity measures the slopes from which docs/CAPACITY.md works out
+// the costs at the target size.
+package capacity
 
 import (
 	"math"
