Fill the batch ring before the queue drains it

Cause: TestBatchWaitersLeaveRoomForOnline passed on one shared ring too, since the queue drained the ring while the test filled it. Replaced by one that fills it first; with one ring it fails as overloaded.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -94,15 +94,23 @@
 
 func TestBatchWaitersLeaveRoomForOnline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, 4)
+		c := qt.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		q, err := b.queueOf(testService)
-		b.c.Assert(err, qt.IsNil)
+		q := newQueue(testService, newPool(4))
+		// The queue's goroutine has not come to its rings yet.
 		for range cap(q.rings[dispatch.Batch]) {
 			q.rings[dispatch.Batch] <- newWaiter(ctx, request("q", dispatch.Batch))
 		}
-		b.now(request("a", dispatch.Online)).Release(false)
+		admitted := make(chan error, 1)
+		go func() {
+			_, err := q.admit(ctx, request("a", dispatch.Online))
+			admitted <- err
+		}()
+		synctest.Wait()
+		go q.run(ctx)
+		c.Assert(<-admitted, qt.IsNil)
+		cancel()
+		<-q.done
 	})
 }
 
