Correct the fair queue by the tokens that batch items used

Cause: the batch executor ended its answers without the tokens that they report, so that fairness among teams' batch work rested on the estimate alone. The word 'kill' of the scenarios was hidden by testscript's own, and stood twice more under other names. Change: one reader of reported tokens serves the gateway and the executor; the scenario word is 'crash' everywhere.

--- a/internal/batch/executor.go
+++ b/internal/batch/executor.go
@@ -14,6 +14,7 @@
 	"github.com/masticscale/masticscale/internal/catalog"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/job"
+	"github.com/masticscale/masticscale/internal/outcome"
 	"github.com/masticscale/masticscale/internal/serving"
 	"github.com/masticscale/masticscale/internal/upstream"
 )
@@ -77,7 +78,7 @@
 		return job.ResultLine{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	answer.End(dispatch.Ending{Failed: err != nil})
+	answer.End(dispatch.Ending{Failed: err != nil, Usage: outcome.ReadUsage(body)})
 	if err != nil {
 		return job.ResultLine{}, apierr.New(apierr.UpstreamError, "the upstream's answer broke off", "").MayHaveRun().WithCause(err)
 	}
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -177,7 +177,7 @@
 	if err != nil {
 		return undelivered(ctx, answer, err)
 	}
-	usage := usageIn(a.body)
+	usage := outcome.ReadUsage(a.body)
 	answer.End(dispatch.Ending{Usage: usage})
 	markWhole(w, true)
 	a.write(w, http.MethodPost)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -144,23 +144,11 @@
 }
 
 func (s *stream) readUsage(data []byte) {
-	if u := usageIn(data); u.Total() > 0 {
+	if u := outcome.ReadUsage(data); u.Total() > 0 {
 		s.usage = u
 	}
 }
 
-// usageIn reads the tokens that an answer or a chunk reports.
-func usageIn(data []byte) outcome.Usage {
-	var chunk struct {
-		Usage struct {
-			Prompt    int `json:"prompt_tokens"`
-			Generated int `json:"completion_tokens"`
-		} `json:"usage"`
-	}
-	_ = json.Unmarshal(data, &chunk)
-	return outcome.Usage{Prompt: max(chunk.Usage.Prompt, 0), Generated: max(chunk.Usage.Generated, 0)}
-}
-
 func (s *stream) end(failed bool) outcome.Usage {
 	u := s.usage
 	if u.Total() == 0 {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -5,7 +5,11 @@
 // or carry the upstream's own answer.
 package outcome
 
-import "github.com/masticscale/masticscale/internal/apierr"
+import (
+	"encoding/json"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+)
 
 // State is the way in which a request ended.
 type State string
@@ -40,6 +44,19 @@
 // Total returns all tokens.
 func (u Usage) Total() int { return u.Prompt + u.Generated }
 
+// ReadUsage reads the tokens that an answer, or one event of a stream, reports
+// in the form of the OpenAI API. It returns the zero value where it reports none.
+func ReadUsage(data []byte) Usage {
+	var body struct {
+		Usage struct {
+			Prompt    int `json:"prompt_tokens"`
+			Generated int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	_ = json.Unmarshal(data, &body)
+	return Usage{Prompt: max(body.Usage.Prompt, 0), Generated: max(body.Usage.Generated, 0)}
+}
+
 // FromError returns the outcome of a request that ended with err before any
 // byte of an answer was delivered.
 func FromError(err error) Outcome {
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -30,7 +30,7 @@
 var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"start":        cmdStart,
 	"shutdown":     cmdShutdown,
-	"kill":         cmdKill,
+	"crash":        cmdCrash, // testscript has a kill of its own
 	"freeze":       func(ts *testscript.TestScript, _ bool, a []string) { sendSignal(ts, a, syscall.SIGSTOP) },
 	"thaw":         func(ts *testscript.TestScript, _ bool, a []string) { sendSignal(ts, a, syscall.SIGCONT) },
 	"attempt":      cmdAttempt,
@@ -93,8 +93,8 @@
 	}
 }
 
-// cmdKill kills processes: kill NAME...
-func cmdKill(ts *testscript.TestScript, _ bool, args []string) {
+// cmdCrash kills processes: crash NAME...
+func cmdCrash(ts *testscript.TestScript, _ bool, args []string) {
 	sendSignal(ts, args, syscall.SIGKILL)
 	for _, name := range args {
 		_ = processesOf(ts).await(ts, name)
@@ -102,7 +102,7 @@
 }
 
 func sendSignal(ts *testscript.TestScript, names []string, s syscall.Signal) {
-	usage(ts, len(names) >= 1, "kill|freeze|thaw NAME...")
+	usage(ts, len(names) >= 1, "crash|freeze|thaw NAME...")
 	for _, name := range names {
 		processesOf(ts).signal(ts, name, s)
 	}
--- a/internal/scenario/config_test.go
+++ b/internal/scenario/config_test.go
@@ -30,7 +30,6 @@
 	commands["nosuccess"] = cmdNoSuccess
 	commands["stream"] = cmdStream
 	commands["streamed"] = cmdStreamed
-	commands["crash"] = cmdKill
 	commands["until"] = cmdUntil
 	commands["exits"] = cmdExits
 }
--- a/internal/scenario/gateway_test.go
+++ b/internal/scenario/gateway_test.go
@@ -16,7 +16,6 @@
 )
 
 func init() {
-	commands["sigkill"] = cmdKill // testscript has a kill of its own, for its background programs
 	commands["background"] = cmdBackground
 	commands["ended"] = cmdEnded
 	commands["runs"] = cmdRuns
