--- a/internal/experiment/capacity/catalog.go
+++ b/internal/experiment/capacity/catalog.go
@@ -1,10 +1,13 @@
 package capacity
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/masticscale/masticscale/internal/catalog"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/key"
@@ -22,7 +25,7 @@
 
 // measureCatalogs builds catalogs of several sizes.
 func measureCatalogs(sizes []int, progress Progress) ([]Series, error) {
-	var memory, rebuild []Point
+	var memory, rebuild, revision []Point
 	for _, teams := range sizes {
 		progress("a catalog of %d teams and %d keys", teams, teams*keysPerTeam)
 		before := heapBytes()
@@ -30,16 +33,34 @@
 		size := float64(teams)
 		memory = append(memory, Point{size, (heapBytes() - before) / megabyte})
 		rebuild = append(rebuild, Point{size, rebuildTime(c).Seconds() * 1000})
+		text, err := json.Marshal(config.Document{Fleet: buildFleet(teams)})
+		if err != nil {
+			return nil, errors.Wrap(err, "encode configuration")
+		}
+		revision = append(revision, Point{size, float64(len(text)) / 1024})
 		runtime.KeepAlive(c)
 	}
 	return []Series{
 		newSeries("catalog memory", "MB", "teams", memory),
+		newSeries("configuration, as JSON", "KiB", "teams", revision),
 		newSeries("processor time of one key change", "ms", "teams", rebuild),
 	}, nil
 }
 
 func buildCatalog(teams int) *catalog.Catalog {
 	c := catalog.New()
+	c.Adopt(1, buildFleet(teams))
+	c.Change(func(p *catalog.Parts) {
+		for i := range teams * keysPerTeam {
+			id := key.IDOf(fmt.Sprintf("secret-%d", i))
+			p.Keys[id] = key.Spec{Team: fmt.Sprintf("team-%05d", i%teams), Created: time.Unix(0, 0)}
+		}
+	})
+	return c
+}
+
+// buildFleet returns a configuration of the target's services and workers.
+func buildFleet(teams int) config.Fleet {
 	fleet := config.Fleet{Teams: map[string]team.Spec{}, Services: map[string]service.Spec{}}
 	for i := range teams {
 		fleet.Teams[fmt.Sprintf("team-%05d", i)] = team.Spec{Rate: 10, Burst: 20}
@@ -51,14 +72,7 @@
 		}
 		fleet.Services[fmt.Sprintf("service-%d", i)] = spec
 	}
-	c.Adopt(1, fleet)
-	c.Change(func(p *catalog.Parts) {
-		for i := range teams * keysPerTeam {
-			id := key.IDOf(fmt.Sprintf("secret-%d", i))
-			p.Keys[id] = key.Spec{Team: fmt.Sprintf("team-%05d", i%teams), Created: time.Unix(0, 0)}
-		}
-	})
-	return c
+	return fleet
 }
 
 // rebuildTime returns the processor time of one change of a key.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,7 +81,10 @@
 	ctx, span := telemetry.Tracer().Start(ctx, "gateway")
 	defer span.End()
 	info := &requestInfo{id: "req_" + strings.ReplaceAll(uuid.NewString(), "-", ""), start: time.Now()}
-	info.log = g.log.WithFields(logrus.Fields{"request": info.id, "trace": span.SpanContext().TraceID().String()})
+	info.log = g.log.WithField("request", info.id)
+	if trace := span.SpanContext(); trace.HasTraceID() {
+		info.log = info.log.WithField("trace", trace.TraceID().String())
+	}
 	w.Header().Set("X-Request-Id", info.id)
 	next(w, r.WithContext(context.WithValue(ctx, infoKey{}, info)))
 }
--- a/internal/order/orderer/orderer.go
+++ b/internal/order/orderer/orderer.go
@@ -23,6 +23,9 @@
 	scanInterval = time.Second
 	sendTimeout  = 30 * time.Second
 	maxAtOnce    = 16
+	// scanners are the hosts that look for orders, so that the platform's reads
+	// do not grow with the fleet. More than one, since one can be cut off.
+	scanners = 3
 )
 
 // ErrStale is what an upstream answers to an order with an old fencing number.
@@ -116,9 +119,21 @@
 	}
 }
 
+// isScanner reports whether this host is one of the first live hosts by name.
+func (o *Orderer) isScanner() bool {
+	members := o.members.Members()
+	name := o.members.Self().Name
+	for _, m := range members[:min(scanners, len(members))] {
+		if m.Name == name {
+			return true
+		}
+	}
+	return len(members) == 0
+}
+
 // scan starts the orders that are due and that no other host gives.
 func (o *Orderer) scan(ctx context.Context, slots chan struct{}, wg *sync.WaitGroup) {
-	if !o.members.Owns() {
+	if !o.members.Owns() || !o.isScanner() {
 		return
 	}
 	all, err := o.repo.Orders(ctx)
