Name what is known of holders, attempts and claims in the field's terms

Cause: four packages spoke of verdicts and judges, and the list of known peers was a 'book'; a newcomer looks for states and decisions. Change: HolderState, attemptState, claim.Decision and peerList; no behaviour. Conclusion: tests of the four packages pass.

--- a/internal/catalog/book.go
+++ b/internal/catalog/peerlist.go
@@ -13,9 +13,9 @@
 // failurePause is the time for which a peer that did not answer is left alone.
 const failurePause = 5 * time.Second
 
-// book holds the addresses of all hosts that were ever seen, since the members
+// peerList holds the addresses of all hosts that were ever seen, since the members
 // that the platform names run out when it cannot be reached.
-type book struct {
+type peerList struct {
 	seeds []string
 
 	mu     sync.Mutex
@@ -23,12 +23,12 @@
 	paused map[string]time.Time       // by address
 }
 
-func newBook(seeds []string) *book {
-	return &book{seeds: seeds, hosts: map[string]membership.Host{}, paused: map[string]time.Time{}}
+func newPeerList(seeds []string) *peerList {
+	return &peerList{seeds: seeds, hosts: map[string]membership.Host{}, paused: map[string]time.Time{}}
 }
 
 // add notes a host; one that has stopped is forgotten.
-func (b *book) add(h membership.Host) {
+func (b *peerList) add(h membership.Host) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if h.State == membership.Gone {
@@ -38,14 +38,14 @@
 	b.hosts[h.Name] = h
 }
 
-func (b *book) failed(address string, at time.Time) {
+func (b *peerList) failed(address string, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.paused[address] = at.Add(failurePause)
 }
 
 // all returns the hosts in name order.
-func (b *book) all() []membership.Host {
+func (b *peerList) all() []membership.Host {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	hosts := make([]membership.Host, 0, len(b.hosts))
@@ -57,7 +57,7 @@
 }
 
 // pick returns up to n addresses of peers, chosen at random.
-func (b *book) pick(n int, self membership.Host, now time.Time) []string {
+func (b *peerList) pick(n int, self membership.Host, now time.Time) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var candidates []string
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -42,7 +42,7 @@
 	members membership.Feed
 	peers   Peers
 	log     logrus.FieldLogger
-	book    *book
+	known   *peerList
 
 	kick       chan struct{}
 	hints      chan hint
@@ -68,7 +68,7 @@
 // the platform has not named any.
 func NewRelay(s *Source, members membership.Feed, peers Peers, seeds []string, log logrus.FieldLogger) *Relay {
 	r := &Relay{
-		source: s, catalog: s.catalog, members: members, peers: peers, log: log, book: newBook(seeds),
+		source: s, catalog: s.catalog, members: members, peers: peers, log: log, known: newPeerList(seeds),
 		kick: make(chan struct{}, 1), hints: make(chan hint, hintsKept),
 	}
 	r.catalog.OnWithdraw(r.learned)
@@ -172,13 +172,13 @@
 	members := r.members.Members()
 	r.source.fleetSize.Store(int64(len(members)))
 	for _, m := range members {
-		r.book.add(m)
+		r.known.add(m)
 	}
 }
 
 // round exchanges digests with up to n peers chosen at random.
 func (r *Relay) round(ctx context.Context, n int) {
-	addresses := r.book.pick(n, r.members.Self(), time.Now())
+	addresses := r.known.pick(n, r.members.Self(), time.Now())
 	var wg sync.WaitGroup
 	for _, address := range addresses {
 		wg.Go(func() { r.exchange(ctx, address) })
@@ -192,7 +192,7 @@
 	defer cancel()
 	d, err := r.peers.CompareCatalogs(bounded, address, r.Digest())
 	if err != nil {
-		r.book.failed(address, sent)
+		r.known.failed(address, sent)
 		return
 	}
 	r.learn(ctx, address, d, sent)
@@ -324,13 +324,13 @@
 	defer cancel()
 	objects, _, err := r.source.store.List(bounded, platform.KindHost, "")
 	if err != nil {
-		return r.book.all()
+		return r.known.all()
 	}
 	for _, o := range objects {
 		var h membership.Host
 		if o.Decode(&h) == nil {
-			r.book.add(h)
+			r.known.add(h)
 		}
 	}
-	return r.book.all()
+	return r.known.all()
 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -59,23 +59,23 @@
 	return now.Sub(c.Created) > retention
 }
 
-// Verdict says what a later request under the same key may do.
-type Verdict int
+// Decision says what a later request under the same key may do.
+type Decision int
 
-// The verdicts.
+// The decisions.
 const (
-	Run      Verdict = iota // take the claim over and run
-	Replay                  // give the kept answer
-	Omitted                 // it ran; the answer was not kept
-	Busy                    // the first one is running
-	Lost                    // it was sent or may have been, and nobody waits for its answer
-	Mismatch                // the key stands for other content
+	Run      Decision = iota // take the claim over and run
+	Replay                   // give the kept answer
+	Omitted                  // it ran; the answer was not kept
+	Busy                     // the first one is running
+	Lost                     // it was sent or may have been, and nobody waits for its answer
+	Mismatch                 // the key stands for other content
 )
 
-// Judge returns the verdict for a request with the fingerprint. Gone says that
+// Decide returns the decision on a request with the fingerprint. Gone says that
 // nobody works on the claim's attempt any more; unsent that the attempt is known
 // never to have been sent.
-func (c Claim) Judge(fingerprint string, gone, unsent bool) Verdict {
+func (c Claim) Decide(fingerprint string, gone, unsent bool) Decision {
 	switch {
 	case c.State == Released, c.State == Running && unsent:
 		return Run
--- a/internal/claim/keeper/keeper.go
+++ b/internal/claim/keeper/keeper.go
@@ -101,9 +101,9 @@
 		if err != nil {
 			return nil, platformDown(err)
 		}
-		verdict := found.Judge(t.claim.Fingerprint, gone, k.phaseOf(found.Attempt) == unsent)
-		if verdict != claim.Run {
-			return answerOf(verdict, found.Claim)
+		decision := found.Decide(t.claim.Fingerprint, gone, k.phaseOf(found.Attempt) == unsent)
+		if decision != claim.Run {
+			return answerOf(decision, found.Claim)
 		}
 		t.version, err = k.repo.Update(ctx, t.name, found.Version, t.claim)
 		if err == nil {
@@ -193,7 +193,7 @@
 	return k.attempts[attempt]
 }
 
-func answerOf(v claim.Verdict, c claim.Claim) (*claim.Answer, error) {
+func answerOf(v claim.Decision, c claim.Claim) (*claim.Answer, error) {
 	switch v {
 	case claim.Replay:
 		return c.Answer, nil
--- a/internal/platform/history.go
+++ b/internal/platform/history.go
@@ -58,19 +58,19 @@
 	return r.writers
 }
 
-// verdict is what an object's history tells of an attempt.
-type verdict int
+// attemptState is what an object's history tells of an attempt.
+type attemptState int
 
 const (
-	undecided  verdict = iota // the object is as it was before the attempt
-	applied                   // the attempt took effect
-	superseded                // another attempt took the place that this one needed
-	untold                    // the history does not reach back far enough
+	undecided  attemptState = iota // the object is as it was before the attempt
+	applied                        // the attempt took effect
+	superseded                     // another attempt took the place that this one needed
+	untold                         // the history does not reach back far enough
 )
 
-// judge reads the history of the object at version for an attempt that was
+// attemptStateOf reads the history of the object at version for an attempt that was
 // made on version on, and returns the version that the attempt made.
-func judge(version int64, writers []writer, attempt string, on int64) (verdict, int64) {
+func attemptStateOf(version int64, writers []writer, attempt string, on int64) (attemptState, int64) {
 	made := version
 	for _, w := range writers {
 		if w.Attempt == attempt {
--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -84,8 +84,8 @@
 	if err != nil {
 		return false, Object{}, nil
 	}
-	verdict, version := judge(o.Version, writers, a.id, a.version)
-	switch verdict {
+	state, version := attemptStateOf(o.Version, writers, a.id, a.version)
+	switch state {
 	case applied:
 		return true, c.written(a, version), nil
 	case superseded:
@@ -134,7 +134,7 @@
 	if err != nil || o.Version == a.version {
 		return false, nil
 	}
-	if verdict, _ := judge(o.Version, writers, a.id, a.version); verdict == superseded {
+	if state, _ := attemptStateOf(o.Version, writers, a.id, a.version); state == superseded {
 		return true, errors.Wrapf(ErrConflict, "delete %s", a)
 	}
 	if reachesCreation(writers) {
--- a/internal/ratelimit/history_test.go
+++ b/internal/ratelimit/history_test.go
@@ -221,7 +221,7 @@
 		h.splitBySight()
 		return
 	}
-	in := Intent{Wanted: true, Leaving: h.leaving, Verdict: h.verdict}
+	in := Intent{Wanted: true, Leaving: h.leaving, State: h.holderState}
 	if h.clock().Sub(h.written) > time.Second {
 		h.member.Abandon(h.plan, h.lease, h.clock())
 	}
--- a/internal/ratelimit/verdict.go
+++ b/internal/ratelimit/holderstate.go
@@ -10,13 +10,13 @@
 // is longer than ReserveTime by more than two clocks can drift apart meanwhile.
 const reclaimTime = ReserveTime + ReserveTime/500
 
-// VerdictOf says which part of a holder's share is out of use, from what the
+// HolderStateOf says which part of a holder's share is out of use, from what the
 // membership knows of its host lease.
 //
 // A host that resigned has stopped taking requests and lends nothing; its last
 // transfers expire within TransferHold. A host that fell silent uses its
 // reserved part for ReserveTime at most.
-func VerdictOf(l membership.Lapse) Verdict {
+func HolderStateOf(l membership.Lapse) HolderState {
 	switch {
 	case !l.Lapsed:
 		return Alive
@@ -31,10 +31,10 @@
 	}
 }
 
-// PastVerdict says what is out of use of a share that an earlier incarnation at
+// EarlierProcessState says what is out of use of a share that an earlier incarnation at
 // this host's own address holds. That process has ended, since this one listens
 // where it did; its last transfers expire within TransferHold.
-func PastVerdict(sinceStart time.Duration) Verdict {
+func EarlierProcessState(sinceStart time.Duration) HolderState {
 	if sinceStart < TransferHold {
 		return Alive
 	}
--- a/internal/ratelimit/keep.go
+++ b/internal/ratelimit/keep.go
@@ -121,14 +121,14 @@
 		t.mu.Lock()
 		share, _ := t.member.Share()
 		t.mu.Unlock()
-		verdicts := e.judge(ctx, share)
+		states := e.holderStates(ctx, share)
 		l := e.lease()
 		t.mu.Lock()
 		now := time.Now()
 		_, base := t.member.Share()
 		p, changed := t.member.Prepare(Intent{
 			Wanted: now.Sub(t.wanted) < wantedTime, Leaving: leaving,
-			Verdict: func(h Holder) Verdict { return verdicts[h] },
+			State: func(h Holder) HolderState { return states[h] },
 		}, l, now)
 		t.mu.Unlock()
 		if !changed {
@@ -140,24 +140,24 @@
 	}
 }
 
-// judge finds out which holders are out of use. The verdict on a holder whose
+// holderStates finds out which holders are out of use. The state of a holder whose
 // entry has changed meanwhile is not used.
-func (e *Escrow) judge(ctx context.Context, s Share) map[Holder]Verdict {
-	verdicts := map[Holder]Verdict{}
+func (e *Escrow) holderStates(ctx context.Context, s Share) map[Holder]HolderState {
+	states := map[Holder]HolderState{}
 	for _, h := range s.Holders {
 		switch {
 		case h.Incarnation == e.self.Incarnation:
 		case h.Host == e.self.Host && h.Address == e.self.Address:
-			verdicts[h] = PastVerdict(time.Since(e.started))
+			states[h] = EarlierProcessState(time.Since(e.started))
 		case e.members.Lapsed(h.Owner()):
 			lapse, err := e.members.Confirm(ctx, h.Owner())
 			if err != nil {
 				lapse = membership.Lapse{}
 			}
-			verdicts[h] = VerdictOf(lapse)
+			states[h] = HolderStateOf(lapse)
 		}
 	}
-	return verdicts
+	return states
 }
 
 // write sends a planned change. It returns false after a conflict, when the
--- a/internal/ratelimit/member.go
+++ b/internal/ratelimit/member.go
@@ -66,7 +66,7 @@
 type Intent struct {
 	Wanted  bool // callers of the team come to this host
 	Leaving bool
-	Verdict func(Holder) Verdict
+	State   func(Holder) HolderState
 }
 
 // Prepare plans the next write of the share object. It must be sent with the
@@ -90,7 +90,7 @@
 	self := m.self
 	self.Epoch = l.Epoch
 	p := before.Plan(View{
-		Self: self, Wanted: in.Wanted, Leaving: in.Leaving, Burst: h.burst, Verdict: in.Verdict,
+		Self: self, Wanted: in.Wanted, Leaving: in.Leaving, Burst: h.burst, State: in.State,
 		Limit: h.limit, Aside: h.Aside(now), Outstanding: h.Outstanding(), unchecked: h.variant.uncheckedShrink,
 	})
 	if p.Changed {
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -51,14 +51,14 @@
 // NewShare returns the share of a team that has never had one.
 func NewShare(burst float64) Share { return Share{Pool: burst} }
 
-// Verdict is what is known of a holder.
-type Verdict int
+// HolderState is what is known of a holder.
+type HolderState int
 
-// The verdicts. Each is final for the holder's epoch and incarnation.
+// The states of a holder. Each is final for the holder's epoch and incarnation.
 const (
-	Alive  Verdict = iota
-	Lapsed         // the leased part is not in use any more
-	Gone           // no part is in use any more, transfers included
+	Alive  HolderState = iota
+	Lapsed             // the leased part is not in use any more
+	Gone               // no part is in use any more, transfers included
 )
 
 // View is what a host knows when it plans a change of a share.
@@ -67,7 +67,7 @@
 	Wanted  bool   // callers of the team come to this host
 	Leaving bool
 	Burst   float64
-	Verdict func(Holder) Verdict
+	State   func(Holder) HolderState
 	// Limit, Aside and Outstanding are the holding's: the fraction that it has
 	// left in use, the tokens taken out of use, and those given to peers.
 	Limit       float64
@@ -139,8 +139,8 @@
 }
 
 // Plan returns what the host should write. It only ever adds to the host's own
-// part, gives up what the host has stopped using, and frees what a verdict
-// proves to be out of use.
+// part, gives up what the host has stopped using, and frees what a holder
+// is known not to use any more.
 func (s Share) Plan(v View) Plan {
 	p := Plan{Next: Share{Pool: s.Pool, Holders: slices.Clone(s.Holders)}}
 	p.reclaim(v)
@@ -160,15 +160,15 @@
 func (p *Plan) reclaim(v View) {
 	kept := p.Next.Holders[:0]
 	for _, h := range p.Next.Holders {
-		verdict := Alive
+		holder := Alive
 		if h.Host != v.Self.Host || h.Incarnation != v.Self.Incarnation {
-			verdict = v.Verdict(h)
+			holder = v.State(h)
 		}
-		if verdict == Gone {
+		if holder == Gone {
 			p.Changed = true
 			continue
 		}
-		if verdict == Lapsed && !h.Retired {
+		if holder == Lapsed && !h.Retired {
 			h.Fraction, h.Retired = h.Reserved, true
 			p.Changed = true
 		}
--- a/internal/ratelimit/world_test.go
+++ b/internal/ratelimit/world_test.go
@@ -295,12 +295,12 @@
 	return false
 }
 
-func (h *simHost) verdict(other Holder) Verdict {
+func (h *simHost) holderState(other Holder) HolderState {
 	if h.w.mutant.reclaimAtOnce && !h.w.upAndSeen(other.Host) {
 		return Gone
 	}
 	if other.Host == h.name {
-		return PastVerdict(h.clock().Sub(h.started))
+		return EarlierProcessState(h.clock().Sub(h.started))
 	}
-	return VerdictOf(h.lapse(other))
+	return HolderStateOf(h.lapse(other))
 }
