Mend the load report, and test the load tool

Cause: the report's template indexed a map of ends with a plain string and failed after the load had run; nothing tested the tool. Change: rows have a method for their ends; tests for arrivals, plans, ends and the report.

--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,96 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticscale/masticscale/internal/emulator/engine"
+)
+
+func testPlan(host string) Plan {
+	return Plan{Hosts: []string{host}, Seconds: 0.5, Seed: 7, Teams: []Team{
+		{Name: "streams", Key: "secret-1", Model: "m", Rate: 100, MaxTokens: 3},
+		{Name: "whole", Key: "secret-2", Model: "m", Rate: 40, Whole: true, Bursts: []Burst{{AtSeconds: 0.1, ForSeconds: 0.2, Factor: 3}}},
+	}}
+}
+
+func TestArrivalsFollowTheSeed(t *testing.T) {
+	c := qt.New(t)
+	p := testPlan("http://x")
+	first := p.arrivals()
+	c.Assert(len(first) > 20, qt.IsTrue)
+	c.Assert(slices.Equal(p.arrivals(), first), qt.IsTrue)
+	p.Seed++
+	c.Assert(slices.Equal(p.arrivals(), first), qt.IsFalse)
+	for i := 1; i < len(first); i++ {
+		c.Assert(first[i-1].at <= first[i].at, qt.IsTrue)
+	}
+}
+
+func TestPlanErrorsNameTheRemedy(t *testing.T) {
+	c := qt.New(t)
+	for want, spoil := range map[string]func(*Plan){
+		"names no host":       func(p *Plan) { p.Hosts = nil },
+		"out of range":        func(p *Plan) { p.Seconds = 0 },
+		"has no rate":         func(p *Plan) { p.Teams[0].Rate = 0 },
+		"asks for nothing":    func(p *Plan) { p.Teams[0].Model = "" },
+		"more than 5000000":   func(p *Plan) { p.Teams[0].Rate = 1e9 },
+		"lower the rates or ": func(p *Plan) { p.Teams[0].Rate = 1e9 },
+	} {
+		p := testPlan("http://x")
+		spoil(&p)
+		c.Check(p.Validate(), qt.ErrorMatches, ".*"+want+".*")
+	}
+}
+
+func TestEveryRequestIsCountedOnce(t *testing.T) {
+	c := qt.New(t)
+	e := engine.New(engine.Options{Name: "e", Slots: 64})
+	server := httptest.NewServer(e.Handler())
+	defer server.Close()
+	p := testPlan(server.URL)
+	r, err := Run(context.Background(), p, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.All.Offered, qt.Equals, len(p.arrivals()))
+	c.Assert(r.Ended(Answered), qt.Equals, r.All.Offered)
+
+	var page bytes.Buffer
+	c.Assert(r.WriteReport(&page), qt.IsNil)
+	c.Assert(strings.Count(page.String(), "data:image/png;base64,"), qt.Equals, 2)
+	c.Assert(page.String(), qt.Not(qt.Contains), "secret-")
+	for _, change := range Compare(r, r) {
+		c.Check(change.Before, qt.Equals, change.After)
+	}
+}
+
+func TestEndsAreToldApart(t *testing.T) {
+	c := qt.New(t)
+	for want, answer := range map[End]http.HandlerFunc{
+		Refused: func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusTooManyRequests)
+			_, _ = w.Write([]byte(`{"error":{"code":"rate_limit_exceeded","execution":"not_run"}}`))
+		},
+		Failed: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) },
+		Truncated: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = w.Write([]byte("data: {}\n\nevent: error\ndata: {}\n\n"))
+		},
+		Cut: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = w.Write([]byte("data: {}\n\n"))
+		},
+	} {
+		server := httptest.NewServer(answer)
+		r, err := Run(context.Background(), testPlan(server.URL), nil)
+		c.Assert(err, qt.IsNil)
+		c.Check(r.Ended(want), qt.Equals, r.All.Offered, qt.Commentf("%s: %v", want, r.All.Ends))
+		server.Close()
+	}
+}
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -34,6 +34,9 @@
 	Offered int            `json:"offered"`
 }
 
+// Ended returns how many requests of the team ended in the way.
+func (t TeamResult) Ended(e End) int { return t.Ends[e] }
+
 // Second is one second of a run.
 type Second struct {
 	Started  int     `json:"started"`
