Test that old knowledge is not used once a host is in touch

With it switched off the test hung in its own clean-up, which is mended here; a verdict of that run was not seen.

--- a/internal/catalog/source_test.go
+++ b/internal/catalog/source_test.go
@@ -31,6 +31,7 @@
 	old      map[platform.Kind][]platform.Object // answers of stale lists
 	oldAt    int64
 	staleFor platform.Kind
+	blocked  chan struct{} // lists of keys wait until it is closed
 }
 
 func (s *flakyStore) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
@@ -41,6 +42,9 @@
 }
 
 func (s *flakyStore) List(ctx context.Context, kind platform.Kind, prefix string) ([]platform.Object, int64, error) {
+	if kind == platform.KindKey && s.blocked != nil {
+		<-s.blocked
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.staleFor == kind {
@@ -182,3 +186,44 @@
 	_, err := b.store.Update(context.Background(), platform.KindKey, string(id), o.Version, spec.Withdraw(time.Now(), false))
 	c.Assert(err, qt.IsNil)
 }
+
+// TestOldKnowledgeIsNotUsedOnceInTouch starts a host from a copy that is a
+// minute old, in which a key is active that was withdrawn since. From the first
+// answer of the platform on, requests wait until the host has caught up.
+func TestOldKnowledgeIsNotUsedOnceInTouch(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	before, _ := b.follow(c)
+	id, o := b.createKey(c)
+	eventually(c, func() bool { return before.Current().Keys[id].Team != "" })
+	folder, err := catalog.NewFolder(c.TempDir())
+	c.Assert(err, qt.IsNil)
+	old := before.Export(time.Now())
+	old.Confirmed = time.Now().Add(-time.Minute)
+	c.Assert(folder.Save(old), qt.IsNil)
+	b.withdraw(c, id, o)
+
+	slow := &flakyStore{Store: b.store.Store, blocked: make(chan struct{})}
+	unblock := sync.OnceFunc(func() { close(slow.blocked) })
+	cat := catalog.New()
+	source := catalog.NewSource(slow, cat, "", quiet())
+	source.KeepIn(folder)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		source.Run(ctx)
+	}()
+	c.Cleanup(func() { unblock(); cancel(); <-done })
+	eventually(c, func() bool { return usableWithin(cat, 50*time.Millisecond) != nil })
+	c.Assert(cat.Current().Keys[id].Active(), qt.IsTrue)
+	unblock()
+	eventually(c, func() bool { return usableWithin(cat, eventBound) == nil })
+	c.Assert(cat.Current().Keys[id].Active(), qt.IsFalse)
+}
+
+func usableWithin(cat *catalog.Catalog, d time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return cat.Usable(ctx)
+}
