Let a host that restarts without the platform borrow from known peers

Cause: such a host knows no share of any team, so it refused every chat (503, not run), although a peer in reach held tokens; users want it to serve what it can. Ruled out: keeping a share across a restart, which could mint tokens. Change: a host that does not know a team's share asks peers that it knows by its settings or from before; one that gives nothing does not count as reached.

--- a/internal/app/providers.go
+++ b/internal/app/providers.go
@@ -119,6 +119,8 @@
 	return ratelimit.NewMetrics(m.Registry)
 }
 
+func newRatePeers(r *catalog.Relay) ratelimit.Peers { return r.Peers }
+
 func newSpecs(c *catalog.Catalog) ratelimit.Specs {
 	return func(name string) (team.Spec, bool) {
 		spec, ok := c.Current().Teams[name]
--- a/internal/app/wire.go
+++ b/internal/app/wire.go
@@ -49,7 +49,7 @@
 	admission.NewController, wire.Bind(new(admission.Places), new(*dispatch.Pool)),
 	serving.NewPath,
 	newRateMetrics, newSpecs,
-	ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)),
+	newRatePeers, ratelimit.NewEscrow, wire.Bind(new(ratelimit.Limiter), new(*ratelimit.Escrow)),
 	wire.Bind(new(ratelimit.Members), new(*membership.Registry)),
 	wire.Bind(new(ratelimit.Exchange), new(*peer.Client)),
 	peer.NewRateLimitServer, wire.Bind(new(peer.Lender), new(*ratelimit.Escrow)),
--- a/internal/catalog/relay.go
+++ b/internal/catalog/relay.go
@@ -135,7 +135,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			r.refreshBook()
+			r.refreshPeers()
 			r.round(ctx, 1)
 			r.fallBack()
 		case <-r.kick:
@@ -168,7 +168,14 @@
 	}
 }
 
-func (r *Relay) refreshBook() {
+// Peers returns up to n addresses of peers, chosen at random among all that are
+// known, also without the platform.
+func (r *Relay) Peers(n int) []string {
+	r.refreshPeers()
+	return r.known.pick(n, r.members.Self(), time.Now())
+}
+
+func (r *Relay) refreshPeers() {
 	members := r.members.Members()
 	r.source.fleetSize.Store(int64(len(members)))
 	for _, m := range members {
@@ -319,7 +326,7 @@
 // Known returns every host that may still serve, also those whose leases have
 // lapsed: a host that is cut off serves on without its lease.
 func (r *Relay) Known(ctx context.Context) []membership.Host {
-	r.refreshBook()
+	r.refreshPeers()
 	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	objects, _, err := r.source.store.List(bounded, platform.KindHost, "")
--- a/internal/ratelimit/bench_test.go
+++ b/internal/ratelimit/bench_test.go
@@ -33,7 +33,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	specs := func(string) (team.Spec, bool) { return team.Spec{Rate: 1e9, Burst: 1e9}, true }
-	return NewEscrow(nil, benchMembers{}, nil, specs, NewMetrics(prometheus.NewRegistry()), log)
+	return NewEscrow(nil, benchMembers{}, nil, specs, nil, NewMetrics(prometheus.NewRegistry()), log)
 }
 
 // shareOf is a share of eight home hosts, the first of which is this host.
--- a/internal/ratelimit/borrow.go
+++ b/internal/ratelimit/borrow.go
@@ -32,14 +32,16 @@
 	amount, minimum := t.shortage(now)
 	candidates := t.candidates(e.self, amount, now)
 	t.mu.Unlock()
+	if len(candidates) == 0 {
+		candidates = e.unknownLenders(t)
+	}
 	reached := false
 	for _, c := range candidates {
 		if amount <= tolerance {
 			break
 		}
-		if e.ask(ctx, t, c.address, amount, minimum) {
-			reached = true
-		}
+		gave, answered := e.ask(ctx, t, c.address, amount, minimum)
+		reached = reached || answered && (!c.unknown || gave > 0)
 		t.mu.Lock()
 		amount, minimum = t.shortage(time.Now())
 		t.mu.Unlock()
@@ -55,8 +57,25 @@
 	t.round = nil
 }
 
-// ask asks one peer and reports whether it answered.
-func (e *Escrow) ask(ctx context.Context, t *state, address string, amount, minimum float64) bool {
+// unknownLenders returns peers to ask when this host does not know the team's
+// share: it has started while the platform cannot be reached, and a peer may be a
+// home host of the team. One that is not gives nothing.
+func (e *Escrow) unknownLenders(t *state) []lender {
+	t.mu.Lock()
+	known := len(t.member.share.Holders) > 0
+	t.mu.Unlock()
+	if known {
+		return nil
+	}
+	var all []lender
+	for _, address := range e.peers(lendersAsked) {
+		all = append(all, lender{address: address, unknown: true})
+	}
+	return all
+}
+
+// ask asks one peer, and returns what it gave and whether it answered.
+func (e *Escrow) ask(ctx context.Context, t *state, address string, amount, minimum float64) (gave float64, answered bool) {
 	t.mu.Lock()
 	t.collect(time.Now())
 	due := t.takeDebts(address)
@@ -71,10 +90,10 @@
 	now := time.Now()
 	t.heard(address, reply, err, now)
 	if err != nil {
-		return false
+		return 0, false
 	}
 	t.member.Holding.AddBorrowed(id, reply.Transfer, reply.Amount, now)
-	return true
+	return reply.Amount, true
 }
 
 // settle tells givers what has been used and gives back the rest.
--- a/internal/ratelimit/escrow.go
+++ b/internal/ratelimit/escrow.go
@@ -29,6 +29,7 @@
 	members  Members
 	exchange Exchange
 	specs    Specs
+	peers    Peers
 	metrics  *Metrics
 	log      logrus.FieldLogger
 	self     Holder
@@ -49,10 +50,10 @@
 }
 
 // NewEscrow returns a limiter that holds nothing yet.
-func NewEscrow(store platform.Store, members Members, exchange Exchange, specs Specs, m *Metrics, log logrus.FieldLogger) *Escrow {
+func NewEscrow(store platform.Store, members Members, exchange Exchange, specs Specs, peers Peers, m *Metrics, log logrus.FieldLogger) *Escrow {
 	h := members.Self()
 	return &Escrow{
-		store: store, members: members, exchange: exchange, specs: specs, metrics: m, log: log,
+		store: store, members: members, exchange: exchange, specs: specs, peers: peers, metrics: m, log: log,
 		self:    Holder{Host: h.Name, Incarnation: h.Incarnation, Address: h.PeerAddress, DataCentre: h.DataCentre},
 		started: time.Now(), teams: map[string]*state{},
 		rounds: make(chan errand, ringSize), keeping: make(chan *state, ringSize),
--- a/internal/ratelimit/escrow_test.go
+++ b/internal/ratelimit/escrow_test.go
@@ -173,6 +173,34 @@
 	})
 }
 
+// A host that starts while the platform is down knows no share; it borrows from
+// peers that it knows by its settings.
+func TestHostRestartedWithoutPlatformBorrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		f := newFleet(3, team.Spec{Rate: 50, Burst: 30})
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		for _, h := range f.hosts {
+			c.Assert(f.take(h), quicktest.IsNil)
+		}
+		time.Sleep(2 * time.Second)
+		f.platformDown(true)
+		f.hosts[1].kill()
+		f.hosts[1].start()
+		f.hosts[1].client.SetDown(true)
+		admitted := 0
+		for range 30 {
+			time.Sleep(time.Second)
+			if f.take(f.hosts[1]) == nil {
+				admitted++
+			}
+		}
+		c.Assert(admitted >= 25, quicktest.IsTrue, quicktest.Commentf("admitted %d of 30", admitted))
+		c.Assert(f.excess <= tolerance, quicktest.IsTrue)
+	})
+}
+
 // A data centre without the platform and the others serves its part, and the
 // others theirs, long after every lease of the lone one has lapsed.
 func TestDataCentreAloneGoesOnServing(t *testing.T) {
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -29,6 +29,10 @@
 	Borrow(ctx context.Context, address string, r BorrowRequest) (BorrowReply, error)
 }
 
+// Peers returns the addresses of up to n hosts that are known without the
+// platform, such as those of the settings.
+type Peers func(n int) []string
+
 // Members is what the limiter needs to know of the membership.
 type Members interface {
 	Self() membership.Host
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -75,7 +75,7 @@
 		Name: fmt.Sprintf("h%d", h.index), DataCentre: fmt.Sprintf("dc%d", h.centre()), PeerAddress: h.address(),
 	}, log)
 	specs := func(string) (team.Spec, bool) { return f.spec, true }
-	escrow := NewEscrow(client, members, fleetExchange{h}, specs, NewMetrics(prometheus.NewRegistry()), log)
+	escrow := NewEscrow(client, members, fleetExchange{h}, specs, h.peers, NewMetrics(prometheus.NewRegistry()), log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { members.Run(ctx) })
@@ -87,6 +87,17 @@
 	h.up = true
 }
 
+// peers returns the hosts of the settings.
+func (h *fleetHost) peers(n int) []string {
+	var addresses []string
+	for _, other := range h.fleet.hosts {
+		if other != h && len(addresses) < n {
+			addresses = append(addresses, other.address())
+		}
+	}
+	return addresses
+}
+
 func (h *fleetHost) limiter() *Escrow {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
--- a/internal/ratelimit/state.go
+++ b/internal/ratelimit/state.go
@@ -42,6 +42,7 @@
 	address string
 	near    bool
 	tokens  float64
+	unknown bool // not known to be a home host of the team
 }
 
 // candidates returns the home hosts to ask, the best first; the caller holds
