Let job commands reach hosts whose certificate has an authority of its own

Cause: 'job' had no --ca, so it could not reach a host with TLS of a private authority; the other commands could. Change: --ca and MASTICSCALE_CA for 'job'; the message for an unreachable host names both flags.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -26,7 +26,7 @@
 	caEnv        = "MASTICSCALE_CA"
 )
 
-var errUnreachable = errors.New("host is unreachable; check --admin, or MASTICSCALE_ADMIN")
+var errUnreachable = errors.New("host is unreachable; check its address, in --admin or --host")
 
 // client calls the administration API.
 type client struct {
--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -47,6 +48,7 @@
 type callerClient struct {
 	base string
 	key  string
+	http *http.Client
 }
 
 func newJob() *cobra.Command {
@@ -55,6 +57,7 @@
 		Short: "Submit, follow and cancel batch jobs, with a team's key",
 	}
 	c.PersistentFlags().String("host", os.Getenv(hostEnv), "address of any host for callers, as http://ip:port")
+	c.PersistentFlags().String("ca", os.Getenv(caEnv), "file with the authority of the host's certificate, in PEM form")
 	c.PersistentFlags().String("key", "", "the team's key; MASTICSCALE_KEY where not given")
 	c.PersistentFlags().StringP("output", "o", "table", "form of the output: table or json")
 	c.AddCommand(newJobSubmit(), newJobList(), newJobShow(), newJobWait(), newJobCancel(), newJobResults())
@@ -70,7 +73,12 @@
 	if base == "" || key == "" {
 		return nil, errors.Wrapf(errUsage, "pass --host and --key, or set %s and %s", hostEnv, keyEnv)
 	}
-	return &callerClient{base: base, key: key}, nil
+	ca, _ := c.Flags().GetString("ca")
+	transport, err := transportFor(ca)
+	if err != nil {
+		return nil, err
+	}
+	return &callerClient{base: strings.TrimRight(base, "/"), key: key, http: &http.Client{Transport: transport}}, nil
 }
 
 func (c *callerClient) do(ctx context.Context, method, path, contentType string, body io.Reader, header http.Header) (*http.Response, error) {
@@ -85,7 +93,7 @@
 	if contentType != "" {
 		req.Header.Set("Content-Type", contentType)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(errUnreachable, err.Error())
 	}
