Remember who has batch work for longer than the load rows

Cause: a message carries 64 upstream entries, which at 20 upstreams are the rows of three hosts, so a host is often heard of less than once in 5 s. Two hosts then filled one upstream, and online requests waited inside it. Ruled out: messages lost, notices arriving late, the queue of the host (no wait there). Change: a row says for 30 s who has batch work. Its loads still count for 5 s.

The test failed before with an empty list of hosts.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -19,6 +19,7 @@
 	relayedUpstreams  = 64
 	relayedRows       = 16
 	rowLifetime       = 5 * time.Second
+	demandRowLifetime = 30 * time.Second // a row says for so long who has batch work, unless a newer one comes
 	knownLifetime     = 10 * time.Minute
 	arriveBound       = time.Second
 	arriveCalls       = 16
@@ -159,8 +160,10 @@
 	}}
 	var others []Row
 	for host, r := range x.rows {
-		if now.Sub(r.At) > rowLifetime {
+		if now.Sub(r.At) > demandRowLifetime {
 			delete(x.rows, host)
+		}
+		if now.Sub(r.At) > rowLifetime {
 			continue
 		}
 		others = append(others, r)
@@ -204,7 +207,7 @@
 	demand := map[string][]string{self.Name: x.pool.BatchDemand()}
 	x.mu.Lock()
 	for host, r := range x.rows {
-		if now.Sub(r.At) <= rowLifetime {
+		if now.Sub(r.At) <= demandRowLifetime {
 			demand[host] = r.BatchServices
 		}
 	}
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -9,8 +9,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
+	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/upstream"
 )
 
@@ -270,3 +272,22 @@
 	h.served()
 	c.Assert(h.paused(now), qt.IsFalse)
 }
+
+func TestHostWithoutRecentRowKeepsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHosts(newFleet(), 1, "e1")[0]
+		x := NewExchange(h.pool, h.suspects, nil, alone{name: "a"}, logrus.New())
+		x.Absorb([]Row{{Host: "other", At: time.Now(), BatchServices: []string{testService}}})
+		x.meet(membership.Host{Name: "other", PeerAddress: "other"})
+		for range 4 {
+			time.Sleep(rowLifetime / 2)
+			x.Rows()
+			x.share()
+			c.Assert(h.pool.shares.hosts[testService], qt.DeepEquals, []BatchHost{{Name: "other"}})
+		}
+		time.Sleep(demandRowLifetime)
+		x.share()
+		c.Assert(h.pool.shares.hosts[testService], qt.HasLen, 0)
+	})
+}
