Don't take waiting between two steps for a full upstream

Cause: an engine lets requests in between two steps, so that a busy one nearly always has one waiting for some milliseconds.

The test failed before: 2 of 4 batch requests were left.

--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -291,3 +291,15 @@
 		c.Assert(h.pool.shares.hosts[testService], qt.HasLen, 0)
 	})
 }
+
+func TestWaitingBetweenStepsIsNoShortageOfSlots(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool("e1")
+	batch := reserve(t, p, Batch, 4)
+	report := upstream.Load{Running: 4, Waiting: 2}
+	start := time.Now()
+	p.ReportAt(idOf("e1"), report, start)
+	c.Assert(p.Statuses()[0].Batch, qt.Equals, len(batch))
+	p.ReportAt(idOf("e1"), report, start.Add(reportInterval)) // they still wait
+	c.Assert(p.Statuses()[0].Batch, qt.Equals, len(batch)-2)
+}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -23,6 +23,9 @@
 		if !at.After(t.reportedAt) {
 			return
 		}
+		if at.Sub(t.reportedAt) >= reportInterval/2 {
+			t.waitedBefore = t.reported.Waiting
+		}
 		t.reported = load
 		t.reportedAt = at
 		t.reportedHere = here
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -27,6 +27,7 @@
 
 	reported     upstream.Load
 	reportedAt   time.Time
+	waitedBefore int       // waiting in the report before, not counting those of the same moment
 	shedAt       time.Time // last yields because of a report
 	reportedHere bool      // this host read the report itself
 	ownAtReport  int
@@ -112,11 +113,19 @@
 	return max(int(float64(t.slots())*(1-shedHeadroom)), 1)
 }
 
+// stuck is the number of requests that wait inside the upstream for a place. An
+// engine lets requests in between its steps only, so that some wait at any moment
+// of a busy one; those with a free slot count when the report before had them too.
+func (t *target) stuck() int {
+	beyond := t.reported.Running + t.reported.Waiting - t.slots()
+	return max(min(t.reported.Waiting, t.waitedBefore), min(beyond, t.reported.Waiting), 0)
+}
+
 // excess is the number of own batch requests that have to yield because
 // requests wait inside the upstream. Reports lag, so one report is acted on only
 // when the effect of the last yields can be seen in it.
 func (t *target) excess(now time.Time) int {
-	waiting := t.reported.Waiting
+	waiting := t.stuck()
 	if len(t.batch) == 0 || waiting == 0 || t.reportedAt.Sub(t.shedAt) < shedInterval {
 		return 0
 	}
