Start less batch while more online requests run than usual

Cause: the slowest online requests come in bursts, and wait for a step that 15 batch requests make 7.5 ms longer, for their own such step, and for the prompts of batch requests that start in between (about 10 ms). Change: each online request above the usual number, a mean over 30 s, takes one slot more from what batch may start in. Nothing yields for it, so nothing is lost, and a load that stays high becomes the usual one.

Without the room the new test fails: batch starts in the burst.

--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -303,3 +303,18 @@
 	p.ReportAt(idOf("e1"), report, start.Add(reportInterval)) // they still wait
 	c.Assert(p.Statuses()[0].Batch, qt.Equals, len(batch)-2)
 }
+
+func TestBatchStartsLessDuringABurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newTestPool("e1")
+		reserve(t, p, Online, 2)
+		reserve(t, p, Batch, 1)
+		time.Sleep(10 * usualLifetime)
+		reserve(t, p, Online, 2)
+		_, ok := p.Reserve(Need{Service: testService, Class: Batch})
+		c.Assert(ok, qt.IsFalse)
+		time.Sleep(10 * usualLifetime) // the burst has become usual
+		reserve(t, p, Batch, 1)
+	})
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -9,6 +9,7 @@
 const (
 	batchHeadroom  = 0.25            // part of an upstream's slots that batch leaves free
 	shedHeadroom   = 0.125           // part below which running batch requests yield
+	surgeRoom      = 1               // slots that batch leaves free for each online request beyond the usual number
 	reportLifetime = 3 * time.Second // reports older than this say nothing
 	peerLifetime   = 5 * time.Second // peers' rows older than this say nothing
 	shedInterval   = time.Second     // longer than reports lag
@@ -32,6 +33,7 @@
 	reportedHere bool      // this host read the report itself
 	ownAtReport  int
 	peers        map[string]PeerLoad // by host
+	usual        decayedMean         // of the online requests of all hosts
 	firstByte    time.Duration       // decayed mean of online requests
 
 	leavingListed bool      // the platform's list says so
@@ -108,6 +110,14 @@
 	return max(int(float64(t.slots())*(1-batchHeadroom)), 1)
 }
 
+// surge is the number of online requests beyond the usual one. Batch requests
+// start only where as many slots more are left, so that a burst finds the ones
+// that run ending one by one and none reading its prompt.
+func (t *target) surge(now time.Time) int {
+	online := t.online + t.foreign(now).Online
+	return max(int(float64(online)-t.usual.observe(float64(online), now)), 0)
+}
+
 // highWater is the load above which batch requests yield to online ones.
 func (t *target) highWater() int {
 	return max(int(float64(t.slots())*(1-shedHeadroom)), 1)
