Start batch requests between online arrivals

Cause: the prompt of a batch request that starts while online ones arrive is read with theirs and delays them by 20 ms: 19 prompt tokens of batch on average in the same step, more in the slowest ones. Change: batch starts at an upstream when no online request came there for one and a half times the usual time to a first byte, or else at one start in four such times, so that steady arrivals don't starve it.

Without it the new test fails: batch starts right after an arrival.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -72,7 +72,7 @@
 // chooseBatch takes only capacity that is idle and falls to this host's share.
 func (p *Pool) chooseBatch(eligible []*target, now time.Time) choice {
 	room := keep(eligible, func(t *target) bool {
-		return len(t.batch) < p.share(t) && t.load(now)+surgeRoom*t.surge(now) < t.batchLimit() && t.prefilling(now) == 0
+		return len(t.batch) < p.share(t) && t.load(now)+surgeRoom*t.surge(now) < t.batchLimit() && t.prefilling(now) == 0 && t.quiet(now)
 	})
 	return choice{target: p.pick(room, now)}
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -86,6 +86,9 @@
 		l.Online = max(l.Online+n, 0)
 		l.At = now
 		t.peers[host] = l
+		if n > 0 {
+			t.onlineAt = now
+		}
 		if n > 0 && p.policy.Batch != NoYield {
 			yields = t.takeYields(max(t.crowding(0, now), t.prefilling(now)))
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -141,8 +141,10 @@
 	place := &Place{ID: t.id, Address: t.spec.Address, Class: n.Class, pool: p, target: t, start: now, trial: n.Trial}
 	if n.Class == Batch {
 		t.batch[place] = struct{}{}
+		t.batchAt = now
 	} else {
 		t.online++
+		t.onlineAt = now
 	}
 	if n.Trial {
 		t.trial = true
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -318,3 +318,35 @@
 		reserve(t, p, Batch, 1)
 	})
 }
+
+func TestBatchStartsBetweenOnlineArrivals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newTestPool("e1")
+		const firstByte = 200 * time.Millisecond
+		arrive := func() {
+			o := reserve(t, p, Online, 1)[0]
+			p.targets[idOf("e1")].firstByte = firstByte
+			o.Release(false)
+		}
+		starts := func() bool {
+			_, ok := p.Reserve(Need{Service: testService, Class: Batch})
+			return ok
+		}
+		reserve(t, p, Batch, 1)
+		time.Sleep(firstByte)
+		arrive()
+		c.Assert(starts(), qt.IsFalse)
+		time.Sleep(2 * firstByte)
+		c.Assert(starts(), qt.IsTrue)
+		started := 0
+		for range 10 * busyPace { // no time in between
+			time.Sleep(firstByte / 2)
+			arrive()
+			if starts() {
+				started++
+			}
+		}
+		c.Assert(started > 1, qt.IsTrue) // not starved
+	})
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -10,6 +10,8 @@
 	batchHeadroom  = 0.25            // part of an upstream's slots that batch leaves free
 	shedHeadroom   = 0.125           // part below which running batch requests yield
 	surgeRoom      = 1               // slots that batch leaves free for each online request beyond the usual number
+	quietTimes     = 3               // halves of the time to a first byte without online requests before batch starts
+	busyPace       = 4               // times to a first byte between batch requests that start while online ones keep coming
 	reportLifetime = 3 * time.Second // reports older than this say nothing
 	peerLifetime   = 5 * time.Second // peers' rows older than this say nothing
 	shedInterval   = time.Second     // longer than reports lag
@@ -34,6 +36,8 @@
 	ownAtReport  int
 	peers        map[string]PeerLoad // by host
 	usual        decayedMean         // of the online requests of all hosts
+	onlineAt     time.Time           // last arrival of an online request, of any host
+	batchAt      time.Time           // last start of an own batch request
 	firstByte    time.Duration       // decayed mean of online requests
 
 	leavingListed bool      // the platform's list says so
@@ -157,6 +161,13 @@
 	return n
 }
 
+// quiet reports whether no online request came for so long that all have their
+// first byte by now. Where they come closer together than that, batch requests
+// start at a slow pace.
+func (t *target) quiet(now time.Time) bool {
+	return now.Sub(t.onlineAt) >= quietTimes*t.firstByte/2 || now.Sub(t.batchAt) >= busyPace*t.firstByte
+}
+
 // crowding is the number of own batch requests that have to yield when that many
 // more online requests come. It begins before the last slot is taken, since
 // other hosts may be taking the same one.
