--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -9,8 +9,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
+	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/upstream"
 )
 
@@ -270,3 +272,81 @@
 	h.served()
 	c.Assert(h.paused(now), qt.IsFalse)
 }
+
+func TestHostWithoutRecentRowKeepsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		h := newHosts(newFleet(), 1, "e1")[0]
+		x := NewExchange(h.pool, h.suspects, nil, alone{name: "a"}, logrus.New())
+		x.Absorb([]Row{{Host: "other", At: time.Now(), BatchServices: []string{testService}}})
+		x.meet(membership.Host{Name: "other", PeerAddress: "other"})
+		for range 4 {
+			time.Sleep(rowLifetime / 2)
+			x.Rows()
+			x.share()
+			c.Assert(h.pool.shares.hosts[testService], qt.DeepEquals, []BatchHost{{Name: "other"}})
+		}
+		time.Sleep(demandRowLifetime)
+		x.share()
+		c.Assert(h.pool.shares.hosts[testService], qt.HasLen, 0)
+	})
+}
+
+func TestWaitingBetweenStepsIsNoShortageOfSlots(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPool("e1")
+	batch := reserve(t, p, Batch, 4)
+	report := upstream.Load{Running: 4, Waiting: 2}
+	start := time.Now()
+	p.ReportAt(idOf("e1"), report, start)
+	c.Assert(p.Statuses()[0].Batch, qt.Equals, len(batch))
+	p.ReportAt(idOf("e1"), report, start.Add(reportInterval)) // they still wait
+	c.Assert(p.Statuses()[0].Batch, qt.Equals, len(batch)-2)
+}
+
+func TestBatchStartsLessDuringABurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newTestPool("e1")
+		reserve(t, p, Online, 2)
+		reserve(t, p, Batch, 1)
+		time.Sleep(10 * usualLifetime)
+		reserve(t, p, Online, 2)
+		_, ok := p.Reserve(Need{Service: testService, Class: Batch})
+		c.Assert(ok, qt.IsFalse)
+		time.Sleep(10 * usualLifetime) // the burst has become usual
+		reserve(t, p, Batch, 1)
+	})
+}
+
+func TestBatchStartsBetweenOnlineArrivals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newTestPool("e1")
+		const firstByte = 200 * time.Millisecond
+		arrive := func() {
+			o := reserve(t, p, Online, 1)[0]
+			p.targets[idOf("e1")].firstByte = firstByte
+			o.Release(false)
+		}
+		starts := func() bool {
+			_, ok := p.Reserve(Need{Service: testService, Class: Batch})
+			return ok
+		}
+		reserve(t, p, Batch, 1)
+		time.Sleep(firstByte)
+		arrive()
+		c.Assert(starts(), qt.IsFalse)
+		time.Sleep(2 * firstByte)
+		c.Assert(starts(), qt.IsTrue)
+		started := 0
+		for range 10 * busyPace { // no time in between
+			time.Sleep(firstByte / 2)
+			arrive()
+			if starts() {
+				started++
+			}
+		}
+		c.Assert(started > 1, qt.IsTrue) // not starved
+	})
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -9,6 +9,9 @@
 const (
 	batchHeadroom  = 0.25            // part of an upstream's slots that batch leaves free
 	shedHeadroom   = 0.125           // part below which running batch requests yield
+	surgeRoom      = 1               // slots that batch leaves free for each online request beyond the usual number
+	quietTimes     = 3               // halves of the time to a first byte without online requests before batch starts
+	busyPace       = 4               // times to a first byte between batch requests that start while online ones keep coming
 	reportLifetime = 3 * time.Second // reports older than this say nothing
 	peerLifetime   = 5 * time.Second // peers' rows older than this say nothing
 	shedInterval   = time.Second     // longer than reports lag
@@ -27,10 +30,14 @@
 
 	reported     upstream.Load
 	reportedAt   time.Time
+	waitedBefore int       // waiting in the report before, not counting those of the same moment
 	shedAt       time.Time // last yields because of a report
 	reportedHere bool      // this host read the report itself
 	ownAtReport  int
 	peers        map[string]PeerLoad // by host
+	usual        decayedMean         // of the online requests of all hosts
+	onlineAt     time.Time           // last arrival of an online request, of any host
+	batchAt      time.Time           // last start of an own batch request
 	firstByte    time.Duration       // decayed mean of online requests
 
 	leavingListed bool      // the platform's list says so
@@ -107,16 +114,32 @@
 	return max(int(float64(t.slots())*(1-batchHeadroom)), 1)
 }
 
+// surge is the number of online requests beyond the usual one. Batch requests
+// start only where as many slots more are left, so that a burst finds the ones
+// that run ending one by one and none reading its prompt.
+func (t *target) surge(now time.Time) int {
+	online := t.online + t.foreign(now).Online
+	return max(int(float64(online)-t.usual.observe(float64(online), now)), 0)
+}
+
 // highWater is the load above which batch requests yield to online ones.
 func (t *target) highWater() int {
 	return max(int(float64(t.slots())*(1-shedHeadroom)), 1)
 }
 
+// stuck is the number of requests that wait inside the upstream for a place. An
+// engine lets requests in between its steps only, so that some wait at any moment
+// of a busy one; those with a free slot count when the report before had them too.
+func (t *target) stuck() int {
+	beyond := t.reported.Running + t.reported.Waiting - t.slots()
+	return max(min(t.reported.Waiting, t.waitedBefore), min(beyond, t.reported.Waiting), 0)
+}
+
 // excess is the number of own batch requests that have to yield because
 // requests wait inside the upstream. Reports lag, so one report is acted on only
 // when the effect of the last yields can be seen in it.
 func (t *target) excess(now time.Time) int {
-	waiting := t.reported.Waiting
+	waiting := t.stuck()
 	if len(t.batch) == 0 || waiting == 0 || t.reportedAt.Sub(t.shedAt) < shedInterval {
 		return 0
 	}
@@ -138,6 +161,13 @@
 	return n
 }
 
+// quiet reports whether no online request came for so long that all have their
+// first byte by now. Where they come closer together than that, batch requests
+// start at a slow pace.
+func (t *target) quiet(now time.Time) bool {
+	return now.Sub(t.onlineAt) >= quietTimes*t.firstByte/2 || now.Sub(t.batchAt) >= busyPace*t.firstByte
+}
+
 // crowding is the number of own batch requests that have to yield when that many
 // more online requests come. It begins before the last slot is taken, since
 // other hosts may be taking the same one.
