Keep ended batch jobs in a kind of their own

Cause: ended jobs stayed among the running ones, which each host lists and follows and each caller's listing reads whole.

Ruled out: ending a job by creating its ended object, since a cancel and the end would then write different objects and both could take effect; a marker for each idempotency key, which would be kept for good.

Change: a job ends by one conditional write as before. It is then copied to ended-job, under a name that begins with its team, and removed from the running ones. Where a job is in both, the ended one counts, also for a host that has just claimed a chunk, so that a submission which is sent again while its job ends runs nothing. A host drops a job that it finds gone. The fakes' deletes fail while the platform is down or the host is dead.

Not done: ended jobs, results and files are still kept until removed by hand.

--- /dev/null
+++ b/internal/batch/archive_test.go
@@ -0,0 +1,178 @@
+package batch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/job"
+	"github.com/masticscale/masticscale/internal/platform"
+)
+
+// countOf returns the number of objects of a kind.
+func (s *memoryStore) countOf(kind platform.Kind) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, o := range s.objects {
+		if o.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// delayed is a repository whose next creation of a job comes late.
+type delayed struct {
+	job.Repository
+	before func()
+}
+
+func (d *delayed) CreateJob(ctx context.Context, j job.Job) error {
+	d.before()
+	return d.Repository.CreateJob(ctx, j)
+}
+
+func TestEndedJobsLeaveTheRunningOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store, e := newMemoryStore(), newEngine(time.Second)
+		s := NewService(NewRepository(store))
+		j, err := submit(s, goodIDs(20))
+		c.Assert(err, qt.IsNil)
+		h1 := startHost(store, newFleet("h1"), "h1", e)
+		defer h1.kill()
+		ended := waitEnded(c, s, j.ID)
+		time.Sleep(time.Second)
+		c.Assert(store.countOf(platform.KindJob), qt.Equals, 0)
+		c.Assert(store.countOf(platform.KindEndedJob), qt.Equals, 1)
+
+		again, err := submit(s, goodIDs(20))
+		c.Assert(err, qt.IsNil)
+		c.Assert(again, qt.DeepEquals, ended)
+		time.Sleep(time.Minute)
+		c.Assert(e.total(), qt.Equals, 20)
+		c.Assert(store.countOf(platform.KindJob), qt.Equals, 0)
+		jobs, err := s.Jobs(context.Background(), "t")
+		c.Assert(err, qt.IsNil)
+		c.Assert(jobs, qt.DeepEquals, []job.Job{ended})
+		lines, err := readLines(s, OutputFile(j.ID))
+		c.Assert(err, qt.IsNil)
+		c.Assert(lines, qt.HasLen, 20)
+	})
+}
+
+// TestSubmitAgainWhileTheJobEnds has the job end and leave the running ones
+// between the look for it and its creation by the second submission.
+func TestSubmitAgainWhileTheJobEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := context.Background()
+		store, e := newMemoryStore(), newEngine(time.Second)
+		s := NewService(NewRepository(store))
+		var first job.Job
+		slow := NewService(&delayed{NewRepository(store), func() {
+			var err error
+			first, err = submit(s, goodIDs(20))
+			c.Assert(err, qt.IsNil)
+			first, err = s.Cancel(ctx, "t", first.ID)
+			c.Assert(err, qt.IsNil)
+			c.Assert(first.State, qt.Equals, job.Cancelled)
+			c.Assert(store.countOf(platform.KindJob), qt.Equals, 0)
+		}})
+		again, err := submit(slow, goodIDs(20))
+		c.Assert(err, qt.IsNil)
+		c.Assert(again, qt.DeepEquals, first)
+		c.Assert(store.countOf(platform.KindJob), qt.Equals, 0)
+		h1 := startHost(store, newFleet("h1"), "h1", e)
+		defer h1.kill()
+		time.Sleep(time.Minute)
+		c.Assert(e.total(), qt.Equals, 0)
+	})
+}
+
+// TestJobCreatedAgainIsNotRun leaves behind what a submitter creates that does
+// not live to look for the ended job.
+func TestJobCreatedAgainIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := context.Background()
+		store, e := newMemoryStore(), newEngine(time.Second)
+		repo := NewRepository(store)
+		s := NewService(repo)
+		created, err := submit(s, goodIDs(20))
+		c.Assert(err, qt.IsNil)
+		ended, err := s.Cancel(ctx, "t", created.ID)
+		c.Assert(err, qt.IsNil)
+		h1 := startHost(store, newFleet("h1"), "h1", e)
+		defer h1.kill()
+		time.Sleep(time.Second)
+		c.Assert(repo.CreateJob(ctx, created), qt.IsNil)
+		time.Sleep(time.Minute)
+		c.Assert(e.total(), qt.Equals, 0)
+		got, err := s.Job(ctx, "t", created.ID)
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.DeepEquals, ended)
+		time.Sleep(fileSweepInterval)
+		c.Assert(store.countOf(platform.KindJob), qt.Equals, 0)
+		c.Assert(e.total(), qt.Equals, 0)
+	})
+}
+
+// lostArchive is a repository of a host that is lost before, or within, the
+// archiving of a job.
+type lostArchive struct {
+	job.Repository
+	copied bool
+}
+
+func (l lostArchive) ArchiveJob(ctx context.Context, j job.Job) error {
+	if l.copied {
+		r := l.Repository.(repository)
+		_ = r.create(ctx, platform.KindEndedJob, endedName(j.Team, j.ID), j)
+	}
+	return errors.New("lost")
+}
+
+func TestHostLostWhileArchiving(t *testing.T) {
+	for name, copied := range map[string]bool{"before": false, "between the writes": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			store := newMemoryStore()
+			s := NewService(lostArchive{NewRepository(store), copied})
+			j, err := submit(s, goodIDs(3))
+			c.Assert(err, qt.IsNil)
+			ended, err := s.Cancel(ctx, "t", j.ID)
+			c.Assert(err, qt.IsNil)
+			c.Assert(ended.State, qt.Equals, job.Cancelled)
+			for _, want := range []int{1, 0, 0} {
+				c.Assert(store.countOf(platform.KindJob), qt.Equals, want)
+				jobs, err := s.Jobs(ctx, "t")
+				c.Assert(err, qt.IsNil)
+				c.Assert(jobs, qt.DeepEquals, []job.Job{ended})
+				again, err := submit(s, goodIDs(3))
+				c.Assert(err, qt.IsNil)
+				c.Assert(again, qt.DeepEquals, ended)
+				_, err = sweepOnce(ctx, NewRepository(store), time.Now())
+				c.Assert(err, qt.IsNil)
+			}
+		})
+	}
+}
+
+// TestBoardDropsJobsThatAreGone has a host miss the end of a job.
+func TestBoardDropsJobsThatAreGone(t *testing.T) {
+	c := qt.New(t)
+	r := NewRunner(nil, nil, nil, nil, nil, quietLog())
+	r.noteJob(job.Job{ID: "a", State: job.Running, Lines: []int{1}})
+	r.noteJob(job.Job{ID: "b", State: job.Running, Lines: []int{1}})
+	r.apply(platform.Event{Type: platform.EventDelete, Object: platform.Object{Name: "a"}})
+	c.Assert(r.board.jobs, qt.HasLen, 1)
+	r.reset(nil, 0)
+	c.Assert(r.board.jobs, qt.HasLen, 0)
+}
--- a/internal/batch/board.go
+++ b/internal/batch/board.go
@@ -58,6 +58,23 @@
 	return e
 }
 
+// drop forgets a job that is no longer among the running ones. It has ended, so
+// that what still runs of it here has lost its chunk.
+func (b *board) drop(id string) {
+	e, known := b.jobs[id]
+	if !known {
+		return
+	}
+	if len(e.running) == 0 {
+		delete(b.jobs, id)
+		return
+	}
+	e.job.State = job.Completed
+	for _, u := range e.running {
+		u.cancel()
+	}
+}
+
 // meet takes over the members of the fleet. When they change, the jobs that
 // this host looks after are read again, for chunks whose owners are gone.
 func (b *board) meet(self membership.Owner, members []membership.Host) {
--- a/internal/batch/fake_test.go
+++ b/internal/batch/fake_test.go
@@ -121,6 +121,9 @@
 func (s *memoryStore) Delete(_ context.Context, kind platform.Kind, name string, version int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return platform.ErrUnavailable
+	}
 	if s.objects[objectKey(kind, name)].Version != version {
 		return platform.ErrConflict
 	}
@@ -168,6 +171,13 @@
 	return v.write(kind, name, version, value)
 }
 
+func (v *hostView) Delete(ctx context.Context, kind platform.Kind, name string, version int64) error {
+	if v.dead.Load() {
+		return platform.ErrUnavailable
+	}
+	return v.memoryStore.Delete(ctx, kind, name, version)
+}
+
 func (v *hostView) Watch(ctx context.Context, kind platform.Kind, after int64) (platform.Watcher, error) {
 	w, err := v.memoryStore.Watch(ctx, kind, after)
 	w.(*memoryWatcher).stale = v.stale.Load
--- a/internal/batch/finish.go
+++ b/internal/batch/finish.go
@@ -11,8 +11,8 @@
 // job is read before its chunks: once it is seen as cancelling, no chunk that
 // is not yet claimed can be dispatched, because a host reads the job after it
 // has claimed a chunk.
-func endJob(ctx context.Context, repo job.Repository, id string) (job.Job, bool, error) {
-	j, version, err := repo.Job(ctx, id)
+func endJob(ctx context.Context, repo job.Repository, team, id string) (job.Job, bool, error) {
+	j, version, err := repo.Job(ctx, team, id)
 	if err != nil || j.State.Terminal() {
 		return j, err == nil, err
 	}
@@ -28,5 +28,7 @@
 	if err := repo.UpdateJob(ctx, ended, version); err != nil {
 		return j, false, err
 	}
+	// The job has ended. What is not archived here is archived by the sweep.
+	_ = repo.ArchiveJob(ctx, ended)
 	return ended, true, nil
 }
--- a/internal/batch/repository.go
+++ b/internal/batch/repository.go
@@ -41,8 +41,8 @@
 	return v, job.Version(o.Version), o.Decode(&v)
 }
 
-func list[T any](ctx context.Context, store platform.Store, kind platform.Kind) ([]T, error) {
-	objects, _, err := store.List(ctx, kind, "")
+func list[T any](ctx context.Context, store platform.Store, kind platform.Kind, prefix string) ([]T, error) {
+	objects, _, err := store.List(ctx, kind, prefix)
 	if err != nil {
 		return nil, translate(err)
 	}
@@ -75,7 +75,7 @@
 }
 
 func (r repository) Files(ctx context.Context) ([]job.File, error) {
-	return list[job.File](ctx, r.store, platform.KindFile)
+	return list[job.File](ctx, r.store, platform.KindFile, "")
 }
 
 func (r repository) DeleteFile(ctx context.Context, id string, v job.Version) error {
@@ -104,19 +104,6 @@
 	return r.create(ctx, platform.KindJob, j.ID, j)
 }
 
-func (r repository) Job(ctx context.Context, id string) (job.Job, job.Version, error) {
-	return read[job.Job](ctx, r.store, platform.KindJob, id)
-}
-
-func (r repository) Jobs(ctx context.Context) ([]job.Job, error) {
-	return list[job.Job](ctx, r.store, platform.KindJob)
-}
-
-func (r repository) UpdateJob(ctx context.Context, j job.Job, v job.Version) error {
-	_, err := r.store.Update(ctx, platform.KindJob, j.ID, int64(v), j)
-	return translate(err)
-}
-
 func (r repository) Chunk(ctx context.Context, id string, index int) (job.Chunk, job.Version, error) {
 	return read[job.Chunk](ctx, r.store, platform.KindChunk, indexed(id, index))
 }
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -142,13 +142,16 @@
 		return err
 	}
 	u.chunk, u.version = next, version
-	j, _, err := u.r.repo.Job(ctx, u.job.ID)
+	j, _, err := u.r.repo.Job(ctx, u.job.Team, u.job.ID)
 	if err != nil {
 		return err
 	}
 	if j.State != job.Running {
 		u.cancel()
 	}
+	if j.State.Terminal() {
+		u.r.noteJob(j)
+	}
 	u.term.Store(term)
 	return nil
 }
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -78,17 +78,33 @@
 }
 
 func (r *Runner) reset(objects []platform.Object, _ int64) {
+	listed := map[string]bool{}
 	for _, o := range objects {
+		listed[o.Name] = true
 		r.note(o)
 	}
+	r.mu.Lock()
+	for id := range r.board.jobs {
+		if !listed[id] {
+			r.board.drop(id)
+		}
+	}
+	r.mu.Unlock()
 	r.poke()
 }
 
 func (r *Runner) apply(e platform.Event) {
-	if e.Type == platform.EventPut {
+	switch e.Type {
+	case platform.EventPut:
 		r.note(e.Object)
-		r.poke()
+	case platform.EventDelete:
+		r.mu.Lock()
+		r.board.drop(e.Object.Name)
+		r.mu.Unlock()
+	default:
+		return
 	}
+	r.poke()
 }
 
 // note takes over a job's state and stops the items of a cancelled one.
@@ -205,7 +221,7 @@
 	if _, final := j.Final(chunks); !final {
 		return true
 	}
-	ended, done, err := endJob(ctx, r.repo, id)
+	ended, done, err := endJob(ctx, r.repo, j.Team, id)
 	if err != nil && !errors.Is(err, job.ErrConflict) && !errors.Is(err, job.ErrNotFound) {
 		r.retryLater(id)
 		return false
@@ -224,10 +240,15 @@
 	}
 }
 
-func (r *Runner) ended(j job.Job) {
+// noteJob takes over a job's state.
+func (r *Runner) noteJob(j job.Job) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.board.note(j)
-	r.mu.Unlock()
+}
+
+func (r *Runner) ended(j job.Job) {
+	r.noteJob(j)
 	r.log.WithFields(logrus.Fields{"event": "job_ended", "job": j.ID, "state": j.State,
 		"completed": j.Counts.Completed, "failed": j.Counts.Failed, "cancelled": j.Counts.Cancelled}).Info("job ended")
 }
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -104,6 +104,12 @@
 		Lines: f.Lines, Metadata: sub.Metadata, State: job.Running, Created: now, Deadline: now.Add(window),
 		Counts: job.Counts{Total: f.TotalLines()},
 	}
+	if sub.IdempotencyKey != "" {
+		kept, rerr := s.resent(ctx, j)
+		if !errors.Is(rerr, job.ErrNotFound) {
+			return kept, rerr
+		}
+	}
 	err = s.repo.CreateJob(ctx, j)
 	if errors.Is(err, job.ErrConflict) {
 		return s.resent(ctx, j)
@@ -116,9 +122,27 @@
 	if err != nil {
 		return job.Job{}, unavailable(err)
 	}
+	if sub.IdempotencyKey != "" {
+		return s.confirm(ctx, j)
+	}
 	return j, nil
 }
 
+// confirm returns the job that was created, unless one under its id had ended
+// and was archived just before. Hosts do not run it then, and it is removed.
+func (s *Service) confirm(ctx context.Context, created job.Job) (job.Job, error) {
+	first, _, err := s.repo.Job(ctx, created.Team, created.ID)
+	if err != nil {
+		return job.Job{}, unavailable(errors.Wrap(job.ErrAmbiguous, err.Error()))
+	}
+	if !first.State.Terminal() {
+		return created, nil
+	}
+	// What stays is removed by the sweep.
+	_ = s.repo.ArchiveJob(ctx, first)
+	return s.same(ctx, first, created)
+}
+
 // jobID is determined by the team and the idempotency key, so that a job which
 // is sent again meets the first one.
 func jobID(sub Submission) string {
@@ -130,10 +154,15 @@
 }
 
 func (s *Service) resent(ctx context.Context, wanted job.Job) (job.Job, error) {
-	first, _, err := s.repo.Job(ctx, wanted.ID)
+	first, _, err := s.repo.Job(ctx, wanted.Team, wanted.ID)
 	if err != nil {
 		return job.Job{}, unavailable(err)
 	}
+	return s.same(ctx, first, wanted)
+}
+
+// same returns the first job where the other one asks for the same work.
+func (s *Service) same(ctx context.Context, first, wanted job.Job) (job.Job, error) {
 	if !first.SameAs(wanted) {
 		return job.Job{}, apierr.New(apierr.Conflict, "the idempotency key was used for another job", "send a new key with a new job")
 	}
@@ -150,7 +179,7 @@
 }
 
 func (s *Service) jobOf(ctx context.Context, team, id string) (job.Job, job.Version, error) {
-	j, v, err := s.repo.Job(ctx, id)
+	j, v, err := s.repo.Job(ctx, team, id)
 	if errors.Is(err, job.ErrNotFound) || err == nil && j.Team != team {
 		return job.Job{}, 0, notFound("batch", id)
 	}
@@ -182,11 +211,10 @@
 
 // Jobs returns the team's jobs, newest first.
 func (s *Service) Jobs(ctx context.Context, team string) ([]job.Job, error) {
-	all, err := s.repo.Jobs(ctx)
+	own, err := teamJobs(ctx, s.repo, team)
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	own := slices.DeleteFunc(all, func(j job.Job) bool { return j.Team != team })
 	slices.SortFunc(own, func(a, b job.Job) int {
 		return cmp.Or(b.Created.Compare(a.Created), strings.Compare(a.ID, b.ID))
 	})
@@ -228,7 +256,7 @@
 	}
 	wait := cancelPoll
 	for deadline := time.Now().Add(cancelWait); ; {
-		ended, done, err := endJob(ctx, s.repo, id)
+		ended, done, err := endJob(ctx, s.repo, team, id)
 		if done {
 			return ended, nil
 		}
--- a/internal/batch/sweep.go
+++ b/internal/batch/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -55,14 +56,13 @@
 
 // sweepOnce removes a bounded number of files.
 func sweepOnce(ctx context.Context, repo job.Repository, now time.Time) (int, error) {
-	jobs, err := repo.Jobs(ctx)
+	running, err := archiveLeft(ctx, repo)
 	if err != nil {
 		return 0, err
 	}
 	inUse := map[string]bool{}
-	for _, j := range jobs {
-		// A cancelled job's results name the items of its file.
-		inUse[j.File] = inUse[j.File] || j.State != job.Completed
+	for _, j := range running {
+		inUse[j.File] = true
 	}
 	files, err := repo.Files(ctx)
 	if err != nil {
@@ -76,6 +76,13 @@
 		if !collectable(f, now, inUse) {
 			continue
 		}
+		needed, err := neededByCancelled(ctx, repo, f)
+		if err != nil {
+			return removed, err
+		}
+		if needed {
+			continue
+		}
 		current, version, err := repo.File(ctx, f.ID)
 		if err != nil || !collectable(current, now, inUse) {
 			continue
@@ -87,3 +94,14 @@
 	}
 	return removed, nil
 }
+
+// neededByCancelled reports whether a cancelled job's results name the items of
+// the file.
+func neededByCancelled(ctx context.Context, repo job.Repository, f job.File) (bool, error) {
+	ended, err := repo.EndedJobs(ctx, f.Team)
+	if err != nil {
+		return false, err
+	}
+	needs := func(j job.Job) bool { return j.File == f.ID && j.State == job.Cancelled }
+	return slices.ContainsFunc(ended, needs), nil
+}
--- a/internal/job/repository.go
+++ b/internal/job/repository.go
@@ -31,9 +31,15 @@
 	DeletePart(ctx context.Context, file string, index int) error
 
 	CreateJob(ctx context.Context, j Job) error
-	Job(ctx context.Context, id string) (Job, Version, error)
+	// Job returns a job of the team, whether it runs or has ended.
+	Job(ctx context.Context, team, id string) (Job, Version, error)
+	// Jobs returns the jobs of all teams that run, and such as have ended and are
+	// not yet archived.
 	Jobs(ctx context.Context) ([]Job, error)
+	EndedJobs(ctx context.Context, team string) ([]Job, error)
 	UpdateJob(ctx context.Context, j Job, v Version) error
+	// ArchiveJob takes an ended job out of the running ones. It can be repeated.
+	ArchiveJob(ctx context.Context, j Job) error
 
 	Chunk(ctx context.Context, job string, index int) (Chunk, Version, error)
 	Chunks(ctx context.Context, job string) (map[int]StoredChunk, error)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -29,6 +29,7 @@
 	KindFile         Kind = "file"
 	KindFilePart     Kind = "file-part"
 	KindJob          Kind = "job"
+	KindEndedJob     Kind = "ended-job"
 	KindChunk        Kind = "chunk"
 	KindSegment      Kind = "segment"
 	KindOrder        Kind = "order"
