Answer at once when no wait can find an upstream

Cause: a suspect waited for a trial until its caller's deadline, also when the only upstream was gone or was one that had failed it, which is never tried again. A retry likewise waited its whole two seconds when every upstream had failed the request. A suspect behind the host's other trials did not notice that it was condemned.

Ruled out: the admission queue, which refuses online requests as soon as no upstream takes work, and the platform's calls, which are bounded each.

Change: both waits ask whether an upstream that has not failed the request takes work. Suspects ask it while they wait for a trial, too.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -103,11 +103,11 @@
 }
 
 // reserveAgain finds a place for another attempt. It waits for one only while an
-// upstream may become free.
+// upstream that has not failed the request may become free.
 func (d *Dispatcher) reserveAgain(ctx context.Context, r *run) (*Place, bool) {
 	for waited := time.Duration(0); ; waited += retryInterval {
 		place, ok := d.pool.Reserve(Need{Service: r.Service, Class: r.Class, Avoid: r.avoid})
-		if ok || waited >= retryWait || !d.pool.Availability(r.Service).Usable {
+		if ok || waited >= retryWait || !d.pool.Reachable(r.Service, r.avoid) {
 			return place, ok
 		}
 		if !sleep(ctx, retryInterval) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -176,6 +176,20 @@
 	return a
 }
 
+// Reachable reports whether an upstream of the service, other than those to
+// avoid, takes work, now or when it is less busy.
+func (p *Pool) Reachable(service string, avoid map[upstream.ID]bool) bool {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, t := range p.targets {
+		if id.Service == service && !avoid[id] && t.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Exists reports whether the service has any upstream.
 func (p *Pool) Exists(service string) bool { return p.Availability(service).Known }
 
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -33,10 +33,8 @@
 // suspect at one upstream at a time. A second death condemns it. An upstream
 // that was gone already counts for nothing, and another one is tried.
 func (d *Dispatcher) runAlone(ctx context.Context, r *run, settle func(int)) (*Answer, error) {
-	select {
-	case d.suspects.trials <- struct{}{}:
-	case <-ctx.Done():
-		return nil, classify(ctx, ctx.Err())
+	if err := d.takeTrial(ctx, r); err != nil {
+		return nil, err
 	}
 	done := func() { <-d.suspects.trials }
 	for attempt := 1; ; attempt++ {
@@ -70,6 +68,33 @@
 	}
 }
 
+// takeTrial waits for one of the host's trials, while that can help.
+func (d *Dispatcher) takeTrial(ctx context.Context, r *run) error {
+	for {
+		if err := d.futile(r); err != nil {
+			return err
+		}
+		select {
+		case d.suspects.trials <- struct{}{}:
+			return nil
+		case <-ctx.Done():
+			return classify(ctx, ctx.Err())
+		case <-time.After(trialInterval):
+		}
+	}
+}
+
+// futile returns the final answer of a suspect that no wait can help.
+func (d *Dispatcher) futile(r *run) error {
+	switch state := d.suspects.State(r.print); {
+	case state == Condemned:
+		return quarantined().MayHaveRun()
+	case state == Suspected && !d.pool.Reachable(r.Service, r.avoid):
+		return trialUnavailable(nil)
+	}
+	return nil
+}
+
 // notSent reports whether a failed attempt cannot have reached its upstream.
 func notSent(err error) bool {
 	return !errors.Is(err, ErrYielded) && apierr.From(err).Execution == apierr.NotRun
@@ -103,12 +128,12 @@
 // place when the request is no suspect any more.
 func (d *Dispatcher) enterTrial(ctx context.Context, r *run) (*Place, func(), error) {
 	for {
-		switch d.suspects.State(r.print) {
-		case Condemned:
-			return nil, nil, quarantined().MayHaveRun()
-		case Innocent:
+		if d.suspects.State(r.print) == Innocent {
 			return nil, nil, nil
 		}
+		if err := d.futile(r); err != nil {
+			return nil, nil, err
+		}
 		if place, ok := d.pool.Reserve(Need{Service: r.Service, Class: r.Class, Avoid: r.avoid, Trial: true}); ok {
 			release, err := d.suspects.Hold(ctx, r.print, place.ID)
 			if err == nil {
--- /dev/null
+++ b/internal/dispatch/wait_test.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/upstream"
+)
+
+// TestGivenUpAtOnce lets the only upstream fail in ways after which no wait can
+// find a place. The caller has ten minutes and gets the final answer at once.
+func TestGivenUpAtOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		body    string
+		flaky   bool
+		suspect bool // known before, from another host
+	}{
+		{"the upstream died", poison, false, false},
+		{"the upstream broke off and lives", "hello", true, false},
+		{"a suspect's upstream broke off and lives", "hello", true, true},
+		{"a suspect's upstream died", poison, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet()
+				f.flaky = tc.flaky
+				h := newHosts(f, 1, "e1")[0]
+				req := Request{Team: "t", Service: testService, Class: Online, Call: upstream.Call{Body: []byte(tc.body), Repeatable: true}}
+				if tc.suspect {
+					h.suspects.Learn(Suspicion{Print: FingerprintOf(h.suspects.key, req), Verdict: Suspected, Since: time.Now()})
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+				defer cancel()
+				start := time.Now()
+				_, err := h.run(ctx, Online, tc.body)
+				e := apierr.From(err)
+				c.Assert(e.Execution, qt.Equals, apierr.MayHaveRun, qt.Commentf("%v", err))
+				c.Assert(e.RetryAfter > 0 || e.Kind == apierr.Quarantined, qt.IsTrue, qt.Commentf("%v", err))
+				c.Assert(time.Since(start), qt.Equals, time.Duration(0), qt.Commentf("%v", err))
+			})
+		})
+	}
+}
+
+// TestSuspectsWaitOnlyWhileItHelps lets suspects wait behind trials that never
+// end, then takes away what they wait for.
+func TestSuspectsWaitOnlyWhileItHelps(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		trials int
+		change func(h *testHost, p Fingerprint)
+		wants  apierr.Kind
+	}{
+		{"its upstream goes, host's trials taken", trialsAtOnce, func(h *testHost, _ Fingerprint) { h.pool.Observe(idOf("e1"), upstream.Gone) }, apierr.Unavailable},
+		{"its upstream goes, upstream's trial taken", 0, func(h *testHost, _ Fingerprint) { h.pool.Observe(idOf("e1"), upstream.Gone) }, apierr.Unavailable},
+		{"it is condemned, host's trials taken", trialsAtOnce, func(h *testHost, p Fingerprint) { h.suspects.Learn(Suspicion{p, Condemned, time.Now()}) }, apierr.Quarantined},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet()
+				h := newHosts(f, 1, "e1")[0]
+				req := Request{Team: "t", Service: testService, Class: Online, Call: upstream.Call{Body: []byte("hello"), Repeatable: true}}
+				print := FingerprintOf(h.suspects.key, req)
+				h.suspects.Learn(Suspicion{print, Suspected, time.Now()})
+				place := reserve(t, h.pool, Online, 1)[0]
+				for range tc.trials {
+					h.suspects.trials <- struct{}{}
+				}
+				_, ok := h.pool.Reserve(Need{Service: testService, Class: Online, Trial: true})
+				c.Assert(ok, qt.IsTrue)
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+				defer cancel()
+				ended := make(chan error)
+				go func() {
+					_, err := h.dispatcher.Do(ctx, req, place)
+					ended <- err
+				}()
+				time.Sleep(time.Minute)
+				synctest.Wait()
+				select {
+				case err := <-ended:
+					c.Fatalf("gave up early: %v", err)
+				default:
+				}
+				tc.change(h, print)
+				start := time.Now()
+				err := <-ended
+				c.Assert(apierr.IsKind(err, tc.wants), qt.IsTrue, qt.Commentf("%v", err))
+				c.Assert(time.Since(start) <= trialInterval, qt.IsTrue, qt.Commentf("after %v", time.Since(start)))
+			})
+		})
+	}
+}
