Make the bound on the first byte a limit, and retry on a new connection

Cause: the time until an upstream begins its answer was a constant of the dispatcher without a test. A retry could take a kept connection, and so could the health check after a failure: where the network had forgotten them all, the retry was silent too, and a healthy upstream was taken for gone and its request for a suspect.

Ruled out: dropping the upstream's idle connections after a silence; the retry goes to another upstream, whose connections are as old.

Change: limits.first_byte_seconds, 30 s unless set. Attempts after the first one, and health checks, use new connections.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,8 @@
 type Limits struct {
 	MaxBodyBytes          int64   `json:"max_body_bytes,omitempty"`
 	RequestTimeoutSeconds float64 `json:"request_timeout_seconds,omitempty"`
+	// FirstByteSeconds bounds the time until an upstream's answer begins.
+	FirstByteSeconds float64 `json:"first_byte_seconds,omitempty"`
 	// AnswerSilenceSeconds bounds the time in which a begun answer sends nothing.
 	AnswerSilenceSeconds float64 `json:"answer_silence_seconds,omitempty"`
 	MaxQueuedPerTeam     int     `json:"max_queued_per_team,omitempty"`
@@ -45,6 +47,7 @@
 const (
 	DefaultMaxBodyBytes     = 4 << 20
 	DefaultRequestTimeout   = 60 * time.Second
+	DefaultFirstByte        = 30 * time.Second
 	DefaultAnswerSilence    = 30 * time.Second
 	DefaultMaxQueuedPerTeam = 256
 	DefaultMaxItemsPerJob   = 100_000
@@ -58,6 +61,9 @@
 	if l.RequestTimeoutSeconds == 0 {
 		l.RequestTimeoutSeconds = DefaultRequestTimeout.Seconds()
 	}
+	if l.FirstByteSeconds == 0 {
+		l.FirstByteSeconds = DefaultFirstByte.Seconds()
+	}
 	if l.AnswerSilenceSeconds == 0 {
 		l.AnswerSilenceSeconds = DefaultAnswerSilence.Seconds()
 	}
@@ -75,6 +81,11 @@
 	return time.Duration(l.RequestTimeoutSeconds * float64(time.Second))
 }
 
+// FirstByte returns the time in which an upstream must begin its answer.
+func (l Limits) FirstByte() time.Duration {
+	return time.Duration(l.FirstByteSeconds * float64(time.Second))
+}
+
 // AnswerSilence returns the time in which a begun answer may send nothing.
 func (l Limits) AnswerSilence() time.Duration {
 	return time.Duration(l.AnswerSilenceSeconds * float64(time.Second))
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -60,12 +60,13 @@
 		return nil, &upstream.SendError{Cause: ErrYielded}
 	}
 	call := r.Call
+	call.Fresh = call.Fresh || number > 1
 	call.Header = call.Header.Clone()
 	if call.Header == nil {
 		call.Header = http.Header{}
 	}
 	telemetry.Propagator().Inject(ctx, propagation.HeaderCarrier(call.Header))
-	silence := time.AfterFunc(firstByteBound, cancel)
+	silence := time.AfterFunc(d.pool.firstByteBound(), cancel)
 	start := time.Now()
 	answer, err := d.engine.Start(ctx, place.Address, call)
 	silence.Stop()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,11 +12,10 @@
 )
 
 const (
-	maxAttempts    = 3
-	firstByteBound = 30 * time.Second
-	probeBound     = 2 * time.Second
-	retryInterval  = 50 * time.Millisecond
-	retryWait      = 2 * time.Second
+	maxAttempts   = 3
+	probeBound    = 2 * time.Second
+	retryInterval = 50 * time.Millisecond
+	retryWait     = 2 * time.Second
 )
 
 // ErrYielded is what reading a batch answer returns after its place was given
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/upstream"
 )
 
@@ -38,6 +39,7 @@
 	targets map[upstream.ID]*target
 	shares  shares
 	policy  Policy
+	limits  config.Limits
 	turn    int                              // of RoundRobin
 	freed   func()                           // called after a place may have become free
 	arrived func(upstream.ID, []string, int) // called when online work came or went where other hosts run batch
@@ -48,6 +50,7 @@
 func NewPool() *Pool {
 	return &Pool{
 		targets: map[upstream.ID]*target{},
+		limits:  config.Limits{}.WithDefaults(),
 		shares:  newShares(),
 		freed:   func() {},
 		arrived: func(upstream.ID, []string, int) {},
@@ -83,6 +86,7 @@
 // new work; their running requests end by themselves.
 func (p *Pool) Apply(s *catalog.Snapshot) {
 	p.mu.Lock()
+	p.limits = s.Limits.WithDefaults()
 	seen := map[upstream.ID]bool{}
 	for service, spec := range s.Services {
 		for name, u := range spec.Upstreams {
@@ -190,6 +194,13 @@
 	return false
 }
 
+// firstByteBound returns the time in which an upstream must begin its answer.
+func (p *Pool) firstByteBound() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits.FirstByte()
+}
+
 // Exists reports whether the service has any upstream.
 func (p *Pool) Exists(service string) bool { return p.Availability(service).Known }
 
--- a/internal/dispatch/wait_test.go
+++ b/internal/dispatch/wait_test.go
@@ -99,3 +99,30 @@
 		})
 	}
 }
+
+// TestSilentUpstreamIsGivenUp lets upstreams take requests and never answer.
+func TestSilentUpstreamIsGivenUp(t *testing.T) {
+	for _, tc := range []struct {
+		repeatable bool
+		attempts   int
+	}{{true, 2}, {false, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet()
+			f.gate = make(chan struct{}) // never opens
+			h := newHosts(f, 1, "e1", "e2")[0]
+			s := snapshotOf("e1", "e2")
+			s.Limits.FirstByteSeconds = 7
+			h.pool.Apply(s)
+			req := Request{Team: "t", Service: testService, Class: Online, Call: upstream.Call{Repeatable: tc.repeatable}}
+			start := time.Now()
+			_, err := h.dispatcher.Do(t.Context(), req, reserve(t, h.pool, Online, 1)[0])
+			e := apierr.From(err)
+			c.Assert(e.Kind, qt.Equals, apierr.UpstreamError)
+			c.Assert(e.Execution, qt.Equals, apierr.MayHaveRun)
+			c.Assert(e.RetryAfter > 0, qt.IsTrue)
+			c.Assert(f.attempts, qt.Equals, tc.attempts)
+			c.Assert(time.Since(start), qt.Equals, time.Duration(tc.attempts)*7*time.Second)
+		})
+	}
+}
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -155,6 +155,7 @@
 		if run >= maxRuns || ctx.Err() != nil {
 			return refuse(w, o.Err)
 		}
+		c.request.Call.Fresh = true
 	}
 }
 
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -16,6 +16,7 @@
 	Header     http.Header // built from an allow-list; never carries a key
 	Body       []byte
 	Repeatable bool // whether running it twice does no harm
+	Fresh      bool // uses a new connection, since a kept one may have been forgotten by the network
 	// Permit, where set, is asked immediately before the call is sent; its error
 	// stops the call, which then was not sent.
 	Permit func() error
--- a/internal/upstream/httpengine/httpengine.go
+++ b/internal/upstream/httpengine/httpengine.go
@@ -111,7 +111,7 @@
 }
 
 func (e *Engine) clientFor(call upstream.Call) *http.Client {
-	if call.Repeatable {
+	if call.Repeatable && !call.Fresh {
 		return e.kept
 	}
 	return e.fresh
@@ -119,7 +119,7 @@
 
 // Load implements upstream.Engine.
 func (e *Engine) Load(ctx context.Context, address string) (upstream.Load, error) {
-	resp, err := e.get(ctx, address+"/metrics")
+	resp, err := get(ctx, e.kept, address+"/metrics")
 	if err != nil {
 		return upstream.Load{}, err
 	}
@@ -139,23 +139,24 @@
 	return upstream.Load{Running: value("engine_requests_running"), Waiting: value("engine_requests_waiting")}, nil
 }
 
-// Healthy implements upstream.Engine.
+// Healthy implements upstream.Engine. It asks on a new connection: the network
+// may have forgotten a kept one, and the upstream would be taken for gone.
 func (e *Engine) Healthy(ctx context.Context, address string) error {
-	resp, err := e.get(ctx, address+"/health")
+	resp, err := get(ctx, e.fresh, address+"/health")
 	if err != nil {
 		return err
 	}
 	return resp.Body.Close()
 }
 
-func (e *Engine) get(ctx context.Context, target string) (*http.Response, error) {
+func get(ctx context.Context, c *http.Client, target string) (*http.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		cancel()
 		return nil, errors.Wrap(err, "build request")
 	}
-	resp, err := e.kept.Do(req)
+	resp, err := c.Do(req)
 	if err != nil {
 		cancel()
 		return nil, err
