--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,11 +12,10 @@
 )
 
 const (
-	maxAttempts    = 3
-	firstByteBound = 30 * time.Second
-	probeBound     = 2 * time.Second
-	retryInterval  = 50 * time.Millisecond
-	retryWait      = 2 * time.Second
+	maxAttempts   = 3
+	probeBound    = 2 * time.Second
+	retryInterval = 50 * time.Millisecond
+	retryWait     = 2 * time.Second
 )
 
 // ErrYielded is what reading a batch answer returns after its place was given
@@ -103,11 +102,11 @@
 }
 
 // reserveAgain finds a place for another attempt. It waits for one only while an
-// upstream may become free.
+// upstream that has not failed the request may become free.
 func (d *Dispatcher) reserveAgain(ctx context.Context, r *run) (*Place, bool) {
 	for waited := time.Duration(0); ; waited += retryInterval {
 		place, ok := d.pool.Reserve(Need{Service: r.Service, Class: r.Class, Avoid: r.avoid})
-		if ok || waited >= retryWait || !d.pool.Availability(r.Service).Usable {
+		if ok || waited >= retryWait || !d.pool.Reachable(r.Service, r.avoid) {
 			return place, ok
 		}
 		if !sleep(ctx, retryInterval) {
