Wait for a busy peer's tokens before a request is refused

Cause: key_cut_active failed once in a whole run under the race detector, and poison_request before it: a request inside its rate got 503 because the one peer that held tokens did not answer within 60 ms on a busy machine. Ruled out: waiting longer for tokens that are due, which would hold back requests above their rate; only the answer of a peer that was asked is awaited longer. Change: a question may take 250 ms, a request waits at most 1 s for answers, and a peer that does not answer is left alone for 1 s, doubled after each failure to 8 s.

--- a/internal/ratelimit/borrow.go
+++ b/internal/ratelimit/borrow.go
@@ -6,8 +6,8 @@
 )
 
 // askTime bounds one question to a peer. Hosts of different data centres are
-// milliseconds apart.
-const askTime = 60 * time.Millisecond
+// milliseconds apart; the rest is for a peer that is busy.
+const askTime = 250 * time.Millisecond
 
 func (e *Escrow) borrowLoop(ctx context.Context) {
 	for {
--- a/internal/ratelimit/demand.go
+++ b/internal/ratelimit/demand.go
@@ -34,6 +34,7 @@
 	rate     float64
 	heard    time.Time
 	avoid    time.Time // not asked until then, because it did not answer
+	failures int       // questions in a row that it did not answer
 	answered bool      // at the last question
 }
 
--- a/internal/ratelimit/escrow.go
+++ b/internal/ratelimit/escrow.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	waitTime     = 250 * time.Millisecond // a request waits so long for tokens at most
+	waitTime     = 250 * time.Millisecond // a request waits so long for a token that is due
+	answerTime   = time.Second            // a request waits so long for peers that were asked
 	roundsWaited = 8                      // rounds that one request waits for at most
 	ringSize     = 1024
 	borrowers    = 16
@@ -126,7 +127,7 @@
 		t.mu.Unlock()
 	}()
 	deadline := time.Now().Add(waitTime)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	for range roundsWaited {
 		if !e.await(ctx, t, deadline) {
--- a/internal/ratelimit/escrow_test.go
+++ b/internal/ratelimit/escrow_test.go
@@ -173,6 +173,25 @@
 	})
 }
 
+// A busy peer that answers after a fifth of a second is no reason to refuse a
+// request inside the rate.
+func TestSlowPeerIsNoReasonToRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		f := newFleet(3, team.Spec{Rate: 50, Burst: 30})
+		defer f.stop()
+		time.Sleep(2 * time.Second)
+		c.Assert(f.take(f.hosts[0]), quicktest.IsNil)
+		f.mu.Lock()
+		f.delay = 100 * time.Millisecond
+		f.mu.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(f.take(f.hosts[1]), quicktest.IsNil)
+		c.Assert(f.take(f.hosts[2]), quicktest.IsNil)
+		c.Assert(f.excess <= tolerance, quicktest.IsTrue)
+	})
+}
+
 // A host that starts while the platform is down knows no share; it borrows from
 // peers that it knows by its settings.
 func TestHostRestartedWithoutPlatformBorrows(t *testing.T) {
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -36,6 +36,7 @@
 	cut    map[int]bool // data centres without the others and the platform
 	oracle Bucket       // charged with every admission
 	excess float64
+	delay  time.Duration // of each message between hosts, beside the usual
 	asked  atomic.Int64
 }
 
@@ -197,6 +198,9 @@
 		<-ctx.Done()
 		return errUnreachable
 	}
+	x.from.fleet.mu.Lock()
+	d += x.from.fleet.delay
+	x.from.fleet.mu.Unlock()
 	time.Sleep(d)
 	return ctx.Err()
 }
--- a/internal/ratelimit/state.go
+++ b/internal/ratelimit/state.go
@@ -12,10 +12,12 @@
 	lowWater      = 100 * time.Millisecond // demand below which more is borrowed ahead
 	returnAge     = 500 * time.Millisecond // age at which unused tokens go back
 	lendersAsked  = 4                      // peers asked in one round at most
-	avoidTime     = time.Second            // a peer that did not answer is left alone
-	dryTimeMin    = 50 * time.Millisecond  // rest after a round that found nothing
-	dryTimeMax    = time.Second
-	wantedTime    = time.Minute // a team whose callers came so lately is active here
+	avoidTime     = time.Second            // a peer that did not answer is left alone,
+	// and twice as long after each further failure, so many times at most
+	avoidDoublings = 3
+	dryTimeMin     = 50 * time.Millisecond // rest after a round that found nothing
+	dryTimeMax     = time.Second
+	wantedTime     = time.Minute // a team whose callers came so lately is active here
 )
 
 // state is all that this host knows of one team.
@@ -112,9 +114,11 @@
 	}
 	view.answered = err == nil
 	if err != nil {
-		view.avoid = now.Add(avoidTime)
+		view.avoid = now.Add(avoidTime << min(view.failures, avoidDoublings))
+		view.failures++
 		return
 	}
+	view.failures = 0
 	view.left, view.rate, view.heard = r.Left, r.Rate, now
 }
 
