Answer a refused request before its body has come, and bound the bodies held

Ruled out: a read deadline alone, which holds the answer back for its length; keeping the connection, on which the next request met its end (team_own_only). Change: a refusal goes out at once and its connection is not kept; 256 MiB of bodies at once, beyond which a request is refused as not run with Retry-After.

--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -285,7 +285,7 @@
 }
 
 func (g *Gateway) createBatch(w http.ResponseWriter, r *http.Request, who caller) error {
-	body, err := readBody(w, r, g.catalog.Current().Limits.MaxBodyBytes)
+	body, err := g.readBody(w, r, g.catalog.Current().Limits.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -76,7 +75,7 @@
 	if c.who, err = g.authenticate(r); err != nil {
 		return c, err
 	}
-	body, err := readBody(w, r, s.Limits.MaxBodyBytes)
+	body, err := g.readBody(w, r, s.Limits.MaxBodyBytes)
 	if err != nil {
 		return c, err
 	}
@@ -246,25 +245,6 @@
 	return nil
 }
 
-// bodyBound is the time in which a caller must send its whole body.
-const bodyBound = 60 * time.Second
-
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyBound))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, apierr.Newf(apierr.TooLarge, "send less, or ask the operators to raise limits.max_body_bytes",
-			"the body exceeds %d bytes", limit)
-	case err != nil:
-		return nil, apierr.New(apierr.Invalid, "the body did not arrive whole", "send the request again").WithCause(err)
-	}
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
 // engineHeader is all that engines get of a request's headers.
 func engineHeader() http.Header {
 	return http.Header{"Content-Type": {"application/json"}}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,13 +37,14 @@
 	batches *batch.Service
 	claims  *keeper.Keeper
 	flights *flights
+	bodies  bodyBudget
 	metrics *telemetry.Metrics
 	log     logrus.FieldLogger
 }
 
 // New returns a gateway.
 func New(c *catalog.Catalog, l ratelimit.Limiter, p *serving.Path, b *batch.Service, k *keeper.Keeper, m *telemetry.Metrics, log logrus.FieldLogger) *Gateway {
-	return &Gateway{catalog: c, limiter: l, path: p, batches: b, claims: k, flights: newFlights(), metrics: m, log: log}
+	return &Gateway{catalog: c, limiter: l, path: p, batches: b, claims: k, flights: newFlights(), bodies: bodyBudget{bound: maxBodiesBytes}, metrics: m, log: log}
 }
 
 // Handler returns the HTTP surface.
@@ -66,6 +67,7 @@
 	id    string
 	start time.Time
 	log   logrus.FieldLogger
+	read  bool // the body was read to its end
 }
 
 type infoKey struct{}
@@ -141,6 +143,7 @@
 // fail answers with an error and records the outcome.
 func (g *Gateway) fail(w http.ResponseWriter, r *http.Request, class, team string, err error) {
 	o := outcome.FromError(explainWithdrawn(r.Context(), err))
+	answerBeforeBody(w, r)
 	writeError(w, o.Err)
 	g.end(r, class, team, o)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -64,7 +64,7 @@
 	if p.who, err = g.callerOf(r, spec); err != nil {
 		return p, err
 	}
-	body, err := readBody(w, r, s.Limits.MaxBodyBytes)
+	body, err := g.readBody(w, r, s.Limits.MaxBodyBytes)
 	if err != nil {
 		return p, err
 	}
