Name suspects, quarantine and the runner's work list in the field's terms

Cause: dispatch and batch spoke of verdicts, judges, sentences and the condemned, and the runner's jobs were a 'board' with a 'tenure'; errors.go already says 'quarantined'. Change: Level, Quarantined, TellSuspicions, worklist, leaseTerm; the item's error code is item_quarantined.

--- a/internal/batch/archive_test.go
+++ b/internal/batch/archive_test.go
@@ -172,7 +172,7 @@
 	r.noteJob(job.Job{ID: "a", State: job.Running, Lines: []int{1}})
 	r.noteJob(job.Job{ID: "b", State: job.Running, Lines: []int{1}})
 	r.apply(platform.Event{Type: platform.EventDelete, Object: platform.Object{Name: "a"}})
-	c.Assert(r.board.jobs, qt.HasLen, 1)
+	c.Assert(r.work.jobs, qt.HasLen, 1)
 	r.reset(nil, 0)
-	c.Assert(r.board.jobs, qt.HasLen, 0)
+	c.Assert(r.work.jobs, qt.HasLen, 0)
 }
--- a/internal/batch/item.go
+++ b/internal/batch/item.go
@@ -70,7 +70,7 @@
 // permit returns nil when the host may dispatch an item at this moment. Unlike
 // ready it does not wait.
 func (u *run) permit() error {
-	term, held := u.r.tenure.check()
+	term, held := u.r.leaseTerm.check()
 	if !held || term != u.term.Load() || u.cancelled() {
 		return errNotPermitted
 	}
--- a/internal/batch/tenure.go
+++ b/internal/batch/leaseterm.go
@@ -12,10 +12,10 @@
 // the first look is not taken for lapsed by any other host before.
 const continuity = membership.LapseTime - membership.LeaseTime - time.Second
 
-// tenure counts the stretches over which this host held its lease without a
+// leaseTerm counts the stretches over which this host held its lease without a
 // gap. What was claimed in one term is not trusted in another: others may have
 // taken it over in between.
-type tenure struct {
+type leaseTerm struct {
 	feed membership.Feed
 
 	mu    sync.Mutex
@@ -25,7 +25,7 @@
 }
 
 // check returns the term, and whether the lease is confirmed now.
-func (t *tenure) check() (int64, bool) {
+func (t *leaseTerm) check() (int64, bool) {
 	before := time.Now()
 	held := t.feed.Owns()
 	epoch := t.feed.Self().Epoch
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -124,7 +124,7 @@
 // last seen. Then it reads the job: a cancel either sees the claim and waits
 // for it, or is seen here. The caller holds mu.
 func (u *run) claim(ctx context.Context, first bool) error {
-	term, held := u.r.tenure.check()
+	term, held := u.r.leaseTerm.check()
 	if !held {
 		return errors.New("the host lease is not confirmed")
 	}
@@ -163,7 +163,7 @@
 	u.mu.lock()
 	defer u.mu.unlock()
 	for ctx.Err() == nil && !u.lost {
-		term, held := u.r.tenure.check()
+		term, held := u.r.leaseTerm.check()
 		if held && term == u.term.Load() {
 			return ctx.Err()
 		}
@@ -249,8 +249,8 @@
 	limit := make(chan struct{}, itemsAtOnce)
 	var wg sync.WaitGroup
 	for i, item := range items {
-		if u.condemned(i) {
-			lines[i] = condemnedLine(item)
+		if u.quarantined(i) {
+			lines[i] = quarantinedLine(item)
 			continue
 		}
 		limit <- struct{}{}
@@ -262,8 +262,8 @@
 	wg.Wait()
 }
 
-func (u *run) condemned(i int) bool {
-	return u.trial != nil && u.trial.IsCondemned(i)
+func (u *run) quarantined(i int) bool {
+	return u.trial != nil && u.trial.IsQuarantined(i)
 }
 
 // runOneByOne runs the items of a chunk that several owners did not survive. It
@@ -275,7 +275,7 @@
 			return err
 		}
 		if !allowed {
-			lines[i] = condemnedLine(items[i])
+			lines[i] = quarantinedLine(items[i])
 			continue
 		}
 		lines[i] = u.runItem(ctx, items[i])
@@ -306,8 +306,8 @@
 	}
 }
 
-func condemnedLine(item job.Item) job.ResultLine {
-	return job.NewFailure(item.CustomID, job.CodeCondemned, "the hosts that ran this item did not survive it; it is not run again")
+func quarantinedLine(item job.Item) job.ResultLine {
+	return job.NewFailure(item.CustomID, job.CodeQuarantined, "the hosts that ran this item did not survive it; it is not run again")
 }
 
 // pause waits for a time or until ctx is done.
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -37,24 +37,24 @@
 
 // Runner takes chunks of jobs and runs them.
 type Runner struct {
-	repo     job.Repository
-	store    platform.Store
-	executor Executor
-	members  membership.Feed
-	metrics  *telemetry.Metrics
-	log      logrus.FieldLogger
-	tenure   *tenure
-	wake     chan struct{}
+	repo      job.Repository
+	store     platform.Store
+	executor  Executor
+	members   membership.Feed
+	metrics   *telemetry.Metrics
+	log       logrus.FieldLogger
+	leaseTerm *leaseTerm
+	wake      chan struct{}
 
-	mu    sync.Mutex
-	board *board
+	mu   sync.Mutex
+	work *worklist
 }
 
 // NewRunner returns a runner.
 func NewRunner(repo job.Repository, store platform.Store, e Executor, members membership.Feed, m *telemetry.Metrics, log logrus.FieldLogger) *Runner {
 	return &Runner{
 		repo: repo, store: store, executor: e, members: members, metrics: m, log: log,
-		tenure: &tenure{feed: members}, board: newBoard(), wake: make(chan struct{}, 1),
+		leaseTerm: &leaseTerm{feed: members}, work: newWorklist(), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -84,9 +84,9 @@
 		r.note(o)
 	}
 	r.mu.Lock()
-	for id := range r.board.jobs {
+	for id := range r.work.jobs {
 		if !listed[id] {
-			r.board.drop(id)
+			r.work.drop(id)
 		}
 	}
 	r.mu.Unlock()
@@ -99,7 +99,7 @@
 		r.note(e.Object)
 	case platform.EventDelete:
 		r.mu.Lock()
-		r.board.drop(e.Object.Name)
+		r.work.drop(e.Object.Name)
 		r.mu.Unlock()
 	default:
 		return
@@ -116,7 +116,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.board.note(j)
+	e := r.work.note(j)
 	if e == nil || j.State == job.Running {
 		return
 	}
@@ -139,12 +139,12 @@
 
 // schedule reads what has to be read again and fills the free slots.
 func (r *Runner) schedule(ctx context.Context, slots chan struct{}, wg *sync.WaitGroup) {
-	if _, held := r.tenure.check(); !held || r.members.Self().State != membership.Live {
+	if _, held := r.leaseTerm.check(); !held || r.members.Self().State != membership.Live {
 		return
 	}
 	r.mu.Lock()
-	r.board.meet(r.owner(), r.members.Members())
-	due := r.board.due(time.Now())
+	r.work.setMembers(r.owner(), r.members.Members())
+	due := r.work.due(time.Now())
 	r.mu.Unlock()
 	for _, id := range due {
 		if !r.read(ctx, id) {
@@ -165,7 +165,7 @@
 		wg.Go(func() {
 			u.do(ctx)
 			r.mu.Lock()
-			r.board.end(u)
+			r.work.end(u)
 			r.mu.Unlock()
 			<-slots
 			r.poke()
@@ -177,11 +177,11 @@
 func (r *Runner) take(ctx context.Context) (*run, bool) {
 	for {
 		r.mu.Lock()
-		t, unread, ok := r.board.next()
+		t, unread, ok := r.work.next()
 		var u *run
 		if ok && unread == "" {
 			u = newRun(r, t)
-			r.board.start(u)
+			r.work.start(u)
 		}
 		r.mu.Unlock()
 		if u != nil || !ok {
@@ -202,8 +202,8 @@
 		return false
 	}
 	r.mu.Lock()
-	r.board.list(id, time.Now(), chunks, r.members.Lapsed)
-	e, known := r.board.jobs[id]
+	r.work.list(id, time.Now(), chunks, r.members.Lapsed)
+	e, known := r.work.jobs[id]
 	var j job.Job
 	var open []int
 	if known {
@@ -235,7 +235,7 @@
 func (r *Runner) retryLater(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e, known := r.board.jobs[id]; known {
+	if e, known := r.work.jobs[id]; known {
 		e.stale = true
 	}
 }
@@ -244,7 +244,7 @@
 func (r *Runner) noteJob(j job.Job) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.board.note(j)
+	r.work.note(j)
 }
 
 func (r *Runner) ended(j job.Job) {
--- a/internal/batch/runner_test.go
+++ b/internal/batch/runner_test.go
@@ -197,7 +197,7 @@
 		bad, err := readLines(s, ErrorFile(j.ID))
 		c.Assert(err, qt.IsNil)
 		c.Assert(bad[0].CustomID, qt.Equals, "killer-20")
-		c.Assert(bad[0].Error.Code, qt.Equals, job.CodeCondemned)
+		c.Assert(bad[0].Error.Code, qt.Equals, job.CodeQuarantined)
 	})
 }
 
@@ -217,9 +217,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		members := &slowFeed{feed: feed{newFleet("h1"), "h1"}}
-		tenure := &tenure{feed: members}
+		leaseTerm := &leaseTerm{feed: members}
 		look := func() int64 {
-			term, held := tenure.check()
+			term, held := leaseTerm.check()
 			c.Assert(held, qt.IsTrue)
 			return term
 		}
--- a/internal/batch/sweep.go
+++ b/internal/batch/sweep.go
@@ -42,9 +42,9 @@
 		case <-ticker.C:
 		}
 		r.mu.Lock()
-		home := r.board.isHome(fileSweepName)
+		home := r.work.isHome(fileSweepName)
 		r.mu.Unlock()
-		if _, held := r.tenure.check(); !held || !home {
+		if _, held := r.leaseTerm.check(); !held || !home {
 			continue
 		}
 		removed, err := sweepOnce(ctx, r.repo, time.Now())
--- a/internal/batch/board.go
+++ b/internal/batch/worklist.go
@@ -27,20 +27,20 @@
 
 // board is the unfinished jobs that this host knows, with the chunks that it
 // runs. It does no I/O; its owner guards it.
-type board struct {
+type worklist struct {
 	self    membership.Owner
 	members []membership.Host
 	jobs    map[string]*entry
 	load    map[string]int // running chunks of each team
 }
 
-func newBoard() *board {
-	return &board{jobs: map[string]*entry{}, load: map[string]int{}}
+func newWorklist() *worklist {
+	return &worklist{jobs: map[string]*entry{}, load: map[string]int{}}
 }
 
 // note takes over a job's state and returns its entry, or nil when it has ended
 // and nothing of it runs here.
-func (b *board) note(j job.Job) *entry {
+func (b *worklist) note(j job.Job) *entry {
 	e, known := b.jobs[j.ID]
 	if !known && j.State.Terminal() {
 		return nil
@@ -60,7 +60,7 @@
 
 // drop forgets a job that is no longer among the running ones. It has ended, so
 // that what still runs of it here has lost its chunk.
-func (b *board) drop(id string) {
+func (b *worklist) drop(id string) {
 	e, known := b.jobs[id]
 	if !known {
 		return
@@ -75,9 +75,9 @@
 	}
 }
 
-// meet takes over the members of the fleet. When they change, the jobs that
+// setMembers takes over the members of the fleet. When they change, the jobs that
 // this host looks after are read again, for chunks whose owners are gone.
-func (b *board) meet(self membership.Owner, members []membership.Host) {
+func (b *worklist) setMembers(self membership.Owner, members []membership.Host) {
 	same := func(x, y membership.Host) bool { return x.Name == y.Name && x.Epoch == y.Epoch }
 	if self == b.self && slices.EqualFunc(members, b.members, same) {
 		return
@@ -91,7 +91,7 @@
 
 // isHome reports whether this host looks after the job: every host finds the
 // same one among the same members.
-func (b *board) isHome(id string) bool {
+func (b *worklist) isHome(id string) bool {
 	best, home := uint64(0), true
 	for _, m := range b.members {
 		if score := xxhash.Sum64String(id + "\x00" + m.Name); score >= best {
@@ -102,7 +102,7 @@
 }
 
 // due returns the jobs whose chunks are to be read again.
-func (b *board) due(now time.Time) []string {
+func (b *worklist) due(now time.Time) []string {
 	var ids []string
 	for id, e := range b.jobs {
 		swept := e.home && now.Sub(e.listed) > sweepInterval
@@ -114,7 +114,7 @@
 }
 
 // list takes over the chunks of a job that were read.
-func (b *board) list(id string, now time.Time, chunks map[int]job.StoredChunk, lapsed func(membership.Owner) bool) {
+func (b *worklist) list(id string, now time.Time, chunks map[int]job.StoredChunk, lapsed func(membership.Owner) bool) {
 	e, known := b.jobs[id]
 	if !known {
 		return
@@ -130,7 +130,7 @@
 	}
 }
 
-func (b *board) free(chunks map[int]job.StoredChunk, i int, lapsed func(membership.Owner) bool) bool {
+func (b *worklist) free(chunks map[int]job.StoredChunk, i int, lapsed func(membership.Owner) bool) bool {
 	c, claimed := chunks[i]
 	if !claimed {
 		return true
@@ -139,7 +139,7 @@
 }
 
 // offset spreads the hosts over a job's chunks, so that they seldom meet.
-func (b *board) offset(total int) int {
+func (b *worklist) offset(total int) int {
 	for rank, m := range b.members {
 		if m.Name == b.self.Host {
 			return rank * total / len(b.members)
@@ -158,7 +158,7 @@
 // next returns the chunk to run next: of the team with the fewest chunks that
 // run here, the job with the earliest deadline. Where the choice falls on a job
 // whose chunks were never read, it returns the job's id alone.
-func (b *board) next() (t task, unread string, ok bool) {
+func (b *worklist) next() (t task, unread string, ok bool) {
 	var best *entry
 	for _, e := range b.jobs {
 		runnable := e.job.State == job.Running && (e.listed.IsZero() || len(e.open) > 0)
@@ -177,7 +177,7 @@
 	return task{job: best.job, index: i, stored: best.chunks[i]}, "", true
 }
 
-func (b *board) before(x, y *entry) bool {
+func (b *worklist) before(x, y *entry) bool {
 	if dx, dy := b.load[x.job.Team], b.load[y.job.Team]; dx != dy {
 		return dx < dy
 	}
@@ -188,14 +188,14 @@
 }
 
 // start notes that a chunk runs here.
-func (b *board) start(u *run) {
+func (b *worklist) start(u *run) {
 	b.jobs[u.job.ID].running[u.index] = u
 	b.load[u.job.Team]++
 }
 
 // end notes that a chunk no longer runs here. The job is read again when
 // nothing more of it is known to be free, which also finds that it can end.
-func (b *board) end(u *run) {
+func (b *worklist) end(u *run) {
 	e := b.jobs[u.job.ID]
 	delete(e.running, u.index)
 	b.load[u.job.Team]--
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -94,14 +94,14 @@
 	return otherwise
 }
 
-// afterAnswer accuses the request when its upstream died in mid-answer. The
+// afterAnswer suspects the request when its upstream died in mid-answer. The
 // answer has begun to reach the caller, so nothing is tried again here.
 func (d *Dispatcher) afterAnswer(ctx context.Context, r *run, place *Place, broken bool) {
 	if !broken || ctx.Err() != nil {
 		return
 	}
 	if d.probe(ctx, place) == upstream.Gone {
-		d.suspects.Accuse(ctx, r.print)
+		d.suspects.Suspect(ctx, r.print)
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -53,7 +53,7 @@
 
 // Check refuses a request that has crashed upstreams before.
 func (d *Dispatcher) Check(req Request) error {
-	if d.suspects.State(FingerprintOf(d.suspects.key, req)) == Condemned {
+	if d.suspects.State(FingerprintOf(d.suspects.key, req)) == Quarantined {
 		return quarantined()
 	}
 	return nil
@@ -66,7 +66,7 @@
 	r := &run{Request: req, print: FingerprintOf(d.suspects.key, req), avoid: map[upstream.ID]bool{}}
 	d.budget.earn()
 	switch d.suspects.State(r.print) {
-	case Condemned:
+	case Quarantined:
 		place.Release(false)
 		return nil, quarantined()
 	case Suspected:
@@ -126,7 +126,7 @@
 	return d.budget.spend()
 }
 
-// afterFailure frees the place, learns what became of the upstream and accuses
+// afterFailure frees the place, learns what became of the upstream and suspects
 // the request when the upstream died under it.
 func (d *Dispatcher) afterFailure(ctx context.Context, r *run, place *Place, failure *apierr.Error) bool {
 	if ctx.Err() != nil {
@@ -139,7 +139,7 @@
 	if health != upstream.Gone || failure.Execution == apierr.NotRun {
 		return false
 	}
-	d.suspects.Accuse(ctx, r.print)
+	d.suspects.Suspect(ctx, r.print)
 	return true
 }
 
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -31,7 +31,7 @@
 type Peers interface {
 	Exchange(ctx context.Context, host membership.Host, rows []Row) ([]Row, error)
 	Arrive(ctx context.Context, host membership.Host, from string, arrivals []Arrival) error
-	Judge(ctx context.Context, host membership.Host, suspicions []Suspicion) error
+	TellSuspicions(ctx context.Context, host membership.Host, suspicions []Suspicion) error
 }
 
 // Exchange keeps hosts informed of each other's use of upstreams. Each round
@@ -73,7 +73,7 @@
 		wake: make(chan struct{}, 1), sends: make(chan struct{}, arriveCalls), arrivals: map[string]map[upstream.ID]int{}, rows: map[string]Row{}, known: map[string]acquaintance{},
 	}
 	pool.OnArrived(x.noteArrival)
-	suspects.OnVerdict(x.judge)
+	suspects.OnChange(x.tellSuspicions)
 	return x
 }
 
@@ -300,12 +300,12 @@
 	return membership.Host{}, false
 }
 
-// judge tells every other host of a verdict. Verdicts are rare, so this call
+// tellSuspicions tells every other host of a level. Changes are rare, so this call
 // may reach the whole fleet.
-func (x *Exchange) judge(ctx context.Context, suspicions []Suspicion) {
+func (x *Exchange) tellSuspicions(ctx context.Context, suspicions []Suspicion) {
 	var wg sync.WaitGroup
 	for _, h := range x.others() {
-		wg.Go(func() { _ = x.peers.Judge(ctx, h, suspicions) })
+		wg.Go(func() { _ = x.peers.TellSuspicions(ctx, h, suspicions) })
 	}
 	wg.Wait()
 }
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -187,7 +187,7 @@
 	suspects   *Suspects
 }
 
-// newHosts returns hosts whose verdicts reach each other at once.
+// newHosts returns hosts whose levels reach each other at once.
 func newHosts(f *fleet, hosts int, upstreams ...string) []*testHost {
 	var all []*testHost
 	log := logrus.New()
@@ -199,7 +199,7 @@
 		all = append(all, &testHost{pool: p, suspects: s, dispatcher: NewDispatcher(p, f, s, telemetry.NewMetrics())})
 	}
 	for _, h := range all {
-		h.suspects.OnVerdict(func(_ context.Context, list []Suspicion) {
+		h.suspects.OnChange(func(_ context.Context, list []Suspicion) {
 			for _, other := range all {
 				for _, x := range list {
 					other.suspects.Learn(x)
--- a/internal/dispatch/poison_test.go
+++ b/internal/dispatch/poison_test.go
@@ -46,7 +46,7 @@
 	})
 }
 
-func TestBrokenConnectionAccusesNobody(t *testing.T) {
+func TestBrokenConnectionMakesNoSuspect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f := newFleet()
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -34,21 +34,21 @@
 	return Fingerprint(h.Sum(nil)[:16])
 }
 
-// Verdict is what is known of a request.
-type Verdict string
+// Level is what is known of a request.
+type Level string
 
-// The verdicts.
+// The levels.
 const (
-	Innocent  Verdict = ""
-	Suspected Verdict = "suspected" // an upstream died while it ran, perhaps because of another
-	Condemned Verdict = "condemned" // a second upstream died while it ran alone
+	Clear       Level = ""
+	Suspected   Level = "suspected"   // an upstream died while it ran, perhaps because of another
+	Quarantined Level = "quarantined" // a second upstream died while it ran alone
 )
 
 const (
-	suspectLifetime   = 10 * time.Minute
-	condemnedLifetime = time.Hour
-	maxSuspects       = 10_000
-	suspectWriteBound = time.Second
+	suspectLifetime    = 10 * time.Minute
+	quarantineLifetime = time.Hour
+	maxSuspects        = 10_000
+	suspectWriteBound  = time.Second
 )
 
 // Suspects knows the requests under which upstreams died. It is soft state that
@@ -61,70 +61,70 @@
 	trials  chan struct{}
 
 	mu       sync.Mutex
-	known    map[Fingerprint]sentence
+	known    map[Fingerprint]knownSuspect
 	announce func(context.Context, []Suspicion)
 }
 
-type sentence struct {
-	verdict Verdict
-	since   time.Time
+type knownSuspect struct {
+	level Level
+	since time.Time
 }
 
 // Suspicion is one suspect as hosts tell each other.
 type Suspicion struct {
-	Print   Fingerprint
-	Verdict Verdict
-	Since   time.Time // on this host's clock
+	Print Fingerprint
+	Level Level
+	Since time.Time // on this host's clock
 }
 
 // NewSuspects returns an empty table.
 func NewSuspects(key FingerprintKey, store platform.Store, members membership.Feed, log logrus.FieldLogger) *Suspects {
 	return &Suspects{
 		key: key, store: store, members: members, log: log, trials: make(chan struct{}, trialsAtOnce),
-		known: map[Fingerprint]sentence{}, announce: func(context.Context, []Suspicion) {},
+		known: map[Fingerprint]knownSuspect{}, announce: func(context.Context, []Suspicion) {},
 	}
 }
 
-// OnVerdict registers the function that tells peers of a verdict at once.
-func (s *Suspects) OnVerdict(f func(context.Context, []Suspicion)) {
+// OnChange registers the function that tells peers of a level at once.
+func (s *Suspects) OnChange(f func(context.Context, []Suspicion)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.announce = f
 }
 
 // State returns what is known of the request.
-func (s *Suspects) State(p Fingerprint) Verdict {
+func (s *Suspects) State(p Fingerprint) Level {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k, ok := s.known[p]
 	if !ok || expired(k, time.Now()) {
 		delete(s.known, p)
-		return Innocent
+		return Clear
 	}
-	return k.verdict
+	return k.level
 }
 
-func expired(k sentence, now time.Time) bool {
+func expired(k knownSuspect, now time.Time) bool {
 	lifetime := suspectLifetime
-	if k.verdict == Condemned {
-		lifetime = condemnedLifetime
+	if k.level == Quarantined {
+		lifetime = quarantineLifetime
 	}
 	return now.Sub(k.since) > lifetime
 }
 
-// Learn takes over what a peer or the platform tells. A condemned request stays
-// condemned.
+// Learn takes over what a peer or the platform tells. A quarantined request stays
+// quarantined.
 func (s *Suspects) Learn(x Suspicion) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k, ok := s.known[x.Print]
-	if ok && (k.verdict == Condemned || k.verdict == x.Verdict) {
+	if ok && (k.level == Quarantined || k.level == x.Level) {
 		return
 	}
 	if !ok && len(s.known) >= maxSuspects {
 		s.evict()
 	}
-	s.known[x.Print] = sentence{verdict: x.Verdict, since: x.Since}
+	s.known[x.Print] = knownSuspect{level: x.Level, since: x.Since}
 }
 
 // evict drops the oldest entry; the caller holds mu.
@@ -139,20 +139,20 @@
 	delete(s.known, oldest)
 }
 
-// Accuse notes that an upstream died while it ran the request.
-func (s *Suspects) Accuse(ctx context.Context, p Fingerprint) { s.judge(ctx, p, Suspected) }
+// Suspect notes that an upstream died while it ran the request.
+func (s *Suspects) Suspect(ctx context.Context, p Fingerprint) { s.change(ctx, p, Suspected) }
 
-// Condemn notes that a second upstream died while it ran the request alone.
-func (s *Suspects) Condemn(ctx context.Context, p Fingerprint) {
+// Quarantine notes that a second upstream died while it ran the request alone.
+func (s *Suspects) Quarantine(ctx context.Context, p Fingerprint) {
 	s.log.WithFields(logrus.Fields{"event": "request_quarantined", "fingerprint": p.String()}).Error("request is refused from now on")
-	s.judge(ctx, p, Condemned)
+	s.change(ctx, p, Quarantined)
 }
 
-// judge takes over a verdict and waits, within a bound, until the platform and
+// change takes over a level and waits, within a bound, until the platform and
 // the peers have it, so that a caller who sends the request again at once finds
 // it known at every host.
-func (s *Suspects) judge(ctx context.Context, p Fingerprint, v Verdict) {
-	x := Suspicion{Print: p, Verdict: v, Since: time.Now()}
+func (s *Suspects) change(ctx context.Context, p Fingerprint, v Level) {
+	x := Suspicion{Print: p, Level: v, Since: time.Now()}
 	s.Learn(x)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), suspectWriteBound)
 	defer cancel()
--- a/internal/dispatch/suspectstore.go
+++ b/internal/dispatch/suspectstore.go
@@ -22,8 +22,8 @@
 
 // suspectRecord is a suspect as the platform keeps it.
 type suspectRecord struct {
-	Verdict Verdict          `json:"verdict"`
-	Owner   membership.Owner `json:"owner"`
+	Level Level            `json:"level"`
+	Owner membership.Owner `json:"owner"`
 }
 
 // trialRecord holds something for one trial.
@@ -64,7 +64,7 @@
 	if !ok || o.Decode(&record) != nil {
 		return
 	}
-	s.Learn(Suspicion{Print: p, Verdict: record.Verdict, Since: time.Now()})
+	s.Learn(Suspicion{Print: p, Level: record.Level, Since: time.Now()})
 }
 
 func (s *Suspects) forget(p Fingerprint) {
@@ -85,19 +85,19 @@
 	return Fingerprint(raw), true
 }
 
-// write makes the platform know a verdict, never a milder one than it has.
-func (s *Suspects) write(ctx context.Context, p Fingerprint, v Verdict) {
-	record := suspectRecord{Verdict: v, Owner: s.owner()}
+// write makes the platform know a level, never a milder one than it has.
+func (s *Suspects) write(ctx context.Context, p Fingerprint, v Level) {
+	record := suspectRecord{Level: v, Owner: s.owner()}
 	name := printPrefix + p.String()
 	_, err := s.store.Create(ctx, platform.KindSuspect, name, record)
-	for errors.Is(err, platform.ErrConflict) && v == Condemned {
+	for errors.Is(err, platform.ErrConflict) && v == Quarantined {
 		var o platform.Object
 		if o, err = s.store.Get(ctx, platform.KindSuspect, name); err == nil {
 			_, err = s.store.Update(ctx, platform.KindSuspect, name, o.Version, record)
 		}
 	}
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
-		s.log.WithError(err).WithField("event", "suspect_not_written").Warn("verdict is known to peers only")
+		s.log.WithError(err).WithField("event", "suspect_not_written").Warn("level is known to peers only")
 	}
 }
 
@@ -172,7 +172,7 @@
 	for _, o := range objects {
 		var record suspectRecord
 		p, ok := printOf(o.Name)
-		if !ok || o.Decode(&record) != nil || s.State(p) != Innocent {
+		if !ok || o.Decode(&record) != nil || s.State(p) != Clear {
 			continue
 		}
 		if record.Owner.Host == s.members.Self().Name || s.members.Lapsed(record.Owner) {
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -30,7 +30,7 @@
 const trialRetryAfter = 5 * time.Second
 
 // runAlone runs a suspect: one at a time at an upstream, fleet-wide, and each
-// suspect at one upstream at a time. A second death condemns it. An upstream
+// suspect at one upstream at a time. A second death quarantines it. An upstream
 // that was gone already counts for nothing, and another one is tried.
 func (d *Dispatcher) runAlone(ctx context.Context, r *run, settle func(int)) (*Answer, error) {
 	if err := d.takeTrial(ctx, r); err != nil {
@@ -87,7 +87,7 @@
 // futile returns the final answer of a suspect that no wait can help.
 func (d *Dispatcher) futile(r *run) error {
 	switch state := d.suspects.State(r.print); {
-	case state == Condemned:
+	case state == Quarantined:
 		return quarantined().MayHaveRun()
 	case state == Suspected && !d.pool.Reachable(r.Service, r.avoid):
 		return trialUnavailable(nil)
@@ -128,7 +128,7 @@
 // place when the request is no suspect any more.
 func (d *Dispatcher) enterTrial(ctx context.Context, r *run) (*Place, func(), error) {
 	for {
-		if d.suspects.State(r.print) == Innocent {
+		if d.suspects.State(r.print) == Clear {
 			return nil, nil, nil
 		}
 		if err := d.futile(r); err != nil {
@@ -162,17 +162,17 @@
 	}
 	place.Release(true)
 	if d.probe(ctx, place) == upstream.Gone && failure.Execution != apierr.NotRun {
-		d.suspects.Condemn(ctx, r.print)
+		d.suspects.Quarantine(ctx, r.print)
 		return quarantined().MayHaveRun().WithCause(err)
 	}
 	return failure
 }
 
-// trialEnded judges a trial whose answer had begun.
+// trialEnded settles a trial whose answer had begun.
 func (d *Dispatcher) trialEnded(ctx context.Context, r *run, place *Place, broken, failed bool) {
 	switch {
 	case broken && ctx.Err() == nil && d.probe(ctx, place) == upstream.Gone:
-		d.suspects.Condemn(ctx, r.print)
+		d.suspects.Quarantine(ctx, r.print)
 	case !failed && ctx.Err() == nil && !place.Yielded():
 		d.suspects.Clear(ctx, r.print)
 	}
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -146,8 +146,10 @@
 	return nil
 }
 
-// Judge implements dispatch.Peers.
-func (f *fleet) Judge(context.Context, membership.Host, []dispatch.Suspicion) error { return nil }
+// TellSuspicions implements dispatch.Peers.
+func (f *fleet) TellSuspicions(context.Context, membership.Host, []dispatch.Suspicion) error {
+	return nil
+}
 
 // feed implements membership.Feed: all hosts are always members.
 type feed struct {
--- a/internal/job/chunk.go
+++ b/internal/job/chunk.go
@@ -76,26 +76,26 @@
 // before each run, so that the next owner knows which item an owner did not
 // survive.
 type Trial struct {
-	Next      int   `json:"next"`                // the item that is being run
-	Runs      int   `json:"runs"`                // runs of that item
-	Condemned []int `json:"condemned,omitempty"` // items that are not run again
+	Next        int   `json:"next"`                  // the item that is being run
+	Runs        int   `json:"runs"`                  // runs of that item
+	Quarantined []int `json:"quarantined,omitempty"` // items that are not run again
 }
 
 // Start returns the trial before a run of the item, and whether it may run. An
-// item that too many owners did not survive is condemned instead.
+// item that too many owners did not survive is quarantined instead.
 func (t Trial) Start(item int) (Trial, bool) {
 	if item != t.Next {
-		return Trial{Next: item, Runs: 1, Condemned: t.Condemned}, true
+		return Trial{Next: item, Runs: 1, Quarantined: t.Quarantined}, true
 	}
 	if t.Runs >= maxTrialRuns {
-		return Trial{Next: item + 1, Condemned: append(slices.Clone(t.Condemned), item)}, false
+		return Trial{Next: item + 1, Quarantined: append(slices.Clone(t.Quarantined), item)}, false
 	}
 	t.Runs++
 	return t, true
 }
 
-// IsCondemned reports whether the item must not be run again.
-func (t Trial) IsCondemned(item int) bool { return slices.Contains(t.Condemned, item) }
+// IsQuarantined reports whether the item must not be run again.
+func (t Trial) IsQuarantined(item int) bool { return slices.Contains(t.Quarantined, item) }
 
 // Segment is the results of a run of items, in input order, compressed.
 type Segment struct {
--- a/internal/job/result.go
+++ b/internal/job/result.go
@@ -8,12 +8,12 @@
 
 // The codes of items that ended without an answer, besides the kinds of error.
 const (
-	CodeCancelled  = "batch_cancelled"
-	CodeExpired    = "batch_expired"
-	CodeFailed     = "item_failed"
-	CodeCondemned  = "item_condemned"
-	CodeTooLarge   = "result_too_large"
-	CodeUnreadable = "input_unreadable"
+	CodeCancelled   = "batch_cancelled"
+	CodeExpired     = "batch_expired"
+	CodeFailed      = "item_failed"
+	CodeQuarantined = "item_quarantined"
+	CodeTooLarge    = "result_too_large"
+	CodeUnreadable  = "input_unreadable"
 )
 
 // NewFailure returns the result of an item that ended without an answer.
--- a/internal/peer/gen/masticscale/peer/v1/peerv1connect/load.connect.go
+++ b/internal/peer/gen/masticscale/peer/v1/peerv1connect/load.connect.go
@@ -37,8 +37,9 @@
 	LoadServiceExchangeProcedure = "/masticscale.peer.v1.LoadService/Exchange"
 	// LoadServiceArriveProcedure is the fully-qualified name of the LoadService's Arrive RPC.
 	LoadServiceArriveProcedure = "/masticscale.peer.v1.LoadService/Arrive"
-	// LoadServiceJudgeProcedure is the fully-qualified name of the LoadService's Judge RPC.
-	LoadServiceJudgeProcedure = "/masticscale.peer.v1.LoadService/Judge"
+	// LoadServiceTellSuspicionsProcedure is the fully-qualified name of the LoadService's
+	// TellSuspicions RPC.
+	LoadServiceTellSuspicionsProcedure = "/masticscale.peer.v1.LoadService/TellSuspicions"
 )
 
 // LoadServiceClient is a client for the masticscale.peer.v1.LoadService service.
@@ -49,8 +50,8 @@
 	// upstreams at which the callee may run batch requests, so that those make
 	// room at once.
 	Arrive(context.Context, *connect.Request[v1.ArriveRequest]) (*connect.Response[v1.ArriveResponse], error)
-	// Judge tells of requests under which upstreams died.
-	Judge(context.Context, *connect.Request[v1.JudgeRequest]) (*connect.Response[v1.JudgeResponse], error)
+	// TellSuspicions tells of requests under which upstreams died.
+	TellSuspicions(context.Context, *connect.Request[v1.TellSuspicionsRequest]) (*connect.Response[v1.TellSuspicionsResponse], error)
 }
 
 // NewLoadServiceClient constructs a client for the masticscale.peer.v1.LoadService service. By
@@ -76,10 +77,10 @@
 			connect.WithSchema(loadServiceMethods.ByName("Arrive")),
 			connect.WithClientOptions(opts...),
 		),
-		judge: connect.NewClient[v1.JudgeRequest, v1.JudgeResponse](
+		tellSuspicions: connect.NewClient[v1.TellSuspicionsRequest, v1.TellSuspicionsResponse](
 			httpClient,
-			baseURL+LoadServiceJudgeProcedure,
-			connect.WithSchema(loadServiceMethods.ByName("Judge")),
+			baseURL+LoadServiceTellSuspicionsProcedure,
+			connect.WithSchema(loadServiceMethods.ByName("TellSuspicions")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -87,9 +88,9 @@
 
 // loadServiceClient implements LoadServiceClient.
 type loadServiceClient struct {
-	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
-	arrive   *connect.Client[v1.ArriveRequest, v1.ArriveResponse]
-	judge    *connect.Client[v1.JudgeRequest, v1.JudgeResponse]
+	exchange       *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	arrive         *connect.Client[v1.ArriveRequest, v1.ArriveResponse]
+	tellSuspicions *connect.Client[v1.TellSuspicionsRequest, v1.TellSuspicionsResponse]
 }
 
 // Exchange calls masticscale.peer.v1.LoadService.Exchange.
@@ -102,9 +103,9 @@
 	return c.arrive.CallUnary(ctx, req)
 }
 
-// Judge calls masticscale.peer.v1.LoadService.Judge.
-func (c *loadServiceClient) Judge(ctx context.Context, req *connect.Request[v1.JudgeRequest]) (*connect.Response[v1.JudgeResponse], error) {
-	return c.judge.CallUnary(ctx, req)
+// TellSuspicions calls masticscale.peer.v1.LoadService.TellSuspicions.
+func (c *loadServiceClient) TellSuspicions(ctx context.Context, req *connect.Request[v1.TellSuspicionsRequest]) (*connect.Response[v1.TellSuspicionsResponse], error) {
+	return c.tellSuspicions.CallUnary(ctx, req)
 }
 
 // LoadServiceHandler is an implementation of the masticscale.peer.v1.LoadService service.
@@ -115,8 +116,8 @@
 	// upstreams at which the callee may run batch requests, so that those make
 	// room at once.
 	Arrive(context.Context, *connect.Request[v1.ArriveRequest]) (*connect.Response[v1.ArriveResponse], error)
-	// Judge tells of requests under which upstreams died.
-	Judge(context.Context, *connect.Request[v1.JudgeRequest]) (*connect.Response[v1.JudgeResponse], error)
+	// TellSuspicions tells of requests under which upstreams died.
+	TellSuspicions(context.Context, *connect.Request[v1.TellSuspicionsRequest]) (*connect.Response[v1.TellSuspicionsResponse], error)
 }
 
 // NewLoadServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -138,10 +139,10 @@
 		connect.WithSchema(loadServiceMethods.ByName("Arrive")),
 		connect.WithHandlerOptions(opts...),
 	)
-	loadServiceJudgeHandler := connect.NewUnaryHandler(
-		LoadServiceJudgeProcedure,
-		svc.Judge,
-		connect.WithSchema(loadServiceMethods.ByName("Judge")),
+	loadServiceTellSuspicionsHandler := connect.NewUnaryHandler(
+		LoadServiceTellSuspicionsProcedure,
+		svc.TellSuspicions,
+		connect.WithSchema(loadServiceMethods.ByName("TellSuspicions")),
 		connect.WithHandlerOptions(opts...),
 	)
 	return "/masticscale.peer.v1.LoadService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -150,8 +151,8 @@
 			loadServiceExchangeHandler.ServeHTTP(w, r)
 		case LoadServiceArriveProcedure:
 			loadServiceArriveHandler.ServeHTTP(w, r)
-		case LoadServiceJudgeProcedure:
-			loadServiceJudgeHandler.ServeHTTP(w, r)
+		case LoadServiceTellSuspicionsProcedure:
+			loadServiceTellSuspicionsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -169,6 +170,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.LoadService.Arrive is not implemented"))
 }
 
-func (UnimplementedLoadServiceHandler) Judge(context.Context, *connect.Request[v1.JudgeRequest]) (*connect.Response[v1.JudgeResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.LoadService.Judge is not implemented"))
+func (UnimplementedLoadServiceHandler) TellSuspicions(context.Context, *connect.Request[v1.TellSuspicionsRequest]) (*connect.Response[v1.TellSuspicionsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.LoadService.TellSuspicions is not implemented"))
 }
--- a/internal/peer/load.go
+++ b/internal/peer/load.go
@@ -48,19 +48,19 @@
 	return connect.NewResponse(&peerv1.ArriveResponse{}), nil
 }
 
-// Judge implements peerv1connect.LoadServiceHandler.
-func (s *LoadServer) Judge(_ context.Context, r *connect.Request[peerv1.JudgeRequest]) (*connect.Response[peerv1.JudgeResponse], error) {
+// TellSuspicions implements peerv1connect.LoadServiceHandler.
+func (s *LoadServer) TellSuspicions(_ context.Context, r *connect.Request[peerv1.TellSuspicionsRequest]) (*connect.Response[peerv1.TellSuspicionsResponse], error) {
 	for _, x := range r.Msg.Suspicions {
 		if len(x.Fingerprint) != len(dispatch.Fingerprint{}) {
 			continue
 		}
-		verdict := dispatch.Suspected
-		if x.Condemned {
-			verdict = dispatch.Condemned
+		level := dispatch.Suspected
+		if x.Quarantined {
+			level = dispatch.Quarantined
 		}
-		s.suspects.Learn(dispatch.Suspicion{Print: dispatch.Fingerprint(x.Fingerprint), Verdict: verdict, Since: time.Now()})
+		s.suspects.Learn(dispatch.Suspicion{Print: dispatch.Fingerprint(x.Fingerprint), Level: level, Since: time.Now()})
 	}
-	return connect.NewResponse(&peerv1.JudgeResponse{}), nil
+	return connect.NewResponse(&peerv1.TellSuspicionsResponse{}), nil
 }
 
 func (c *Client) loads(host membership.Host) peerv1connect.LoadServiceClient {
@@ -90,15 +90,15 @@
 	return err
 }
 
-// Judge implements dispatch.Peers.
-func (c *Client) Judge(ctx context.Context, host membership.Host, suspicions []dispatch.Suspicion) error {
+// TellSuspicions implements dispatch.Peers.
+func (c *Client) TellSuspicions(ctx context.Context, host membership.Host, suspicions []dispatch.Suspicion) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	msg := &peerv1.JudgeRequest{}
+	msg := &peerv1.TellSuspicionsRequest{}
 	for _, s := range suspicions {
-		msg.Suspicions = append(msg.Suspicions, &peerv1.Suspicion{Fingerprint: s.Print[:], Condemned: s.Verdict == dispatch.Condemned})
+		msg.Suspicions = append(msg.Suspicions, &peerv1.Suspicion{Fingerprint: s.Print[:], Quarantined: s.Level == dispatch.Quarantined})
 	}
-	_, err := c.loads(host).Judge(ctx, connect.NewRequest(msg))
+	_, err := c.loads(host).TellSuspicions(ctx, connect.NewRequest(msg))
 	return err
 }
 
