Take the demo's and the experiment's ports from below the outgoing range

Cause: a run of the capacity experiment failed with 'host-11 is not ready'; its ports came from the range of outgoing connections and can be taken between choice and use. Change: one package finds free loopback addresses below that range; the demo and the experiment each had a copy of the old way.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/masticscale/masticscale/internal/emulator/engine"
 	"github.com/masticscale/masticscale/internal/emulator/objectapi"
 	"github.com/masticscale/masticscale/internal/emulator/plainservice"
+	"github.com/masticscale/masticscale/internal/loopback"
 )
 
 const (
@@ -113,7 +114,7 @@
 }
 
 func (f *fleet) startHost(ctx context.Context, name, dataCentre string) (*host, error) {
-	addresses, err := freeAddresses(3)
+	addresses, err := loopback.FreeAddresses(3)
 	if err != nil {
 		return nil, err
 	}
@@ -134,20 +135,6 @@
 	return h, nil
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
-func freeAddresses(n int) ([]string, error) {
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "listen on loopback")
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, nil
-}
-
 func (f *fleet) awaitReady(ctx context.Context) error {
 	for _, h := range f.hosts {
 		if err := await(ctx, func() bool { return answers(h.callers() + "/readyz") }); err != nil {
--- a/internal/experiment/capacity/fleet.go
+++ b/internal/experiment/capacity/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/masticscale/masticscale/internal/app"
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/emulator/objectapi"
+	"github.com/masticscale/masticscale/internal/loopback"
 )
 
 const (
@@ -93,7 +94,7 @@
 }
 
 func (f *idleFleet) startHost(ctx context.Context, i int, o Options) error {
-	addresses, err := freeAddresses()
+	addresses, err := loopback.FreeAddresses(3)
 	if err != nil {
 		return err
 	}
@@ -115,19 +116,6 @@
 	return nil
 }
 
-func freeAddresses() ([3]string, error) {
-	var addresses [3]string
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return addresses, errors.Wrap(err, "listen on loopback")
-		}
-		defer func() { _ = l.Close() }()
-		addresses[i] = l.Addr().String()
-	}
-	return addresses, nil
-}
-
 func awaitReady(h config.Host) error {
 	for deadline := time.Now().Add(readyBound); time.Now().Before(deadline); time.Sleep(pollInterval) {
 		resp, err := http.Get("http://" + h.Listen + "/readyz")
