--- a/internal/order/orderstore/orderstore.go
+++ b/internal/order/orderstore/orderstore.go
@@ -6,23 +6,23 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/masticscale/masticscale/internal/objstore"
 	"github.com/masticscale/masticscale/internal/order"
 	"github.com/masticscale/masticscale/internal/order/orderer"
-	"github.com/masticscale/masticscale/internal/platform"
 )
 
 // Store implements orderer.Repository.
-type Store struct{ objects platform.Store }
+type Store struct{ objects objstore.Store }
 
 // New returns a repository on the platform's objects.
-func New(objects platform.Store) *Store { return &Store{objects: objects} }
+func New(objects objstore.Store) *Store { return &Store{objects: objects} }
 
 // Name returns the name of the object that holds an upstream's orders.
 func Name(service, upstream string) string { return service + "." + upstream }
 
 // Orders implements orderer.Repository.
 func (s *Store) Orders(ctx context.Context) ([]orderer.Stored, error) {
-	objects, _, err := s.objects.List(ctx, platform.KindOrder, "")
+	objects, _, err := s.objects.List(ctx, objstore.KindOrder, "")
 	if err != nil {
 		return nil, err
 	}
@@ -39,20 +39,20 @@
 // Put implements orderer.Repository.
 func (s *Store) Put(ctx context.Context, st orderer.Stored) (orderer.Version, error) {
 	name := Name(st.Order.Service, st.Order.Upstream)
-	var o platform.Object
+	var o objstore.Object
 	var err error
 	if st.Version == 0 {
-		o, err = s.objects.Create(ctx, platform.KindOrder, name, st.Order)
+		o, err = s.objects.Create(ctx, objstore.KindOrder, name, st.Order)
 	} else {
-		o, err = s.objects.Update(ctx, platform.KindOrder, name, int64(st.Version), st.Order)
+		o, err = s.objects.Update(ctx, objstore.KindOrder, name, int64(st.Version), st.Order)
 	}
 	return orderer.Version(o.Version), err
 }
 
 // Get returns the orders of one upstream; a new one has the version zero.
 func (s *Store) Get(ctx context.Context, service, upstream string) (orderer.Stored, error) {
-	o, err := s.objects.Get(ctx, platform.KindOrder, Name(service, upstream))
-	if errors.Is(err, platform.ErrNotFound) {
+	o, err := s.objects.Get(ctx, objstore.KindOrder, Name(service, upstream))
+	if errors.Is(err, objstore.ErrNotFound) {
 		return orderer.Stored{Order: order.Order{Service: service, Upstream: upstream}}, nil
 	}
 	if err != nil {
--- a/internal/peer/catalog_test.go
+++ b/internal/peer/catalog_test.go
@@ -18,8 +18,10 @@
 	"github.com/masticscale/masticscale/internal/emulator/objectapi"
 	"github.com/masticscale/masticscale/internal/key"
 	"github.com/masticscale/masticscale/internal/membership"
+	"github.com/masticscale/masticscale/internal/objstore"
 	"github.com/masticscale/masticscale/internal/peer"
-	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/peer/link"
+	"github.com/masticscale/masticscale/platform"
 )
 
 // feed is a fixed membership.
@@ -35,7 +37,7 @@
 
 // fleet is a number of hosts' catalogs on loopback.
 type fleet struct {
-	store    *platform.Client
+	store    *objstore.Client
 	server   *objectapi.Server
 	catalogs []*catalog.Catalog
 	sources  []*catalog.Source
@@ -46,7 +48,7 @@
 	f := &fleet{server: objectapi.New()}
 	listener := httptest.NewServer(f.server.Handler())
 	b.Cleanup(listener.CloseClientConnections)
-	f.store = platform.NewClient(listener.URL, "bench")
+	f.store = platform.NewStoreClient(listener.URL, "bench")
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	members := make([]membership.Host, hosts)
@@ -56,7 +58,7 @@
 		source := catalog.NewSource(f.store, cat, "", log)
 		relay := catalog.NewRelay(source, feed{i, members}, client, nil, log)
 		server := httptest.NewUnstartedServer(peer.NewHandler(peer.NewCatalogServer(relay, cat).Registration()))
-		server.Config.Protocols = peer.Protocols()
+		server.Config.Protocols = link.Protocols()
 		server.Start()
 		b.Cleanup(server.CloseClientConnections)
 		members[i] = membership.Host{Name: fmt.Sprintf("h%d", i), PeerAddress: strings.TrimPrefix(server.URL, "http://"), State: membership.Live}
--- /dev/null
+++ b/internal/peer/link/link.go
@@ -0,0 +1,12 @@
+// Package link says what the connections between hosts speak.
+package link
+
+import "net/http"
+
+// Protocols are the protocols between hosts: HTTP/2, with or without TLS.
+func Protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,7 @@
 	"github.com/masticscale/masticscale/internal/membership"
 	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
+	"github.com/masticscale/masticscale/internal/peer/link"
 	"github.com/masticscale/masticscale/internal/telemetry"
 )
 
@@ -112,19 +113,11 @@
 func newTransport(dial telemetry.Dial) *http.Transport {
 	return &http.Transport{
 		DialContext: dial,
-		Protocols:   Protocols(),
+		Protocols:   link.Protocols(),
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: callTimeout},
 	}
 }
 
-// Protocols are the protocols between hosts: HTTP/2, with or without TLS.
-func Protocols() *http.Protocols {
-	p := new(http.Protocols)
-	p.SetHTTP2(true)
-	p.SetUnencryptedHTTP2(true)
-	return p
-}
-
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/ratelimit/bench_test.go
+++ b/internal/ratelimit/bench_test.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/membership"
-	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/objstore"
 	"github.com/masticscale/masticscale/internal/team"
 )
 
@@ -37,7 +37,7 @@
 }
 
 // shareOf is a share of eight home hosts, the first of which is this host.
-func shareOf(name string) platform.Object {
+func shareOf(name string) objstore.Object {
 	s := `{"pool":0,"holders":[`
 	for i := range SpreadHomes {
 		id := "i"
@@ -47,7 +47,7 @@
 		}
 		s += fmt.Sprintf(`{"host":"h%d","incarnation":%q,"epoch":1,"address":"10.0.0.%d:7002","data_centre":"north-1","fraction":0.125,"reserved":0.1125}`, i, id, i)
 	}
-	return platform.Object{Kind: platform.KindRateShare, Name: name, Version: 1, Value: []byte(s + "]}")}
+	return objstore.Object{Kind: objstore.KindRateShare, Name: name, Version: 1, Value: []byte(s + "]}")}
 }
 
 // A request of a team that has tokens here.
--- a/internal/ratelimit/escrow.go
+++ b/internal/ratelimit/escrow.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/apierr"
-	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/objstore"
 	"github.com/masticscale/masticscale/internal/team"
 )
 
@@ -26,7 +26,7 @@
 // Escrow is the Limiter of a host whose teams' rates are divided among hosts.
 // Run does its duties.
 type Escrow struct {
-	store    platform.Store
+	store    objstore.Store
 	members  Members
 	exchange Exchange
 	specs    Specs
@@ -51,7 +51,7 @@
 }
 
 // NewEscrow returns a limiter that holds nothing yet.
-func NewEscrow(store platform.Store, members Members, exchange Exchange, specs Specs, peers Peers, m *Metrics, log logrus.FieldLogger) *Escrow {
+func NewEscrow(store objstore.Store, members Members, exchange Exchange, specs Specs, peers Peers, m *Metrics, log logrus.FieldLogger) *Escrow {
 	h := members.Self()
 	return &Escrow{
 		store: store, members: members, exchange: exchange, specs: specs, peers: peers, metrics: m, log: log,
@@ -65,7 +65,7 @@
 // this host's part of them, and moves tokens between hosts.
 func (e *Escrow) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { platform.Follow(ctx, e.store, platform.KindRateShare, e.reset, e.apply) })
+	wg.Go(func() { objstore.Follow(ctx, e.store, objstore.KindRateShare, e.reset, e.apply) })
 	wg.Go(func() { e.tickLoop(ctx) })
 	for range borrowers {
 		wg.Go(func() { e.borrowLoop(ctx) })
--- a/internal/ratelimit/keep.go
+++ b/internal/ratelimit/keep.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/masticscale/masticscale/internal/membership"
-	"github.com/masticscale/masticscale/internal/platform"
+	"github.com/masticscale/masticscale/internal/objstore"
 )
 
 const (
@@ -163,12 +163,12 @@
 // write sends a planned change. It returns false after a conflict, when the
 // share as it now stands has been taken in.
 func (e *Escrow) write(ctx context.Context, t *state, p Plan, base int64) bool {
-	var o platform.Object
+	var o objstore.Object
 	var err error
 	if base == 0 {
-		o, err = e.store.Create(ctx, platform.KindRateShare, t.name, p.Next)
+		o, err = e.store.Create(ctx, objstore.KindRateShare, t.name, p.Next)
 	} else {
-		o, err = e.store.Update(ctx, platform.KindRateShare, t.name, base, p.Next)
+		o, err = e.store.Update(ctx, objstore.KindRateShare, t.name, base, p.Next)
 	}
 	e.metrics.wrote(err)
 	l := e.lease()
@@ -181,18 +181,18 @@
 	}
 	t.member.Abandon(p, l, time.Now())
 	t.mu.Unlock()
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, objstore.ErrConflict) {
 		e.log.WithError(err).WithField("event", "rate_share_not_written").Debug("rate share was not changed")
 		return true
 	}
-	if o, err = e.store.Get(ctx, platform.KindRateShare, t.name); err != nil {
+	if o, err = e.store.Get(ctx, objstore.KindRateShare, t.name); err != nil {
 		return true
 	}
 	e.observe(o)
 	return false
 }
 
-func (e *Escrow) observe(o platform.Object) {
+func (e *Escrow) observe(o objstore.Object) {
 	var s Share
 	if err := o.Decode(&s); err != nil {
 		e.log.WithError(err).WithField("event", "rate_share_unreadable").Error("rate share was not understood; it is left alone")
@@ -209,14 +209,14 @@
 	}
 }
 
-func (e *Escrow) reset(objects []platform.Object, _ int64) {
+func (e *Escrow) reset(objects []objstore.Object, _ int64) {
 	for _, o := range objects {
 		e.observe(o)
 	}
 }
 
-func (e *Escrow) apply(event platform.Event) {
-	if event.Type == platform.EventPut {
+func (e *Escrow) apply(event objstore.Event) {
+	if event.Type == objstore.EventPut {
 		e.observe(event.Object)
 	}
 }
--- /dev/null
+++ b/internal/ratelimit/ledger/ledger.go
@@ -0,0 +1,113 @@
+// Package ledger keeps teams within their rate and burst on all hosts together
+// without asking anybody before a request is admitted.
+//
+// It answers the load of a team that sends several times its rate through many
+// hosts, and of one whose requests move between hosts from second to second.
+// Each host debits its own admissions at once and those of its peers as they
+// report them. While peers are silent, a host admits only the part of the rate
+// that falls on the hosts it hears, so that the parts of a split fleet don't
+// add up to more than the rate.
+//
+// Contract: no I/O and no clock; time is an argument.
+package ledger
+
+import (
+	"math"
+	"time"
+)
+
+// Rate is a team's rate.
+type Rate struct {
+	PerSecond float64 // 0 is no limit
+	Burst     float64
+}
+
+// Count is a number of admissions since a host started.
+type Count = int64
+
+// Ledger holds the buckets of all teams on one host.
+type Ledger struct {
+	buckets map[string]*bucket
+	own     map[string]Count
+	seen    map[string]map[string]Count // peer incarnation and team to its last report
+	started time.Time
+}
+
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// New returns a ledger of a host that starts now.
+func New(now time.Time) *Ledger {
+	return &Ledger{
+		buckets: map[string]*bucket{},
+		own:     map[string]Count{},
+		seen:    map[string]map[string]Count{},
+		started: now,
+	}
+}
+
+// Admit takes one request from the team's bucket. part is the fraction of the
+// fleet's hosts that this host hears, itself included. When it refuses, it
+// returns the time after which a request would be admitted if no other came.
+func (l *Ledger) Admit(team string, rate Rate, part float64, now time.Time) (time.Duration, bool) {
+	if rate.PerSecond <= 0 {
+		return 0, true
+	}
+	b := l.refilled(team, rate, part, now)
+	if b.tokens < 1 {
+		missing := (1 - b.tokens) / (rate.PerSecond * part)
+		return time.Duration(missing * float64(time.Second)), false
+	}
+	b.tokens--
+	l.own[team]++
+	return 0, true
+}
+
+// Refund gives an admission back that reached no upstream.
+func (l *Ledger) Refund(team string) {
+	if b, ok := l.buckets[team]; ok {
+		b.tokens++
+		l.own[team]--
+	}
+}
+
+// refilled returns the team's bucket as of now. A bucket that begins, at the
+// host's start or with the team's first request, holds what has been refilled
+// since the start, because the host can't know what was admitted before.
+func (l *Ledger) refilled(team string, rate Rate, part float64, now time.Time) *bucket {
+	b, known := l.buckets[team]
+	if !known {
+		b = &bucket{at: l.started}
+		l.buckets[team] = b
+	}
+	full := math.Max(rate.Burst, 1) * part
+	b.tokens = math.Min(full, b.tokens+now.Sub(b.at).Seconds()*rate.PerSecond*part)
+	b.at = now
+	return b
+}
+
+// Report returns the admissions of this host, to be told to peers.
+func (l *Ledger) Report() map[string]Count { return l.own }
+
+// Absorb debits what a peer has admitted since its last report. The first
+// report of an incarnation only sets the mark.
+func (l *Ledger) Absorb(incarnation string, report map[string]Count) {
+	before, known := l.seen[incarnation]
+	l.seen[incarnation] = report
+	if !known {
+		return
+	}
+	for team, count := range report {
+		b, ok := l.buckets[team]
+		if !ok {
+			b = &bucket{at: l.started}
+			l.buckets[team] = b
+		}
+		b.tokens -= float64(count - before[team])
+	}
+}
+
+// Forget drops what an incarnation reported.
+func (l *Ledger) Forget(incarnation string) { delete(l.seen, incarnation) }
--- a/internal/scenario/batch_test.go
+++ b/internal/scenario/batch_test.go
@@ -45,7 +45,7 @@
 	for i, name := range []string{"e1", "e2"} {
 		cmdStart(ts, false, []string{name, "emulate", "engine", "--name", name, "--listen", "127.0.0.1:" + p(2+i), "--step", engineStep})
 	}
-	cmdAwait(ts, false, []string{"http://127.0.0.1:" + p(1) + "/v1/hosts", "http://127.0.0.1:" + p(2) + "/health", "http://127.0.0.1:" + p(3) + "/health"})
+	cmdAwait(ts, false, []string{"http://127.0.0.1:" + p(1) + "/health", "http://127.0.0.1:" + p(2) + "/health", "http://127.0.0.1:" + p(3) + "/health"})
 	ts.Check(os.WriteFile(ts.MkAbs("base.jsonc"), []byte(batchConfig), 0o644))
 	ts.Check(os.WriteFile(ts.MkAbs("service.jsonc"), fmt.Appendf(nil, batchService, p(2), p(3)), 0o644))
 	for i := 1; i <= count; i++ {
