Fence off a job's former host, and tell peers of ended jobs

Storage processes ended at SIGHUP. Change: a claim writes an empty segment that takes the next name, so the former host finds out; ended jobs travel in the hosts' states for 15 s; a host verifies its jobs when a peer is heard again; only hosts that hear most of the fleet take jobs over, after 7 s of silence, since killed and cut-off hosts come back sooner.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -56,6 +56,7 @@
 	peers     map[string]*peerView
 	roster    map[string]string // hosts of the store's list, name to address
 	waiting   map[mesh.Backlog]int64
+	ended     []string // jobs
 	versions  Versions
 	storeUp   bool
 	leaving   bool
@@ -64,6 +65,7 @@
 	onChanged func()
 	batchWake chan struct{}
 	onPeer    func(PeerChange)
+	onEnded   func(jobs []string)
 }
 
 // Versions are the versions of what this host knows.
@@ -94,6 +96,7 @@
 		random:    rand.New(rand.NewPCG(seed, 1)),
 		onChanged: func() {},
 		onPeer:    func(PeerChange) {},
+		onEnded:   func([]string) {},
 		batchWake: make(chan struct{}, 1),
 	}
 }
@@ -104,6 +107,9 @@
 // OnPeer sets what is called when a peer begins anew, falls silent or is back.
 func (c *Core) OnPeer(f func(PeerChange)) { c.onPeer = f }
 
+// OnEnded sets what is called with the jobs that peers know to be ended.
+func (c *Core) OnEnded(f func(jobs []string)) { c.onEnded = f }
+
 // BatchWake tells that a batch item may find a slot.
 func (c *Core) BatchWake() <-chan struct{} { return c.batchWake }
 
@@ -200,7 +206,7 @@
 	return mesh.State{
 		Host: c.self.Name, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
 		Address: c.self.PeerAddress, Leaving: c.leaving, Running: c.board.Own(), Admitted: admitted,
-		Waiting: c.waiting, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams,
+		Waiting: c.waiting, EndedJobs: c.ended, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams,
 		StoreReachable: c.storeUp,
 	}
 }
@@ -225,6 +231,9 @@
 	c.ledger.Absorb(s.Incarnation, s.Admitted)
 	c.schedule()
 	c.mu.Unlock()
+	if len(s.EndedJobs) > 0 {
+		c.onEnded(s.EndedJobs)
+	}
 	if news {
 		c.log.WithFields(logrus.Fields{"event": "peer_heard", "peer": s.Host, "incarnation": s.Incarnation}).Info("a peer is heard")
 		c.onPeer(PeerChange{Host: s.Host, Address: s.Address, Incarnation: s.Incarnation})
@@ -328,6 +337,21 @@
 	return float64(heard) / float64(all)
 }
 
+// HearsMost reports whether this host hears more than half of the fleet's hosts.
+func (c *Core) HearsMost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.part() > 0.5
+}
+
+// SetEnded tells peers of jobs that were ended a short time ago.
+func (c *Core) SetEnded(jobs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = jobs
+	c.changed()
+}
+
 // changed tells that the state for peers is another; the caller holds mu.
 func (c *Core) changed() { c.onChanged() }
 
--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -80,7 +80,7 @@
 	h.store = newStore(settings, h.metrics, log)
 	upstreams := platform.NewUpstreams(h.pool)
 	h.online = entry.NewHandler(h.core, upstreams, h.metrics, log)
-	h.runner = jobs.NewRunner(self.Name, h.core, h.store, upstreams, h.metrics, log)
+	h.runner = jobs.NewRunner(self, h.core, h.store, upstreams, h.metrics, log)
 	h.source = knowledge.NewSource(self, h.store, platform.Decoder{}, h.core, settings.Seeds, log)
 	return h, nil
 }
@@ -121,6 +121,8 @@
 	h.runner.SetPeers(peers)
 	h.source.SetPeers(peers)
 	h.core.OnChanged(peers.Changed)
+	h.core.OnPeer(h.runner.PeerChanged)
+	h.core.OnEnded(h.runner.StopEnded)
 	servers, failed, err := h.listen(peers)
 	if err != nil {
 		return err
@@ -130,7 +132,7 @@
 	wg.Go(func() { h.source.Run(duties) })
 	wg.Go(func() { h.runner.Run(jobCtx) })
 	wg.Go(func() { h.tidyPool(duties) })
-	wg.Go(func() { h.followSettings(duties) })
+	wg.Go(func() { followSettings(duties, h.path, h.log) })
 	h.log.WithFields(logrus.Fields{"event": "host_started", "callers": h.settings.Listen.Callers, "peers": h.settings.Listen.Peers, "store": h.settings.Store}).Info("host started")
 	select {
 	case <-ctx.Done():
--- a/internal/fleethost/reload.go
+++ b/internal/fleethost/reload.go
@@ -12,25 +12,25 @@
 
 // followSettings reads the settings again when the file changes, with or
 // without a signal, until ctx ends.
-func (h *Host) followSettings(ctx context.Context) {
+func followSettings(ctx context.Context, path string, log *logrus.Logger) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
 	tick := time.NewTicker(settingsPeriod)
 	defer tick.Stop()
-	last := modified(h.path)
+	last := modified(path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
 		case <-tick.C:
-			if now := modified(h.path); now.Equal(last) {
+			if now := modified(path); now.Equal(last) {
 				continue
 			}
 		}
-		last = modified(h.path)
-		h.reload()
+		last = modified(path)
+		reload(path, log)
 	}
 }
 
@@ -46,15 +46,15 @@
 
 // reload puts the settings in force that can change while the host runs.
 // Settings that can't be read leave the old ones in force.
-func (h *Host) reload() {
-	s, err := ReadSettings(h.path)
+func reload(path string, log *logrus.Logger) {
+	s, err := ReadSettings(path)
 	if err != nil {
-		h.log.WithFields(logrus.Fields{"event": "settings_unreadable", "error": err}).Error("the settings can't be read; the old ones stay in force")
+		log.WithFields(logrus.Fields{"event": "settings_unreadable", "error": err}).Error("the settings can't be read; the old ones stay in force")
 		return
 	}
 	tune(s)
 	if level, err := logrus.ParseLevel(s.LogLevel); err == nil {
-		h.log.SetLevel(level)
+		log.SetLevel(level)
 	}
-	h.log.WithFields(logrus.Fields{"event": "settings_reloaded", "memory_mb": s.MemoryMB, "log_level": s.LogLevel}).Info("settings were read again")
+	log.WithFields(logrus.Fields{"event": "settings_reloaded", "memory_mb": s.MemoryMB, "log_level": s.LogLevel}).Info("settings were read again")
 }
--- a/internal/fleethost/storage.go
+++ b/internal/fleethost/storage.go
@@ -23,6 +23,7 @@
 	}
 	store := newStore(settings, telemetry.NewMetrics(), log)
 	defer store.Close()
+	go followSettings(ctx, path, log)
 	log.WithField("event", "storage_started").Info("storage machine started; it keeps nothing")
 	platform.ServeRetirements(ctx, store, settings.Name, log)
 	log.WithField("event", "storage_stopped").Info("storage machine stopped")
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -64,8 +64,11 @@
 	Done  bool   `json:"done,omitempty"`  // every item has a result
 }
 
-// segment is a part of a job's results, as it is stored.
+// segment is a part of a job's results, as it is stored. One without results
+// fences off the host that ran the job before: its next segment finds the name
+// taken.
 type segment struct {
+	Writer  string   `json:"writer"` // incarnation of a host
 	Results []Result `json:"results"`
 }
 
@@ -103,6 +106,7 @@
 	changed  chan struct{}
 	ended    bool
 	doubtful bool // another host may run it by now
+	fenced   bool // another host has written a segment
 	writing  bool
 	due      time.Time
 	abandon  time.Time // when items may be given up
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -10,14 +10,16 @@
 	"github.com/masticscale/masticscale/internal/entry"
 	"github.com/masticscale/masticscale/internal/fleet"
 	"github.com/masticscale/masticscale/internal/mesh"
+	"github.com/masticscale/masticscale/internal/objstore"
 )
 
 const (
-	takeoverAfter = 3 * time.Second        // of silence; a killed host is back sooner and goes on itself
-	sweepPeriod   = 12 * time.Second       // between looks for jobs that no host runs
-	verifyPeriod  = 1 * time.Second        // between looks at the jobs' states while a peer is silent
-	storeTimeout  = 4 * time.Second        // of a read or claim
-	startRetry    = 500 * time.Millisecond // while the store can't be read at the start
+	takeoverAfter = 7 * time.Second         // of silence; a host that was killed or cut off is mostly back sooner and goes on itself
+	sweepPeriod   = 12 * time.Second        // between looks for jobs that no host runs
+	verifyPeriod  = 2500 * time.Millisecond // between looks at the jobs' states while peers are silent, whose callers may end jobs
+	cutOffPeriod  = time.Second             // the same while most peers are silent
+	storeTimeout  = 4 * time.Second         // of a read or claim
+	startRetry    = 500 * time.Millisecond  // while the store can't be read at the start
 	stopTimeout   = 1500 * time.Millisecond
 	frozenFor     = 1500 * time.Millisecond // without a look, after which this host was not running
 	lookPeriod    = 250 * time.Millisecond
@@ -46,10 +48,14 @@
 		}
 		lastLook = now
 		silent := r.silentHosts()
-		if len(silent) > 0 && time.Since(lastVerify) > verifyPeriod {
+		cutOff := !r.core.HearsMost()
+		if since := time.Since(lastVerify); len(silent) > 0 && (since > verifyPeriod || cutOff && since > cutOffPeriod) {
 			lastVerify = time.Now()
 			r.verifyJobs(ctx)
 		}
+		if cutOff {
+			continue
+		}
 		if r.takeOverFrom(silent, handled) || time.Since(lastSweep) > sweepPeriod {
 			lastSweep = time.Now()
 			r.sweep(ctx)
@@ -194,25 +200,53 @@
 	if err := r.loadParts(ctx, id, &rec); rec.Items == nil && err != nil {
 		return err
 	}
-	objects, _, err := r.store.List(ctx, KindResults, id+".")
+	segments, err := r.readSegments(ctx, id)
 	if err != nil {
 		return err
 	}
 	j := r.run(id, rec, routeOrEmpty(route))
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, s := range segments[min(j.segments, len(segments)):] {
+		j.adopt(s)
+	}
+	r.tellWaiting()
+	r.log.WithFields(logrus.Fields{"event": "job_taken_over", "job": id, "from": from, "results": len(j.results), "items": rec.Total}).Info("a job is run by this host from now on")
+	return nil
+}
+
+// readSegments reads the job's results, and fences off the host that ran the
+// job before, so that none can follow which this host doesn't know.
+func (r *Runner) readSegments(ctx context.Context, id string) ([]segment, error) {
+	objects, _, err := r.store.List(ctx, KindResults, id+".")
+	if err != nil {
+		return nil, err
+	}
+	var segments []segment
 	for _, o := range objects {
 		var s segment
 		if err := o.Decode(&s); err != nil {
-			return err
+			return nil, err
 		}
-		if o.Name == segmentName(id, j.segments) {
-			j.adopt(s)
+		if o.Name != segmentName(id, len(segments)) {
+			return nil, errors.Errorf("segment %d of the results of job %q is missing", len(segments), id)
+		}
+		segments = append(segments, s)
+	}
+	for {
+		fence := segment{Writer: r.incarnation}
+		_, err := r.store.Create(ctx, KindResults, segmentName(id, len(segments)), fence)
+		if errors.Is(err, objstore.ErrConflict) {
+			fence, err = r.readSegment(ctx, id, len(segments))
+		}
+		if err != nil {
+			return nil, err
+		}
+		segments = append(segments, fence)
+		if fence.Writer == r.incarnation {
+			return segments, nil
 		}
 	}
-	r.tellWaiting()
-	r.log.WithFields(logrus.Fields{"event": "job_taken_over", "job": id, "from": from, "results": len(j.results), "items": rec.Total}).Info("a job is run by this host from now on")
-	return nil
 }
 
 // routeOrEmpty returns a route without terms where there is none, so that the
@@ -295,7 +329,8 @@
 		case s.Ended && !j.ended:
 			r.stop(j)
 		default:
-			j.doubtful = false
+			j.doubtful, j.fenced = false, false
+			signal(r.write)
 		}
 	}
 	signal(r.work)
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -30,17 +30,19 @@
 
 // Runner accepts jobs, runs those that are this host's, and answers reads.
 type Runner struct {
-	self      string
-	core      *entry.Core
-	store     objstore.Store
-	peers     Peers
-	upstreams entry.Upstreams
-	log       logrus.FieldLogger
-	metrics   *telemetry.Metrics
+	self        string
+	incarnation string
+	core        *entry.Core
+	store       objstore.Store
+	peers       Peers
+	upstreams   entry.Upstreams
+	log         logrus.FieldLogger
+	metrics     *telemetry.Metrics
 
 	mu       sync.Mutex
 	jobs     map[string]*job // that this host runs, and that it ran
 	remote   map[string]*remoteJob
+	ended    map[string]time.Time // jobs whose end this host has noted, and when
 	pace     pace
 	stopping bool
 	work     chan struct{} // an item may be waiting
@@ -50,10 +52,10 @@
 }
 
 // NewRunner returns a runner. SetPeers must be called before Run.
-func NewRunner(self string, core *entry.Core, store objstore.Store, upstreams entry.Upstreams, metrics *telemetry.Metrics, log logrus.FieldLogger) *Runner {
+func NewRunner(self entry.Identity, core *entry.Core, store objstore.Store, upstreams entry.Upstreams, metrics *telemetry.Metrics, log logrus.FieldLogger) *Runner {
 	return &Runner{
-		self: self, core: core, store: store, upstreams: upstreams, log: log, metrics: metrics,
-		jobs: map[string]*job{}, remote: map[string]*remoteJob{}, pace: newPace(),
+		self: self.Name, incarnation: self.Incarnation, core: core, store: store, upstreams: upstreams, log: log, metrics: metrics,
+		jobs: map[string]*job{}, remote: map[string]*remoteJob{}, ended: map[string]time.Time{}, pace: newPace(),
 		work: make(chan struct{}, 1), write: make(chan struct{}, 1), verify: make(chan struct{}, 1),
 	}
 }
@@ -61,6 +63,14 @@
 // SetPeers sets how other hosts are called.
 func (r *Runner) SetPeers(p Peers) { r.peers = p }
 
+// PeerChanged has the jobs' states read again once a peer is heard that was not
+// heard before: it may have taken jobs over, or may have heard of their end.
+func (r *Runner) PeerChanged(change entry.PeerChange) {
+	if !change.Silent {
+		signal(r.verify)
+	}
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -350,12 +350,45 @@
 	if address, heard := r.addressOf(m.owner); heard && r.peers.EndJob(ctx, address, id, team) == nil {
 		return nil
 	}
-	if err := r.changeState(ctx, id, m.record.Owner, func(s *state) { s.Ended = true }); err != nil {
+	return r.noteEnd(ctx, id, m.record)
+}
+
+// endedTold is how long peers are told of an ended job: longer than most cuts,
+// after which they read the job's state themselves.
+const endedTold = 15 * time.Second
+
+// noteEnd writes the end of a job and tells the peers, one of which may run it.
+func (r *Runner) noteEnd(ctx context.Context, id string, rec record) error {
+	if err := r.changeState(ctx, id, rec.Owner, func(s *state) { s.Ended = true }); err != nil {
 		return refusedForNow("the end of the job can't be noted at the moment", err)
 	}
+	r.mu.Lock()
+	r.ended[id] = time.Now()
+	var told []string
+	for id, at := range r.ended {
+		if time.Since(at) > endedTold {
+			delete(r.ended, id)
+			continue
+		}
+		told = append(told, id)
+	}
+	r.mu.Unlock()
+	r.core.SetEnded(told)
+	r.log.WithFields(logrus.Fields{"event": "job_ended", "job": id, "team": rec.Team}).Info("a job was ended by its caller")
 	return nil
 }
 
+// StopEnded stops the jobs that a peer knows to be ended.
+func (r *Runner) StopEnded(ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ids {
+		if j, known := r.jobs[id]; known && !j.ended {
+			r.stop(j)
+		}
+	}
+}
+
 // EndLocal implements mesh.Jobs. Items stop at once, before the end is noted.
 func (r *Runner) EndLocal(ctx context.Context, id, team string) error {
 	r.mu.Lock()
@@ -365,12 +398,9 @@
 		return mesh.ErrUnknownJob
 	}
 	r.stop(j)
+	rec := j.record
 	r.mu.Unlock()
-	if err := r.changeState(ctx, id, j.record.Owner, func(s *state) { s.Ended = true }); err != nil {
-		return refusedForNow("the end of the job can't be noted at the moment", err)
-	}
-	r.log.WithFields(logrus.Fields{"event": "job_ended", "job": id, "team": team}).Info("a job was ended by its caller")
-	return nil
+	return r.noteEnd(ctx, id, rec)
 }
 
 // stop ends the job's items; the caller holds mu.
--- a/internal/jobs/write.go
+++ b/internal/jobs/write.go
@@ -57,7 +57,7 @@
 	defer r.mu.Unlock()
 	var found []*job
 	for _, j := range r.jobs {
-		if len(j.pending) > 0 && !j.writing {
+		if len(j.pending) > 0 && !j.writing && !j.fenced {
 			j.writing = true
 			found = append(found, j)
 		}
@@ -102,7 +102,11 @@
 func (r *Runner) nextSegment(j *job) (segment, int, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var s segment
+	if j.fenced {
+		j.writing = false // until it is known which host runs the job
+		return segment{}, 0, false
+	}
+	s := segment{Writer: r.incarnation}
 	size := 0
 	for _, x := range j.pending {
 		size += len(x.Output)
@@ -126,14 +130,16 @@
 	_, err := r.store.Create(ctx, KindResults, segmentName(j.id, n), s)
 	if errors.Is(err, objstore.ErrConflict) {
 		s, err = r.readSegment(ctx, j.id, n)
-		signal(r.verify) // another host may run the job
-		r.setDoubtful(j)
 	}
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if s.Writer != r.incarnation {
+		j.fenced, j.doubtful = true, true
+		signal(r.verify)
+	}
 	if j.segments == n {
 		j.adopt(s)
 		r.tellWaiting()
@@ -144,12 +150,6 @@
 	return nil
 }
 
-func (r *Runner) setDoubtful(j *job) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	j.doubtful = true
-}
-
 // markDone notes that the job has all its results, so that no host reads them
 // to find work. Without the note they are read once more.
 func (r *Runner) markDone(j *job) {
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -27,6 +27,7 @@
 	Running          map[string]slots.Counts // by upstream
 	Admitted         map[string]int64        // requests of each team since the host's start
 	Waiting          map[Backlog]int64       // tokens
+	EndedJobs        []string                // that were ended a short time ago
 	ConfigVersion    int64
 	UpstreamsVersion int64
 	StoreReachable   bool
@@ -36,7 +37,7 @@
 	m := &peerv1.ShareStateRequest{
 		Host: s.Host, Incarnation: s.Incarnation, DataCentre: s.DataCentre, Address: s.Address,
 		Leaving: s.Leaving, Admitted: s.Admitted, ConfigVersion: s.ConfigVersion,
-		UpstreamsVersion: s.UpstreamsVersion, StoreReachable: s.StoreReachable,
+		UpstreamsVersion: s.UpstreamsVersion, StoreReachable: s.StoreReachable, EndedJobs: s.EndedJobs,
 	}
 	for id, c := range s.Running {
 		m.Running = append(m.Running, &peerv1.Running{Upstream: id, Online: int32(c.Online), Batch: int32(c.Batch)})
@@ -51,7 +52,7 @@
 	s := State{
 		Host: m.Host, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address,
 		Leaving: m.Leaving, Admitted: m.Admitted, ConfigVersion: m.ConfigVersion,
-		UpstreamsVersion: m.UpstreamsVersion, StoreReachable: m.StoreReachable,
+		UpstreamsVersion: m.UpstreamsVersion, StoreReachable: m.StoreReachable, EndedJobs: m.EndedJobs,
 		Running: map[string]slots.Counts{}, Waiting: map[Backlog]int64{},
 	}
 	for _, r := range m.Running {
