--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -241,12 +241,26 @@
 	if answer.Status >= http.StatusInternalServerError && r.mayRepeat() {
 		return true, h.passOnLater(r, answer)
 	}
+	if promisesNotRun(answer.Status) {
+		return false, apierr.Newf(apierr.UpstreamError, "send the request again only if it may run twice",
+			"upstream %s answered with status %d, though it may have run the request", r.upstream, answer.Status).MayHaveRun()
+	}
 	if answer.Events && answer.Status == http.StatusOK {
 		return h.relayEvents(ctx, r, place, answer, w)
 	}
 	return h.relayWhole(ctx, r, place, answer, w)
 }
 
+// promisesNotRun reports whether callers take the status as a promise that the
+// request has not run. Only upstreams that say so themselves may give it.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // mayRepeat reports whether another run is allowed after those so far.
 func (r *request) mayRepeat() bool {
 	return r.route.Repeatable() && r.runs < max(r.route.MaxAttempts, 1)
--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -118,8 +118,10 @@
 	c      *qt.C
 	store  *memstore.Store
 	engine *engine
-	hosts  map[string]*host
 	wg     sync.WaitGroup
+
+	mu    sync.Mutex // guards hosts and who reaches whom
+	hosts map[string]*host
 }
 
 type host struct {
@@ -167,7 +169,9 @@
 	core.OnEnded(h.runner.StopEnded)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
+	w.mu.Lock()
 	w.hosts[name] = h
+	w.mu.Unlock()
 	w.wg.Go(func() { core.Run(ctx) })
 	w.wg.Go(func() { h.runner.Run(ctx) })
 	w.wg.Go(func() { h.gossip(ctx) })
@@ -176,10 +180,19 @@
 
 // kill ends a host without a word.
 func (h *host) kill() {
+	h.world.mu.Lock()
 	h.gone = true
+	h.world.mu.Unlock()
 	h.cancel()
 }
 
+// setCut cuts the host off from all others, or connects it again.
+func (h *host) setCut(cut bool) {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	h.cut = cut
+}
+
 func (w *world) end() {
 	for _, h := range w.hosts {
 		h.cancel()
@@ -190,10 +203,8 @@
 // gossip tells the other hosts this one's state.
 func (h *host) gossip(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, other := range h.world.hosts {
-			if other != h && h.reaches(other) {
-				other.core.Absorb(h.core.State())
-			}
+		for _, other := range h.reached() {
+			other.core.Absorb(h.core.State())
 		}
 		select {
 		case <-ctx.Done():
@@ -202,11 +213,28 @@
 	}
 }
 
-func (h *host) reaches(other *host) bool { return !h.cut && !other.cut && !other.gone && !h.gone }
+// reaches reports whether the hosts reach each other; the caller holds mu.
+func (h *host) reaches(other *host) bool {
+	return h != other && !h.cut && !other.cut && !other.gone && !h.gone
+}
+
+func (h *host) reached() []*host {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	var all []*host
+	for _, other := range h.world.hosts {
+		if h.reaches(other) {
+			all = append(all, other)
+		}
+	}
+	return all
+}
 
 var errCut = errors.New("the host is not reached")
 
 func (h *host) at(address string) (*host, error) {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
 	other, known := h.world.hosts[address]
 	if !known || !h.reaches(other) {
 		return nil, errCut
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -108,7 +108,7 @@
 	s := submission("j", 90)
 	c.Assert(h1.runner.Submit(background, s), qt.IsNil)
 	time.Sleep(500 * time.Millisecond)
-	h1.cut = true
+	h1.setCut(true)
 	h1.store.SetDown(true)
 	last := 0
 	for n := range 120 {
@@ -121,7 +121,7 @@
 			last = len(results)
 		}
 	}
-	h1.cut = false
+	h1.setCut(false)
 	time.Sleep(3 * time.Second)
 	for _, h := range []*host{h1, h2, h3} {
 		w.checkWhole(h, s)
@@ -152,7 +152,7 @@
 		"calm":    func(*world, *host) {},
 		"handing": func(_ *world, h1 *host) { h1.core.SetLeaving(); go h1.runner.Stop(background) },
 		"owner cut off": func(_ *world, h1 *host) {
-			h1.cut = true
+			h1.setCut(true)
 			time.Sleep(time.Second)
 		},
 	} {
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,152 @@
+package mesh_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/mesh"
+	"github.com/masticscale/masticscale/internal/peer/link"
+	"github.com/masticscale/masticscale/internal/slots"
+)
+
+// node is a host with a state, a job and some knowledge.
+type node struct {
+	mu       sync.Mutex
+	state    mesh.State
+	heard    map[string]mesh.State
+	adopted  []string
+	mesh     *mesh.Mesh
+	server   *http.Server
+	document mesh.Document
+}
+
+func (n *node) State() mesh.State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state
+}
+
+func (n *node) Absorb(s mesh.State) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.heard[s.Host] = s
+}
+
+func (n *node) Document() mesh.Document { return n.document }
+
+func (n *node) ReadLocal(_ context.Context, job, _ string, after int, _ time.Duration) (int, []mesh.Result, error) {
+	if job != "known" {
+		return 0, nil, mesh.ErrUnknownJob
+	}
+	all := []mesh.Result{{ID: "a", Output: []byte("x")}, {ID: "b", Failed: true}}
+	return 3, all[after:], nil
+}
+
+func (n *node) EndLocal(_ context.Context, job, _ string) error {
+	if job != "known" {
+		return mesh.ErrUnknownJob
+	}
+	return nil
+}
+
+func (n *node) AdoptLocal(jobs []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.adopted = append(n.adopted, jobs...)
+}
+
+func (n *node) hears(host string, match func(mesh.State) bool) bool {
+	for range 500 {
+		n.mu.Lock()
+		s, ok := n.heard[host]
+		n.mu.Unlock()
+		if ok && match(s) {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+func newNode(t *testing.T, name, address string) *node {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{heard: map[string]mesh.State{}, state: mesh.State{Host: name, Incarnation: name + "/1", Address: socket.Addr().String()}}
+	n.document = mesh.Document{ConfigVersion: 4, Config: []byte("c"), UpstreamsVersion: 9, Upstreams: map[string][]byte{"u": []byte("e")}, Hosts: map[string]string{"h": "a"}}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.mesh = mesh.New(ctx, n.state.Address, n, n, n, log)
+	n.server = &http.Server{Handler: n.mesh.Handler(), Protocols: link.Protocols()}
+	go func() { _ = n.server.Serve(socket) }()
+	t.Cleanup(func() {
+		cancel()
+		_ = n.server.Close()
+		n.mesh.Wait()
+	})
+	return n
+}
+
+func TestStatesArrive(t *testing.T) {
+	c := qt.New(t)
+	a, b := newNode(t, "a", "127.0.0.1:0"), newNode(t, "b", "127.0.0.1:0")
+	a.mesh.Join(map[string]bool{b.state.Address: true, a.state.Address: true})
+	c.Assert(b.hears("a", func(s mesh.State) bool { return s.Incarnation == "a/1" }), qt.IsTrue)
+	a.mu.Lock()
+	a.state.Running = map[string]slots.Counts{"u": {Online: 2, Batch: 3}}
+	a.state.Admitted = map[string]int64{"team": 7}
+	a.state.Waiting = map[mesh.Backlog]int64{{Route: "r", Team: "t"}: 11}
+	a.state.EndedJobs = []string{"j"}
+	a.mu.Unlock()
+	a.mesh.Changed()
+	c.Assert(b.hears("a", func(s mesh.State) bool { return s.Running["u"] == slots.Counts{Online: 2, Batch: 3} }), qt.IsTrue)
+	heard := b.heard["a"]
+	c.Assert(heard.Admitted["team"], qt.Equals, int64(7))
+	c.Assert(heard.Waiting[mesh.Backlog{Route: "r", Team: "t"}], qt.Equals, int64(11))
+	c.Assert(heard.EndedJobs, qt.DeepEquals, []string{"j"})
+}
+
+// TestPeerThatRestartsIsHeardAgain checks that a stream is opened again.
+func TestPeerThatRestartsIsHeardAgain(t *testing.T) {
+	c := qt.New(t)
+	a, b := newNode(t, "a", "127.0.0.1:0"), newNode(t, "b", "127.0.0.1:0")
+	a.mesh.Join(map[string]bool{b.state.Address: true})
+	c.Assert(b.hears("a", func(mesh.State) bool { return true }), qt.IsTrue)
+	c.Assert(b.server.Close(), qt.IsNil)
+	again := newNode(t, "b", b.state.Address)
+	c.Assert(again.hears("a", func(mesh.State) bool { return true }), qt.IsTrue)
+}
+
+func TestCallsBetweenHosts(t *testing.T) {
+	c := qt.New(t)
+	a, b := newNode(t, "a", "127.0.0.1:0"), newNode(t, "b", "127.0.0.1:0")
+	ctx := context.Background()
+	at := b.state.Address
+	total, results, err := a.mesh.ReadResults(ctx, at, "known", "t", 0, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(total, qt.Equals, 3)
+	c.Assert(results, qt.DeepEquals, []mesh.Result{{ID: "a", Output: []byte("x")}, {ID: "b", Failed: true}})
+	_, _, err = a.mesh.ReadResults(ctx, at, "other", "t", 0, 0)
+	c.Assert(errors.Is(err, mesh.ErrUnknownJob), qt.IsTrue)
+	c.Assert(a.mesh.EndJob(ctx, at, "known", "t"), qt.IsNil)
+	c.Assert(errors.Is(a.mesh.EndJob(ctx, at, "other", "t"), mesh.ErrUnknownJob), qt.IsTrue)
+	c.Assert(a.mesh.Adopt(ctx, at, []string{"j1", "j2"}), qt.IsNil)
+	c.Assert(b.adopted, qt.DeepEquals, []string{"j1", "j2"})
+	d, err := a.mesh.FetchKnowledge(ctx, at)
+	c.Assert(err, qt.IsNil)
+	c.Assert(d, qt.DeepEquals, b.document)
+	_, _, err = a.mesh.ReadResults(ctx, "127.0.0.1:1", "known", "t", 0, 0)
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(errors.Is(err, mesh.ErrUnknownJob), qt.IsFalse)
+}
