--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -159,8 +159,8 @@
 		return apierr.Newf(apierr.RateLimited, "send fewer requests or ask the operator for a higher rate",
 			"team %q has used up its rate", team.Name).WithRetryAfter(after)
 	}
-	if team.Rate > 0 {
-		c.changed()
+	if team.Rate > 0 && c.ledger.Low(team.Name, ledgerRate(team)) {
+		c.urgent()
 	}
 	return nil
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,9 +23,10 @@
 )
 
 const (
-	silentAfter = 700 * time.Millisecond // three heartbeats and a margin
-	dropAfter   = 3 * time.Second        // what a silent host ran has mostly ended
-	checkPeriod = 100 * time.Millisecond
+	silentAfter    = 700 * time.Millisecond  // three heartbeats and a margin
+	silentFarAfter = 1400 * time.Millisecond // the same for hosts of other cells
+	dropAfter      = 3 * time.Second         // what a silent host ran has mostly ended
+	checkPeriod    = 100 * time.Millisecond
 )
 
 // Identity says who this host is.
@@ -54,20 +56,31 @@
 	queue     slots.Queue
 	ledger    *ledger.Ledger
 	peers     map[string]*peerView
-	roster    map[string]string // hosts of the store's list, name to address
+	roster    map[string]HostInfo // hosts of the store's list
+	cell      fleet.Cell
+	upstreams []fleet.Upstream
+	jobs      []string // that this host runs or has run
 	waiting   map[mesh.Backlog]int64
 	ended     []string // jobs
 	versions  Versions
 	storeUp   bool
+	watching  bool
 	leaving   bool
 	random    *rand.Rand
 	longest   map[string]time.Duration // time that callers give at first, by route
 	onChanged func()
+	onUrgent  func()
 	batchWake chan struct{}
 	onPeer    func(PeerChange)
 	onEnded   func(jobs []string)
 }
 
+// HostInfo is what the store's list tells of a host.
+type HostInfo struct {
+	Address    string
+	DataCentre string
+}
+
 // Versions are the versions of what this host knows.
 type Versions struct {
 	Config    int64
@@ -90,11 +103,12 @@
 		board:     slots.NewBoard(self.DataCentre, seed),
 		ledger:    ledger.New(time.Now()),
 		peers:     map[string]*peerView{},
-		roster:    map[string]string{},
+		roster:    map[string]HostInfo{},
 		waiting:   map[mesh.Backlog]int64{},
 		longest:   map[string]time.Duration{},
 		random:    rand.New(rand.NewPCG(seed, 1)),
 		onChanged: func() {},
+		onUrgent:  func() {},
 		onPeer:    func(PeerChange) {},
 		onEnded:   func([]string) {},
 		batchWake: make(chan struct{}, 1),
@@ -104,6 +118,10 @@
 // OnChanged sets what is called when the state for peers has changed.
 func (c *Core) OnChanged(f func()) { c.onChanged = f }
 
+// OnUrgent sets what is called when hosts of other cells should hear of a change
+// soon too.
+func (c *Core) OnUrgent(f func()) { c.onUrgent = f }
+
 // OnPeer sets what is called when a peer begins anew, falls silent or is back.
 func (c *Core) OnPeer(f func(PeerChange)) { c.onPeer = f }
 
@@ -129,7 +147,7 @@
 	}
 	c.config = config
 	c.versions.Config = config.Version
-	c.changed()
+	c.urgent()
 	return true
 }
 
@@ -138,20 +156,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.board.SetUpstreams(list)
+	c.upstreams = list
+	c.formCell()
 	for name, p := range c.peers {
 		if !p.silent {
 			c.board.SetPeer(name, p.state.Running)
 		}
 	}
-	c.versions.Upstreams = version
-	c.changed()
+	c.versions.Upstreams = max(c.versions.Upstreams, version)
+	c.urgent()
 }
 
-// SetRoster replaces the hosts of the store's list.
-func (c *Core) SetRoster(hosts map[string]string) {
+// SetRoster replaces the hosts of the store's list. The version counts the
+// changes of hosts and upstreams together.
+func (c *Core) SetRoster(hosts map[string]HostInfo, version int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.roster = hosts
+	c.versions.Upstreams = max(c.versions.Upstreams, version)
+	c.formCell()
 	for name, p := range c.peers {
 		if _, listed := hosts[name]; !listed && p.silent {
 			c.board.SetPeer(name, nil)
@@ -161,6 +184,104 @@
 	}
 }
 
+// formCell finds the cell of this host among the listed hosts; the caller holds
+// mu.
+func (c *Core) formCell() {
+	hosts := map[string]string{c.self.Name: c.self.DataCentre}
+	for name, h := range c.roster {
+		hosts[name] = h.DataCentre
+	}
+	for name, p := range c.peers {
+		hosts[name] = p.state.DataCentre
+	}
+	c.cell = fleet.CellOf(c.self.Name, hosts, c.upstreams)
+	c.board.SetHome(c.cell.Upstreams)
+}
+
+// InCell reports whether the host is in this host's cell.
+func (c *Core) InCell(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cell.Hosts[host]
+}
+
+// watchersPerCentre are the hosts of each data centre that follow the store for
+// all: two, so that the loss of one delays nothing.
+const watchersPerCentre = 2
+
+// WatchDuty reports whether this host follows the store's changes itself. In a
+// large fleet a few hosts of each data centre do, and tell the others.
+func (c *Core) WatchDuty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	duty := c.watchDuty()
+	c.watching = duty
+	return duty
+}
+
+// Large reports whether the fleet has more hosts than fit into one cell.
+func (c *Core) Large() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.cell.Hosts) < len(c.roster)
+}
+
+// Watching reports whether this host follows the store's changes.
+func (c *Core) Watching() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.watching
+}
+
+// watchDuty decides it; the caller holds mu.
+func (c *Core) watchDuty() bool {
+	if len(c.cell.Hosts) > len(c.peers) {
+		return true // the fleet is small, or nobody is heard
+	}
+	var nearby []string
+	served := false
+	for name, p := range c.peers {
+		if p.silent || p.state.Leaving {
+			continue
+		}
+		served = served || p.state.Watching && p.state.StoreReachable
+		if p.state.DataCentre == c.self.DataCentre {
+			nearby = append(nearby, name)
+		}
+	}
+	if !served {
+		return true
+	}
+	for range watchersPerCentre {
+		first := Successor(c.self.DataCentre, append(nearby, c.self.Name))
+		if first == c.self.Name {
+			return true
+		}
+		nearby = slices.DeleteFunc(nearby, func(name string) bool { return name == first })
+	}
+	return false
+}
+
+// SetJobs replaces the jobs that this host answers for.
+func (c *Core) SetJobs(jobs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs = jobs
+	c.changed()
+}
+
+// HostOf returns the address of the heard peer that answers for the job.
+func (c *Core) HostOf(job string) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		if !p.silent && slices.Contains(p.state.Jobs, job) {
+			return p.state.Address, true
+		}
+	}
+	return "", false
+}
+
 // SetStoreReachable notes whether the platform's store answers this host.
 func (c *Core) SetStoreReachable(up bool) {
 	c.mu.Lock()
@@ -173,7 +294,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving = true
-	c.changed()
+	c.urgent()
 }
 
 // SetWaiting replaces the tokens that wait in this host's jobs.
@@ -206,7 +327,7 @@
 	return mesh.State{
 		Host: c.self.Name, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
 		Address: c.self.PeerAddress, Leaving: c.leaving, Running: c.board.Own(), Admitted: admitted,
-		Waiting: c.waiting, EndedJobs: c.ended, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams,
+		Waiting: c.waiting, EndedJobs: c.ended, Jobs: c.jobs, Watching: c.watching, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams,
 		StoreReachable: c.storeUp,
 	}
 }
@@ -227,6 +348,9 @@
 		c.ledger.Forget(p.state.Incarnation)
 	}
 	p.state, p.heard, p.silent = s, time.Now(), false
+	if news {
+		c.formCell()
+	}
 	c.board.SetPeer(s.Host, s.Running)
 	c.ledger.Absorb(s.Incarnation, s.Admitted)
 	c.schedule()
@@ -263,7 +387,11 @@
 	var changes []PeerChange
 	for name, p := range c.peers {
 		age := now.Sub(p.heard)
-		if !p.silent && age > silentAfter {
+		limit := silentFarAfter
+		if c.cell.Hosts[name] {
+			limit = silentAfter
+		}
+		if !p.silent && age > limit {
 			p.silent = true
 			c.ledger.Forget(p.state.Incarnation)
 			changes = append(changes, PeerChange{Host: name, Address: p.state.Address, Incarnation: p.state.Incarnation, Silent: true})
@@ -349,12 +477,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended = jobs
-	c.changed()
+	c.urgent()
 }
 
 // changed tells that the state for peers is another; the caller holds mu.
 func (c *Core) changed() { c.onChanged() }
 
+// urgent tells that all hosts should hear of a change soon; the caller holds mu.
+func (c *Core) urgent() { c.onUrgent() }
+
 // wakeBatch tells the batch runner that a slot may be free.
 func (c *Core) wakeBatch() {
 	select {
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -287,7 +287,7 @@
 		c.Assert(core.HearsMost(), qt.IsFalse)
 		_, err := serve(core, &script{}, "/safe/x", "k")
 		c.Assert(err, qt.IsNil)
-		core.SetRoster(map[string]string{"h1": "a"}) // the host was removed for good
+		core.SetRoster(map[string]entry.HostInfo{"h1": {Address: "a"}}, 2) // the host was removed for good
 		c.Assert(core.HearsMost(), qt.IsTrue)
 		cancel()
 		wg.Wait()
--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -121,6 +121,7 @@
 	h.runner.SetPeers(peers)
 	h.source.SetPeers(peers)
 	h.core.OnChanged(peers.Changed)
+	h.core.OnUrgent(peers.Urgent)
 	h.core.OnPeer(h.runner.PeerChanged)
 	h.core.OnEnded(h.runner.StopEnded)
 	servers, failed, err := h.listen(peers)
--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -251,6 +251,15 @@
 	return other.runner.ReadLocal(ctx, job, team, after, wait)
 }
 
+// ReadItem implements jobs.Peers.
+func (h *host) ReadItem(_ context.Context, address, job, team, item string) ([]byte, error) {
+	other, err := h.at(address)
+	if err != nil {
+		return nil, err
+	}
+	return other.runner.ItemLocal(job, team, item)
+}
+
 // EndJob implements jobs.Peers.
 func (h *host) EndJob(ctx context.Context, address, job, team string) error {
 	other, err := h.at(address)
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	takeoverAfter = 7 * time.Second         // of silence; a host that was killed or cut off is mostly back sooner and goes on itself
-	sweepPeriod   = 12 * time.Second        // between looks for jobs that no host runs
-	verifyPeriod  = 2500 * time.Millisecond // between looks at the jobs' states while peers are silent, whose callers may end jobs
-	cutOffPeriod  = time.Second             // the same while most peers are silent
-	storeTimeout  = 4 * time.Second         // of a read or claim
-	startRetry    = 500 * time.Millisecond  // while the store can't be read at the start
+	takeoverAfter = 7 * time.Second          // of silence; a host that was killed or cut off is mostly back sooner and goes on itself
+	sweepDuty     = "jobs that no host runs" // key that picks the one host which looks for them
+	sweepPeriod   = 12 * time.Second         // between looks for jobs that no host runs
+	verifyPeriod  = 2500 * time.Millisecond  // between looks at the jobs' states while peers are silent, whose callers may end jobs
+	cutOffPeriod  = time.Second              // the same while most peers are silent
+	storeTimeout  = 4 * time.Second          // of a read or claim
+	startRetry    = 500 * time.Millisecond   // while the store can't be read at the start
 	stopTimeout   = 1500 * time.Millisecond
 	frozenFor     = 1500 * time.Millisecond // without a look, after which this host was not running
 	lookPeriod    = 250 * time.Millisecond
@@ -56,7 +57,7 @@
 		if cutOff {
 			continue
 		}
-		if r.takeOverFrom(silent, handled) || time.Since(lastSweep) > sweepPeriod {
+		if r.takeOverFrom(silent, handled) || time.Since(lastSweep) > sweepPeriod && r.core.Succeeds(sweepDuty) {
 			lastSweep = time.Now()
 			r.sweep(ctx)
 		}
@@ -296,6 +297,7 @@
 			j.doubtful = true
 		}
 	}
+	r.tellJobs()
 }
 
 // verifyJobs reads the states of the jobs that this host runs. Jobs that were
@@ -333,6 +335,7 @@
 			signal(r.write)
 		}
 	}
+	r.tellJobs()
 	signal(r.work)
 }
 
@@ -342,6 +345,7 @@
 	r.stop(j)
 	j.pending = nil
 	delete(r.jobs, j.id)
+	r.tellJobs()
 	r.remote[j.id] = &remoteJob{id: j.id, record: j.record, owner: owner}
 	r.tellWaiting()
 }
@@ -392,6 +396,7 @@
 			j.doubtful = true
 		}
 	}
+	r.tellJobs()
 }
 
 // waitWritten waits until no result is pending, or ctx ends.
--- a/internal/jobs/remote.go
+++ b/internal/jobs/remote.go
@@ -74,11 +74,7 @@
 		}
 		total, results, err := r.peers.ReadResults(ctx, address, m.id, m.record.Team, after, wait)
 		if err == nil {
-			page := Page{Total: total}
-			for _, x := range results {
-				page.Results = append(page.Results, Result(x))
-			}
-			return page, true
+			return pageFrom(total, results), true
 		}
 		if !errors.Is(err, mesh.ErrUnknownJob) || !r.refreshOwner(ctx, m) {
 			return Page{}, false
@@ -87,6 +83,27 @@
 	return Page{}, false
 }
 
+// readAtTeller reads at the host that says it answers for the job.
+func (r *Runner) readAtTeller(ctx context.Context, id, team string, after int, wait time.Duration) (Page, bool) {
+	address, told := r.core.HostOf(id)
+	if !told {
+		return Page{}, false
+	}
+	total, results, err := r.peers.ReadResults(ctx, address, id, team, after, wait)
+	if err != nil {
+		return Page{}, false // the store knows more
+	}
+	return pageFrom(total, results), true
+}
+
+func pageFrom(total int, results []mesh.Result) Page {
+	page := Page{Total: total}
+	for _, x := range results {
+		page.Results = append(page.Results, Result(x))
+	}
+	return page
+}
+
 // refreshOwner reports whether the store names another host for the job.
 func (r *Runner) refreshOwner(ctx context.Context, m *remoteJob) bool {
 	s, _, err := r.readState(ctx, m.id, m.record.Owner)
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -24,6 +24,7 @@
 // Peers are calls to other hosts.
 type Peers interface {
 	ReadResults(ctx context.Context, address, job, team string, after int, wait time.Duration) (int, []mesh.Result, error)
+	ReadItem(ctx context.Context, address, job, team, item string) ([]byte, error)
 	EndJob(ctx context.Context, address, job, team string) error
 	Adopt(ctx context.Context, address string, jobs []string) error
 }
@@ -156,6 +157,18 @@
 	signal(r.write)
 }
 
+// tellJobs tells peers which jobs this host answers for; the caller holds mu.
+func (r *Runner) tellJobs() {
+	ids := make([]string, 0, len(r.jobs))
+	for id, j := range r.jobs {
+		if !j.doubtful {
+			ids = append(ids, id)
+		}
+	}
+	r.core.SetJobs(ids)
+	r.tellWaiting()
+}
+
 // tellWaiting tells peers how many tokens wait here; the caller holds mu.
 func (r *Runner) tellWaiting() {
 	waiting := map[mesh.Backlog]int64{}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -209,7 +209,7 @@
 	j := newJob(id, rec, route.Batch.Due, route.Batch.Retention)
 	r.jobs[id] = j
 	delete(r.remote, id)
-	r.tellWaiting()
+	r.tellJobs()
 	signal(r.work)
 	return j
 }
@@ -275,6 +275,9 @@
 	if err == nil {
 		return page, nil
 	}
+	if page, ok := r.readAtTeller(ctx, id, team, after, wait); ok {
+		return page, nil
+	}
 	m, err := r.remoteOf(ctx, id)
 	if err != nil {
 		return Page{}, r.readError(id, err)
@@ -303,6 +306,15 @@
 func (r *Runner) ItemBody(ctx context.Context, id, team, itemID string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callerTime)
 	defer cancel()
+	body, err := r.ItemLocal(id, team, itemID)
+	if err == nil {
+		return body, nil
+	}
+	if address, told := r.core.HostOf(id); told {
+		if body, err := r.peers.ReadItem(ctx, address, id, team, itemID); err == nil {
+			return body, nil
+		}
+	}
 	rec, err := r.recordOf(ctx, id)
 	if err != nil {
 		return nil, r.readError(id, err)
@@ -310,12 +322,34 @@
 	if rec.Team != team {
 		return nil, unknownJob(id)
 	}
+	if body, ok := bodyOf(rec, itemID); ok {
+		return body, nil
+	}
+	return nil, apierr.Newf(apierr.NotFound, "check the item's id", "job %q has no item %q", id, itemID)
+}
+
+func bodyOf(rec record, itemID string) ([]byte, bool) {
 	for _, i := range rec.Items {
 		if i.ID == itemID {
-			return i.Body, nil
+			return i.Body, true
 		}
 	}
-	return nil, apierr.Newf(apierr.NotFound, "check the item's id", "job %q has no item %q", id, itemID)
+	return nil, false
+}
+
+// ItemLocal implements mesh.Jobs.
+func (r *Runner) ItemLocal(id, team, itemID string) ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j, known := r.jobs[id]
+	if !known || j.record.Team != team {
+		return nil, mesh.ErrUnknownJob
+	}
+	body, ok := bodyOf(j.record, itemID)
+	if !ok {
+		return nil, mesh.ErrUnknownJob
+	}
+	return body, nil
 }
 
 func (r *Runner) recordOf(ctx context.Context, id string) (record, error) {
@@ -340,6 +374,9 @@
 	if !errors.Is(err, mesh.ErrUnknownJob) {
 		return err
 	}
+	if address, told := r.core.HostOf(id); told && r.peers.EndJob(ctx, address, id, team) == nil {
+		return nil
+	}
 	m, err := r.remoteOf(ctx, id)
 	if err != nil {
 		return r.readError(id, err)
--- a/internal/jobs/write.go
+++ b/internal/jobs/write.go
@@ -138,6 +138,7 @@
 	defer r.mu.Unlock()
 	if s.Writer != r.incarnation {
 		j.fenced, j.doubtful = true, true
+		r.tellJobs()
 		signal(r.verify)
 	}
 	if j.segments == n {
--- a/internal/knowledge/hosts.go
+++ b/internal/knowledge/hosts.go
@@ -8,12 +8,14 @@
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/masticscale/masticscale/internal/entry"
 	"github.com/masticscale/masticscale/internal/mesh"
 	"github.com/masticscale/masticscale/internal/objstore"
 )
 
-func (s *Source) resetHosts(objects []objstore.Object, _ int64) {
+func (s *Source) resetHosts(objects []objstore.Object, version int64) {
 	s.mu.Lock()
+	s.upstreamsVersion = max(s.upstreamsVersion, version)
 	s.hosts, s.hostVersions = map[string]hostEntry{}, map[string]int64{}
 	for _, o := range objects {
 		s.takeHost(o)
@@ -25,6 +27,7 @@
 
 func (s *Source) applyHost(e objstore.Event) {
 	s.mu.Lock()
+	s.upstreamsVersion = max(s.upstreamsVersion, e.Object.Version)
 	if e.Type == objstore.EventPut {
 		s.takeHost(e.Object)
 	} else {
@@ -48,13 +51,14 @@
 // tellHosts passes the list of hosts on.
 func (s *Source) tellHosts() {
 	s.mu.Lock()
-	roster := map[string]string{}
+	roster := map[string]entry.HostInfo{}
 	for name, h := range s.hosts {
-		roster[name] = h.Address
+		roster[name] = entry.HostInfo{Address: h.Address, DataCentre: h.DataCentre}
 	}
+	version := s.upstreamsVersion
 	_, listed := s.hosts[s.self.Name]
 	s.mu.Unlock()
-	s.core.SetRoster(roster)
+	s.core.SetRoster(roster, version)
 	s.join()
 	if !listed {
 		s.askPublish()
@@ -66,7 +70,7 @@
 	addresses := map[string]bool{}
 	s.mu.Lock()
 	for name, h := range s.hosts {
-		addresses[h.Address] = name != s.self.Name
+		addresses[h.Address] = s.core.InCell(name)
 	}
 	if !s.hostsKnown {
 		for _, seed := range s.seeds {
@@ -74,8 +78,8 @@
 		}
 	}
 	s.mu.Unlock()
-	for _, p := range s.core.Peers() {
-		addresses[p.Address] = true
+	for name, p := range s.core.Peers() {
+		addresses[p.Address] = s.core.InCell(name)
 	}
 	delete(addresses, s.self.PeerAddress)
 	s.peers.Join(addresses)
@@ -144,7 +148,7 @@
 // learn asks a peer that knows more.
 func (s *Source) learn(ctx context.Context) {
 	s.mu.Lock()
-	lost := len(s.down) > 0
+	lost := len(s.down) > 0 || !s.core.Watching()
 	config, upstreams := s.configVersion, s.upstreamsVersion
 	s.mu.Unlock()
 	for name, p := range s.core.Peers() {
@@ -152,7 +156,7 @@
 		if !newer {
 			continue
 		}
-		d, err := s.peers.FetchKnowledge(ctx, p.Address)
+		d, err := s.peers.FetchKnowledge(ctx, p.Address, config, upstreams)
 		if err != nil {
 			s.log.WithFields(logrus.Fields{"event": "knowledge_not_fetched", "peer": name, "error": err}).Info("a peer that knows more could not be asked")
 			continue
@@ -177,10 +181,11 @@
 		s.upstreamsKnown = true
 		s.tellUpstreams(from)
 	}
-	learned := !s.hostsKnown && len(d.Hosts) > 0
+	learned := lost && len(d.Hosts) > 0
 	if learned {
-		for name, address := range d.Hosts {
-			s.hosts[name] = hostEntry{Address: address}
+		s.hosts = map[string]hostEntry{}
+		for name, h := range d.Hosts {
+			s.hosts[name] = hostEntry{Address: h.Address, DataCentre: h.DataCentre}
 		}
 		s.hostsKnown = true
 	}
@@ -193,7 +198,7 @@
 // prune deletes the entries of hosts that have been silent for long. One that
 // lives writes its entry again.
 func (s *Source) prune(ctx context.Context, now time.Time) {
-	if now.Sub(s.started) < pruneAfter {
+	if now.Sub(s.started) < pruneAfter || !s.core.Watching() {
 		return
 	}
 	s.mu.Lock()
--- a/internal/knowledge/source.go
+++ b/internal/knowledge/source.go
@@ -37,8 +37,8 @@
 
 // Fetcher asks peers what they know, and is told which peers there are.
 type Fetcher interface {
-	FetchKnowledge(ctx context.Context, address string) (mesh.Document, error)
-	Join(addresses map[string]bool)
+	FetchKnowledge(ctx context.Context, address string, config, upstreams int64) (mesh.Document, error)
+	Join(near map[string]bool)
 }
 
 const (
@@ -47,6 +47,8 @@
 	peerPeriod   = 250 * time.Millisecond  // between looks at what peers know
 	lapseGrace   = 2200 * time.Millisecond // entries that lapsed in an outage of the store are back within two seconds
 	pruneAfter   = 20 * time.Second        // of silence, for hosts that were removed for good
+	dutyPeriod   = 40 * time.Millisecond // between looks at whether this host is to follow the store
+	introduction = 1500 * time.Millisecond // after the start, in which peers are heard that follow the store already
 	listTimeout  = 4 * time.Second
 	publishRetry = 500 * time.Millisecond
 )
@@ -116,20 +118,18 @@
 	duties.Wait()
 }
 
-// follow lists a kind and watches it. A watch that fails goes on from where it
-// was; only one whose position has expired lists again.
+// follow lists a kind and watches it. When a watch fails, the kind is listed
+// again: unlike a poll, which may wait for long, a list tells at once that the
+// store answers again.
 func (s *Source) follow(ctx context.Context, kind objstore.Kind, reset func([]objstore.Object, int64), apply func(objstore.Event)) {
-	position := int64(-1)
 	wait := retryFirst
 	for ctx.Err() == nil {
-		next, err := s.followOnce(ctx, kind, position, reset, apply)
-		if next > position {
+		listed, err := s.followOnce(ctx, kind, reset, apply)
+		if listed {
 			wait = retryFirst
 		}
-		position = next
 		if errors.Is(err, objstore.ErrExpired) {
-			s.log.WithFields(logrus.Fields{"event": "watch_expired", "kind": kind, "position": position}).Info("the watch's position has expired; the kind is listed again")
-			position = -1
+			s.log.WithFields(logrus.Fields{"event": "watch_expired", "kind": kind}).Info("the watch's position has expired; the kind is listed again")
 			continue
 		}
 		s.lost(kind, err)
@@ -141,36 +141,57 @@
 	}
 }
 
-func (s *Source) followOnce(ctx context.Context, kind objstore.Kind, position int64, reset func([]objstore.Object, int64), apply func(objstore.Event)) (int64, error) {
-	if position < 0 {
-		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		objects, version, err := s.store.List(listCtx, kind, "")
-		if err != nil {
-			return position, err
-		}
-		s.found(kind)
-		reset(objects, version)
-		position = version
+// followOnce reports whether the kind was listed, and why the watch ended.
+func (s *Source) followOnce(ctx context.Context, kind objstore.Kind, reset func([]objstore.Object, int64), apply func(objstore.Event)) (bool, error) {
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	objects, version, err := s.store.List(listCtx, kind, "")
+	if err != nil {
+		return false, err
 	}
-	w, err := s.store.Watch(ctx, kind, position)
+	s.found(kind)
+	reset(objects, version)
+	w, err := s.store.Watch(ctx, kind, version)
 	if err != nil {
-		return position, err
+		return true, err
 	}
 	defer w.Close()
 	for {
+		if !s.awaitDuty(ctx) {
+			return true, ctx.Err()
+		}
 		e, err := w.Next()
 		if err != nil {
-			return position, err
+			return true, err
 		}
-		s.found(kind)
-		position = max(position, e.Object.Version)
 		if e.Type != objstore.EventBookmark {
 			apply(e)
 		}
 	}
 }
 
+// awaitDuty waits until this host is to follow the store itself. It reports
+// false when ctx ends.
+func (s *Source) awaitDuty(ctx context.Context) bool {
+	for !s.introduced() || !s.core.WatchDuty() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(dutyPeriod):
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// introduced reports whether this host has had the time to hear of peers that
+// follow the store already. In a small fleet every host does.
+func (s *Source) introduced() bool {
+	s.mu.Lock()
+	small := s.hostsKnown && !s.core.Large()
+	s.mu.Unlock()
+	return small || time.Since(s.started) > introduction
+}
+
 // lost notes that a watch has failed.
 func (s *Source) lost(kind objstore.Kind, err error) {
 	s.mu.Lock()
@@ -241,13 +262,13 @@
 	defer s.mu.Unlock()
 	d := mesh.Document{
 		ConfigVersion: s.configVersion, Config: s.config, UpstreamsVersion: s.upstreamsVersion,
-		Upstreams: map[string][]byte{}, Hosts: map[string]string{},
+		Upstreams: map[string][]byte{}, Hosts: map[string]mesh.HostAddress{},
 	}
 	for id, raw := range s.upstreams {
 		d.Upstreams[id] = raw
 	}
 	for name, h := range s.hosts {
-		d.Hosts[name] = h.Address
+		d.Hosts[name] = mesh.HostAddress{Address: h.Address, DataCentre: h.DataCentre}
 	}
 	return d
 }
--- a/internal/knowledge/source_test.go
+++ b/internal/knowledge/source_test.go
@@ -56,7 +56,7 @@
 	joined   map[string]bool
 }
 
-func (p *peers) FetchKnowledge(context.Context, string) (mesh.Document, error) {
+func (p *peers) FetchKnowledge(context.Context, string, int64, int64) (mesh.Document, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.document, nil
@@ -186,6 +186,24 @@
 	})
 }
 
+// TestEntryThatGoesLongAfterAnOutage checks that an upstream whose entry goes
+// long after the store is back is taken as gone at once. It failed where nothing
+// had happened since: the watch that waited was not yet counted as working.
+func TestEntryThatGoesLongAfterAnOutage(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		version := w.writeUpstream(c, "u1")
+		w.writeConfig(c, 1, 0)
+		time.Sleep(time.Second)
+		w.client.SetDown(true)
+		time.Sleep(5 * time.Second)
+		w.client.SetDown(false)
+		time.Sleep(8 * time.Second)
+		c.Assert(w.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+		time.Sleep(50 * time.Millisecond)
+		c.Assert(w.listed(), qt.Equals, 0)
+	})
+}
+
 // TestCutOffHostLearnsFromPeers checks what a host takes from a peer while the
 // store turns it away, and that it never goes back.
 func TestCutOffHostLearnsFromPeers(t *testing.T) {
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -26,6 +26,9 @@
 	// position on. It waits for one that is yet to come. It returns
 	// ErrUnknownJob when this host doesn't run the job.
 	ReadLocal(ctx context.Context, job, team string, after int, wait time.Duration) (int, []Result, error)
+	// ItemLocal returns the body of an item of a job that this host runs, or
+	// ErrUnknownJob.
+	ItemLocal(job, team, item string) ([]byte, error)
 	// EndLocal ends a job that this host runs, or returns ErrUnknownJob.
 	EndLocal(ctx context.Context, job, team string) error
 	// AdoptLocal takes over jobs of a host that stops.
@@ -37,8 +40,14 @@
 	ConfigVersion    int64
 	Config           []byte
 	UpstreamsVersion int64
-	Upstreams        map[string][]byte // by id
-	Hosts            map[string]string // name to address
+	Upstreams        map[string][]byte      // by id
+	Hosts            map[string]HostAddress // by name
+}
+
+// HostAddress tells where a host is.
+type HostAddress struct {
+	Address    string
+	DataCentre string
 }
 
 // Knowledge is what this host knows.
@@ -47,25 +56,45 @@
 }
 
 // Knowledge implements peerv1connect.FleetServiceHandler.
-func (s *server) Knowledge(context.Context, *connect.Request[peerv1.KnowledgeRequest]) (*connect.Response[peerv1.KnowledgeResponse], error) {
+func (s *server) Knowledge(_ context.Context, r *connect.Request[peerv1.KnowledgeRequest]) (*connect.Response[peerv1.KnowledgeResponse], error) {
 	d := s.mesh.share.Document()
-	return connect.NewResponse(&peerv1.KnowledgeResponse{
-		ConfigVersion: d.ConfigVersion, Config: d.Config,
-		UpstreamsVersion: d.UpstreamsVersion, Upstreams: d.Upstreams, Hosts: d.Hosts,
-	}), nil
+	answer := &peerv1.KnowledgeResponse{}
+	if d.ConfigVersion > r.Msg.ConfigVersion {
+		answer.ConfigVersion, answer.Config = d.ConfigVersion, d.Config
+	}
+	if d.UpstreamsVersion > r.Msg.UpstreamsVersion {
+		answer.UpstreamsVersion, answer.Upstreams, answer.Hosts = d.UpstreamsVersion, d.Upstreams, encodeHosts(d.Hosts)
+	}
+	return connect.NewResponse(answer), nil
 }
 
-// FetchKnowledge asks the peer at the address what it knows.
-func (m *Mesh) FetchKnowledge(ctx context.Context, address string) (Document, error) {
+func encodeHosts(hosts map[string]HostAddress) []*peerv1.HostAddress {
+	var all []*peerv1.HostAddress
+	for name, h := range hosts {
+		all = append(all, &peerv1.HostAddress{Name: name, Address: h.Address, DataCentre: h.DataCentre})
+	}
+	return all
+}
+
+func decodeHosts(all []*peerv1.HostAddress) map[string]HostAddress {
+	hosts := map[string]HostAddress{}
+	for _, h := range all {
+		hosts[h.Name] = HostAddress{Address: h.Address, DataCentre: h.DataCentre}
+	}
+	return hosts
+}
+
+// FetchKnowledge asks the peer at the address what it knows beyond the versions.
+func (m *Mesh) FetchKnowledge(ctx context.Context, address string, config, upstreams int64) (Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, knowledgeExpiry)
 	defer cancel()
-	r, err := m.client(address).Knowledge(ctx, connect.NewRequest(&peerv1.KnowledgeRequest{}))
+	r, err := m.client(address).Knowledge(ctx, connect.NewRequest(&peerv1.KnowledgeRequest{ConfigVersion: config, UpstreamsVersion: upstreams}))
 	if err != nil {
 		return Document{}, errors.Wrap(err, "fetch a peer's knowledge")
 	}
 	return Document{
 		ConfigVersion: r.Msg.ConfigVersion, Config: r.Msg.Config,
-		UpstreamsVersion: r.Msg.UpstreamsVersion, Upstreams: r.Msg.Upstreams, Hosts: r.Msg.Hosts,
+		UpstreamsVersion: r.Msg.UpstreamsVersion, Upstreams: r.Msg.Upstreams, Hosts: decodeHosts(r.Msg.Hosts),
 	}, nil
 }
 
@@ -106,6 +135,32 @@
 	return int(r.Msg.Total), results, nil
 }
 
+// ReadItem implements peerv1connect.FleetServiceHandler.
+func (s *server) ReadItem(_ context.Context, r *connect.Request[peerv1.ReadItemRequest]) (*connect.Response[peerv1.ReadItemResponse], error) {
+	body, err := s.mesh.jobs.ItemLocal(r.Msg.Job, r.Msg.Team, r.Msg.Item)
+	if errors.Is(err, ErrUnknownJob) {
+		return connect.NewResponse(&peerv1.ReadItemResponse{}), nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&peerv1.ReadItemResponse{Known: true, Body: body}), nil
+}
+
+// ReadItem reads the body of an item at the host that runs its job.
+func (m *Mesh) ReadItem(ctx context.Context, address, job, team, item string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := m.client(address).ReadItem(ctx, connect.NewRequest(&peerv1.ReadItemRequest{Job: job, Team: team, Item: item}))
+	if err != nil {
+		return nil, errors.Wrap(err, "read item at a peer")
+	}
+	if !r.Msg.Known {
+		return nil, ErrUnknownJob
+	}
+	return r.Msg.Body, nil
+}
+
 // EndJob implements peerv1connect.FleetServiceHandler.
 func (s *server) EndJob(ctx context.Context, r *connect.Request[peerv1.EndJobRequest]) (*connect.Response[peerv1.EndJobResponse], error) {
 	err := s.mesh.jobs.EndLocal(ctx, r.Msg.Job, r.Msg.Team)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -17,10 +17,13 @@
 )
 
 const (
-	heartbeat       = 200 * time.Millisecond // between states when nothing changes; peers count as silent after a few
-	coalesce        = 5 * time.Millisecond   // in which changes are gathered into one state
-	dialTimeout     = 500 * time.Millisecond // hosts are milliseconds apart
-	pingAfter       = 700 * time.Millisecond // silence on a connection before it is checked
+	heartbeat       = 200 * time.Millisecond  // between states when nothing changes; peers count as silent after a few
+	farHeartbeat    = 500 * time.Millisecond  // the same to hosts of other cells
+	farPause        = 150 * time.Millisecond  // least time between two states to a host of another cell
+	coalesce        = 5 * time.Millisecond    // in which changes are gathered into one state
+	dialTimeout     = 500 * time.Millisecond  // hosts are milliseconds apart
+	pingAfter       = 1200 * time.Millisecond // silence on a connection before it is checked
+	farPingAfter    = 4 * time.Second         // the same to hosts of other cells, of which there are many
 	pingTimeout     = 700 * time.Millisecond
 	sendTimeout     = time.Second // a state that takes longer goes out on a new connection
 	redialWait      = 100 * time.Millisecond
@@ -43,7 +46,8 @@
 	local   Peer
 	jobs    Jobs
 	share   Knowledge
-	http    *http.Client
+	near    *http.Client
+	far     *http.Client // for states to other cells, and for calls
 	log     logrus.FieldLogger
 	ctx     context.Context
 	mu      sync.Mutex
@@ -54,6 +58,7 @@
 // sender sends this host's state to one address.
 type sender struct {
 	address string
+	far     bool // the peer is in another cell
 	changed chan struct{}
 	stop    context.CancelFunc
 }
@@ -61,45 +66,62 @@
 // New returns a mesh of a host that peers reach at the address. It works until
 // ctx ends.
 func New(ctx context.Context, address string, local Peer, jobs Jobs, share Knowledge, log logrus.FieldLogger) *Mesh {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext: dialer.DialContext,
-		Protocols:   link.Protocols(),
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-	}
 	return &Mesh{
 		self: address, local: local, jobs: jobs, share: share, log: log, ctx: ctx,
-		http:    &http.Client{Transport: transport},
+		near: newClient(pingAfter), far: newClient(farPingAfter),
 		senders: map[string]*sender{},
 	}
 }
 
-// Join makes this host tell its state to the addresses, and only to these.
-func (m *Mesh) Join(addresses map[string]bool) {
+// newClient returns a client that checks connections after some silence.
+func newClient(silence time.Duration) *http.Client {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext,
+		Protocols:   link.Protocols(),
+		HTTP2:       &http.HTTP2Config{SendPingTimeout: silence, PingTimeout: pingTimeout},
+	}}
+}
+
+// Join makes this host tell its state to the addresses, and only to these. Those
+// that are near, in this host's cell, hear of every change.
+func (m *Mesh) Join(near map[string]bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for address := range addresses {
+	for address, isNear := range near {
+		if s := m.senders[address]; s != nil && s.far == isNear {
+			s.stop()
+			delete(m.senders, address)
+		}
 		if address == m.self || address == "" || m.senders[address] != nil || m.ctx.Err() != nil {
 			continue
 		}
 		ctx, cancel := context.WithCancel(m.ctx)
-		s := &sender{address: address, changed: make(chan struct{}, 1), stop: cancel}
+		s := &sender{address: address, far: !isNear, changed: make(chan struct{}, 1), stop: cancel}
 		m.senders[address] = s
 		m.wg.Go(func() { m.run(ctx, s) })
 	}
 	for address, s := range m.senders {
-		if !addresses[address] {
+		if _, joined := near[address]; !joined {
 			s.stop()
 			delete(m.senders, address)
 		}
 	}
 }
 
-// Changed makes the state go out soon.
-func (m *Mesh) Changed() {
+// Changed makes the state go out to the near hosts at once.
+func (m *Mesh) Changed() { m.tell(func(s *sender) bool { return !s.far }) }
+
+// Urgent makes the state go out to all hosts soon.
+func (m *Mesh) Urgent() { m.tell(func(*sender) bool { return true }) }
+
+func (m *Mesh) tell(whom func(*sender) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, s := range m.senders {
+		if !whom(s) {
+			continue
+		}
 		select {
 		case s.changed <- struct{}{}:
 		default: // a change is noted already
@@ -110,11 +132,12 @@
 // Wait returns when all senders have ended.
 func (m *Mesh) Wait() {
 	m.wg.Wait()
-	m.http.CloseIdleConnections()
+	m.near.CloseIdleConnections()
+	m.far.CloseIdleConnections()
 }
 
 func (m *Mesh) client(address string) peerv1connect.FleetServiceClient {
-	return peerv1connect.NewFleetServiceClient(m.http, "http://"+address)
+	return peerv1connect.NewFleetServiceClient(m.far, "http://"+address)
 }
 
 // run keeps a stream of states open and opens another when it ends.
@@ -142,13 +165,18 @@
 func (m *Mesh) stream(ctx context.Context, s *sender) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream := m.client(s.address).ShareState(ctx)
-	tick := time.NewTicker(heartbeat)
+	client, period, pause := m.near, heartbeat, coalesce
+	if s.far {
+		client, period, pause = m.far, farHeartbeat, farPause
+	}
+	stream := peerv1connect.NewFleetServiceClient(client, "http://"+s.address).ShareState(ctx)
+	tick := time.NewTicker(period)
 	defer tick.Stop()
 	for {
 		guard := time.AfterFunc(sendTimeout, cancel)
 		err := stream.Send(encodeState(m.local.State()))
 		guard.Stop()
+		tick.Reset(period)
 		if err != nil {
 			_, end := stream.CloseAndReceive()
 			return errors.Wrapf(err, "send state (%v)", end)
@@ -158,7 +186,7 @@
 			return ctx.Err()
 		case <-tick.C:
 		case <-s.changed:
-			time.Sleep(coalesce)
+			time.Sleep(pause)
 		}
 	}
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -58,6 +58,13 @@
 	return nil
 }
 
+func (n *node) ItemLocal(job, _, item string) ([]byte, error) {
+	if job != "known" {
+		return nil, mesh.ErrUnknownJob
+	}
+	return []byte("body of " + item), nil
+}
+
 func (n *node) AdoptLocal(jobs []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -85,7 +92,7 @@
 		t.Fatal(err)
 	}
 	n := &node{heard: map[string]mesh.State{}, state: mesh.State{Host: name, Incarnation: name + "/1", Address: socket.Addr().String()}}
-	n.document = mesh.Document{ConfigVersion: 4, Config: []byte("c"), UpstreamsVersion: 9, Upstreams: map[string][]byte{"u": []byte("e")}, Hosts: map[string]string{"h": "a"}}
+	n.document = mesh.Document{ConfigVersion: 4, Config: []byte("c"), UpstreamsVersion: 9, Upstreams: map[string][]byte{"u": []byte("e")}, Hosts: map[string]mesh.HostAddress{"h": {Address: "a", DataCentre: "d"}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.mesh = mesh.New(ctx, n.state.Address, n, n, n, log)
 	n.server = &http.Server{Handler: n.mesh.Handler(), Protocols: link.Protocols()}
@@ -139,13 +146,22 @@
 	c.Assert(results, qt.DeepEquals, []mesh.Result{{ID: "a", Output: []byte("x")}, {ID: "b", Failed: true}})
 	_, _, err = a.mesh.ReadResults(ctx, at, "other", "t", 0, 0)
 	c.Assert(errors.Is(err, mesh.ErrUnknownJob), qt.IsTrue)
+	body, err := a.mesh.ReadItem(ctx, at, "known", "t", "i")
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(body), qt.Equals, "body of i")
+	_, err = a.mesh.ReadItem(ctx, at, "other", "t", "i")
+	c.Assert(errors.Is(err, mesh.ErrUnknownJob), qt.IsTrue)
 	c.Assert(a.mesh.EndJob(ctx, at, "known", "t"), qt.IsNil)
 	c.Assert(errors.Is(a.mesh.EndJob(ctx, at, "other", "t"), mesh.ErrUnknownJob), qt.IsTrue)
 	c.Assert(a.mesh.Adopt(ctx, at, []string{"j1", "j2"}), qt.IsNil)
 	c.Assert(b.adopted, qt.DeepEquals, []string{"j1", "j2"})
-	d, err := a.mesh.FetchKnowledge(ctx, at)
+	d, err := a.mesh.FetchKnowledge(ctx, at, 0, 0)
 	c.Assert(err, qt.IsNil)
 	c.Assert(d, qt.DeepEquals, b.document)
+	d, err = a.mesh.FetchKnowledge(ctx, at, 4, 9)
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.Config, qt.HasLen, 0)
+	c.Assert(d.Upstreams, qt.HasLen, 0)
 	_, _, err = a.mesh.ReadResults(ctx, "127.0.0.1:1", "known", "t", 0, 0)
 	c.Assert(err, qt.IsNotNil)
 	c.Assert(errors.Is(err, mesh.ErrUnknownJob), qt.IsFalse)
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -28,6 +28,8 @@
 	Admitted         map[string]int64        // requests of each team since the host's start
 	Waiting          map[Backlog]int64       // tokens
 	EndedJobs        []string                // that were ended a short time ago
+	Jobs             []string                // that the host answers for
+	Watching         bool                    // the host follows the store's changes
 	ConfigVersion    int64
 	UpstreamsVersion int64
 	StoreReachable   bool
@@ -38,6 +40,7 @@
 		Host: s.Host, Incarnation: s.Incarnation, DataCentre: s.DataCentre, Address: s.Address,
 		Leaving: s.Leaving, Admitted: s.Admitted, ConfigVersion: s.ConfigVersion,
 		UpstreamsVersion: s.UpstreamsVersion, StoreReachable: s.StoreReachable, EndedJobs: s.EndedJobs,
+		Jobs: s.Jobs, Watching: s.Watching,
 	}
 	for id, c := range s.Running {
 		m.Running = append(m.Running, &peerv1.Running{Upstream: id, Online: int32(c.Online), Batch: int32(c.Batch)})
@@ -53,6 +56,7 @@
 		Host: m.Host, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address,
 		Leaving: m.Leaving, Admitted: m.Admitted, ConfigVersion: m.ConfigVersion,
 		UpstreamsVersion: m.UpstreamsVersion, StoreReachable: m.StoreReachable, EndedJobs: m.EndedJobs,
+		Jobs: m.Jobs, Watching: m.Watching,
 		Running: map[string]slots.Counts{}, Waiting: map[Backlog]int64{},
 	}
 	for _, r := range m.Running {
--- a/internal/peer/gen/masticscale/peer/v1/peerv1connect/fleet.connect.go
+++ b/internal/peer/gen/masticscale/peer/v1/peerv1connect/fleet.connect.go
@@ -40,6 +40,8 @@
 	// FleetServiceReadResultsProcedure is the fully-qualified name of the FleetService's ReadResults
 	// RPC.
 	FleetServiceReadResultsProcedure = "/masticscale.peer.v1.FleetService/ReadResults"
+	// FleetServiceReadItemProcedure is the fully-qualified name of the FleetService's ReadItem RPC.
+	FleetServiceReadItemProcedure = "/masticscale.peer.v1.FleetService/ReadItem"
 	// FleetServiceEndJobProcedure is the fully-qualified name of the FleetService's EndJob RPC.
 	FleetServiceEndJobProcedure = "/masticscale.peer.v1.FleetService/EndJob"
 	// FleetServiceAdoptProcedure is the fully-qualified name of the FleetService's Adopt RPC.
@@ -54,6 +56,8 @@
 	Knowledge(context.Context, *connect.Request[v1.KnowledgeRequest]) (*connect.Response[v1.KnowledgeResponse], error)
 	// ReadResults returns the results of a job that the host runs.
 	ReadResults(context.Context, *connect.Request[v1.ReadResultsRequest]) (*connect.Response[v1.ReadResultsResponse], error)
+	// ReadItem returns the body of an item of a job that the host runs.
+	ReadItem(context.Context, *connect.Request[v1.ReadItemRequest]) (*connect.Response[v1.ReadItemResponse], error)
 	// EndJob ends a job that the host runs.
 	EndJob(context.Context, *connect.Request[v1.EndJobRequest]) (*connect.Response[v1.EndJobResponse], error)
 	// Adopt hands the jobs of a host that stops to another one.
@@ -89,6 +93,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("ReadResults")),
 			connect.WithClientOptions(opts...),
 		),
+		readItem: connect.NewClient[v1.ReadItemRequest, v1.ReadItemResponse](
+			httpClient,
+			baseURL+FleetServiceReadItemProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("ReadItem")),
+			connect.WithClientOptions(opts...),
+		),
 		endJob: connect.NewClient[v1.EndJobRequest, v1.EndJobResponse](
 			httpClient,
 			baseURL+FleetServiceEndJobProcedure,
@@ -109,6 +119,7 @@
 	shareState  *connect.Client[v1.ShareStateRequest, v1.ShareStateResponse]
 	knowledge   *connect.Client[v1.KnowledgeRequest, v1.KnowledgeResponse]
 	readResults *connect.Client[v1.ReadResultsRequest, v1.ReadResultsResponse]
+	readItem    *connect.Client[v1.ReadItemRequest, v1.ReadItemResponse]
 	endJob      *connect.Client[v1.EndJobRequest, v1.EndJobResponse]
 	adopt       *connect.Client[v1.AdoptRequest, v1.AdoptResponse]
 }
@@ -128,6 +139,11 @@
 	return c.readResults.CallUnary(ctx, req)
 }
 
+// ReadItem calls masticscale.peer.v1.FleetService.ReadItem.
+func (c *fleetServiceClient) ReadItem(ctx context.Context, req *connect.Request[v1.ReadItemRequest]) (*connect.Response[v1.ReadItemResponse], error) {
+	return c.readItem.CallUnary(ctx, req)
+}
+
 // EndJob calls masticscale.peer.v1.FleetService.EndJob.
 func (c *fleetServiceClient) EndJob(ctx context.Context, req *connect.Request[v1.EndJobRequest]) (*connect.Response[v1.EndJobResponse], error) {
 	return c.endJob.CallUnary(ctx, req)
@@ -146,6 +162,8 @@
 	Knowledge(context.Context, *connect.Request[v1.KnowledgeRequest]) (*connect.Response[v1.KnowledgeResponse], error)
 	// ReadResults returns the results of a job that the host runs.
 	ReadResults(context.Context, *connect.Request[v1.ReadResultsRequest]) (*connect.Response[v1.ReadResultsResponse], error)
+	// ReadItem returns the body of an item of a job that the host runs.
+	ReadItem(context.Context, *connect.Request[v1.ReadItemRequest]) (*connect.Response[v1.ReadItemResponse], error)
 	// EndJob ends a job that the host runs.
 	EndJob(context.Context, *connect.Request[v1.EndJobRequest]) (*connect.Response[v1.EndJobResponse], error)
 	// Adopt hands the jobs of a host that stops to another one.
@@ -177,6 +195,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("ReadResults")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceReadItemHandler := connect.NewUnaryHandler(
+		FleetServiceReadItemProcedure,
+		svc.ReadItem,
+		connect.WithSchema(fleetServiceMethods.ByName("ReadItem")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceEndJobHandler := connect.NewUnaryHandler(
 		FleetServiceEndJobProcedure,
 		svc.EndJob,
@@ -197,6 +221,8 @@
 			fleetServiceKnowledgeHandler.ServeHTTP(w, r)
 		case FleetServiceReadResultsProcedure:
 			fleetServiceReadResultsHandler.ServeHTTP(w, r)
+		case FleetServiceReadItemProcedure:
+			fleetServiceReadItemHandler.ServeHTTP(w, r)
 		case FleetServiceEndJobProcedure:
 			fleetServiceEndJobHandler.ServeHTTP(w, r)
 		case FleetServiceAdoptProcedure:
@@ -222,6 +248,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.FleetService.ReadResults is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) ReadItem(context.Context, *connect.Request[v1.ReadItemRequest]) (*connect.Response[v1.ReadItemResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.FleetService.ReadItem is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) EndJob(context.Context, *connect.Request[v1.EndJobRequest]) (*connect.Response[v1.EndJobResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.FleetService.EndJob is not implemented"))
 }
--- a/internal/ratelimit/ledger/ledger.go
+++ b/internal/ratelimit/ledger/ledger.go
@@ -65,6 +65,16 @@
 	return 0, true
 }
 
+// lowPart is the part of a burst below which a team is close to its rate, so
+// that its admissions have to be known everywhere soon.
+const lowPart = 0.6
+
+// Low reports whether the team is close to its rate.
+func (l *Ledger) Low(team string, rate Rate) bool {
+	b, known := l.buckets[team]
+	return known && b.tokens < lowPart*rate.Burst
+}
+
 // Refund gives an admission back that reached no upstream.
 func (l *Ledger) Refund(team string) {
 	if b, ok := l.buckets[team]; ok {
--- a/internal/slots/board.go
+++ b/internal/slots/board.go
@@ -47,6 +47,7 @@
 type Board struct {
 	dataCentre string
 	upstreams  map[string]*upstream
+	home       map[string]bool // upstreams of this host's cell; nil makes all of them home
 	runs       map[*Run]bool
 	random     *rand.Rand
 }
@@ -95,6 +96,12 @@
 	}
 }
 
+// SetHome sets the upstreams that this host's cell uses first. What runs at the
+// others is known with a delay.
+func (b *Board) SetHome(ids map[string]bool) { b.home = ids }
+
+func (b *Board) isHome(id string) bool { return b.home == nil || b.home[id] }
+
 // Upstream returns a listed upstream.
 func (b *Board) Upstream(id string) (fleet.Upstream, bool) {
 	u, ok := b.upstreams[id]
@@ -210,11 +217,11 @@
 	Batch     int // slots that batch items would give back
 }
 
-// Tally returns the state of a service.
+// Tally returns the state of a service at the upstreams of this host's cell.
 func (b *Board) Tally(service string, now time.Time) Tally {
 	var t Tally
-	for _, u := range b.upstreams {
-		if !u.usable(service, now) {
+	for id, u := range b.upstreams {
+		if !u.usable(service, now) || !b.isHome(id) {
 			continue
 		}
 		t.Upstreams++
@@ -261,19 +268,30 @@
 // The parts of a placement's score. Each outweighs the ones below it.
 const (
 	scoreFree    = 1000 // a slot is free
-	scoreOwnItem = 500  // a batch item of this host can be paused
+	scoreOwnItem = 700  // a batch item of this host can be paused
+	scoreSpill   = 600  // slots are free at an upstream of another cell
+	scoreItem    = 500  // a batch item of another host of the cell can be paused
 	scoreSlot    = 1    // for each free slot: an emptier engine is faster
 	scoreLocal   = 0.9  // the same data centre: fewer bytes between data centres
 	scoreJitter  = 1.0  // keeps hosts from picking the same upstream at once
 )
 
+// spillFree is how many slots an upstream of another cell shows free before work
+// goes there: its own cell may have filled some that this host hasn't heard of.
+const spillFree = 2
+
 func (b *Board) scoreOnline(u *upstream) float64 {
 	score := b.random.Float64() * scoreJitter
 	free := u.free()
-	if free > 0 {
+	switch home := b.isHome(u.ID); {
+	case home && free > 0:
 		score += scoreFree
-	} else if u.own.Batch > 0 {
+	case u.own.Batch > 0:
 		score += scoreOwnItem
+	case !home && free >= spillFree:
+		score += scoreSpill
+	case home:
+		score += scoreItem
 	}
 	if u.DataCentre == b.dataCentre {
 		score += scoreLocal
@@ -297,7 +315,7 @@
 	var best *upstream
 	var bestScore float64
 	for _, u := range b.upstreams {
-		if !u.usable(service, now) || u.free() <= 0 {
+		if !u.usable(service, now) || u.free() <= 0 || !b.isHome(u.ID) {
 			continue
 		}
 		score := float64(u.free())*scoreSlot + b.random.Float64()*scoreJitter
