Reach the store through a peer; let buckets stand for the part of the fleet that is heard

After all hosts had restarted 37 requests inside their rate were refused: each new bucket stood for an eighth of the rate and was then used for the whole fleet. Change: a host that the store turns away makes its calls through a peer that is served; a bucket's tokens scale when more or less of the fleet is heard, and a restart is worth half a second of the rate.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -270,6 +270,18 @@
 	c.changed()
 }
 
+// StorePeer returns the address of a heard peer that the store serves.
+func (c *Core) StorePeer() (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		if !p.silent && p.state.StoreReachable && !p.state.Leaving {
+			return p.state.Address, true
+		}
+	}
+	return "", false
+}
+
 // HostOf returns the address of the heard peer that answers for the job.
 func (c *Core) HostOf(job string) (string, bool) {
 	c.mu.Lock()
--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -52,7 +52,10 @@
 	core     *entry.Core
 	source   *knowledge.Source
 	runner   *jobs.Runner
+	direct   *platform.Store // calls that no peer makes for this host
+	peers    *mesh.Mesh
 	store    *objstore.Client
+	watched  *objstore.Client
 	pool     *connpool.Pool
 	online   *entry.Handler
 	stopping atomic.Bool
@@ -77,17 +80,32 @@
 		Name: settings.Name, Incarnation: uuid.NewString(), DataCentre: settings.DataCentre, PeerAddress: settings.Listen.Peers,
 	}
 	h.core = entry.NewCore(self, log)
-	h.store = newStore(settings, h.metrics, log)
+	h.direct = newTransport(settings, log)
+	h.store = newStore(settings, objstore.NewRelayedTransport(h.direct, h.relay), h.metrics)
 	upstreams := platform.NewUpstreams(h.pool)
 	h.online = entry.NewHandler(h.core, upstreams, h.metrics, log)
 	h.runner = jobs.NewRunner(self, h.core, h.store, upstreams, h.metrics, log)
-	h.source = knowledge.NewSource(self, h.store, platform.Decoder{}, h.core, settings.Seeds, log)
+	// What a host knows is followed directly: peers tell what they know themselves.
+	h.watched = newStore(settings, h.direct, h.metrics)
+	h.source = knowledge.NewSource(self, h.watched, platform.Decoder{}, h.core, settings.Seeds, log)
 	return h, nil
 }
 
-func newStore(s Settings, m *telemetry.Metrics, log logrus.FieldLogger) *objstore.Client {
-	return objstore.NewClient(platform.NewStore("http://"+s.Store, platform.StoreDial(), log), s.Name,
-		objstore.WithObserver(m), objstore.WithWatchWait(watchWait))
+func newTransport(s Settings, log logrus.FieldLogger) *platform.Store {
+	return platform.NewStore("http://"+s.Store, platform.StoreDial(), log)
+}
+
+func newStore(s Settings, t objstore.Transport, m *telemetry.Metrics) *objstore.Client {
+	return objstore.NewClient(t, s.Name, objstore.WithObserver(m), objstore.WithWatchWait(watchWait))
+}
+
+// relay makes a call to the store through a peer that it serves.
+func (h *Host) relay(ctx context.Context, c objstore.Call) (objstore.Page, error) {
+	address, found := h.core.StorePeer()
+	if !found {
+		return objstore.Page{}, errors.Wrap(objstore.ErrUnavailable, "the platform's store turns this host away, and no peer reaches it")
+	}
+	return h.peers.StoreCall(ctx, address, c)
 }
 
 // tune bounds the runtime to what the process may use.
@@ -118,6 +136,8 @@
 	jobCtx, stopJobs := context.WithCancel(duties)
 	defer stopJobs()
 	peers := mesh.New(duties, h.settings.Listen.Peers, h.core, h.runner, h.source, h.log)
+	peers.SetStore(h.direct)
+	h.peers = peers
 	h.runner.SetPeers(peers)
 	h.source.SetPeers(peers)
 	h.core.OnChanged(peers.Changed)
--- a/internal/fleethost/storage.go
+++ b/internal/fleethost/storage.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return err
 	}
-	store := newStore(settings, telemetry.NewMetrics(), log)
+	store := newStore(settings, newTransport(settings, log), telemetry.NewMetrics())
 	defer store.Close()
 	go followSettings(ctx, path, log)
 	log.WithField("event", "storage_started").Info("storage machine started; it keeps nothing")
--- a/internal/knowledge/source.go
+++ b/internal/knowledge/source.go
@@ -47,7 +47,7 @@
 	peerPeriod   = 250 * time.Millisecond  // between looks at what peers know
 	lapseGrace   = 2200 * time.Millisecond // entries that lapsed in an outage of the store are back within two seconds
 	pruneAfter   = 20 * time.Second        // of silence, for hosts that were removed for good
-	dutyPeriod   = 40 * time.Millisecond // between looks at whether this host is to follow the store
+	dutyPeriod   = 40 * time.Millisecond   // between looks at whether this host is to follow the store
 	introduction = 1500 * time.Millisecond // after the start, in which peers are heard that follow the store already
 	listTimeout  = 4 * time.Second
 	publishRetry = 500 * time.Millisecond
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/masticscale/masticscale/internal/objstore"
 	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
 	"github.com/masticscale/masticscale/internal/peer/link"
@@ -46,6 +47,7 @@
 	local   Peer
 	jobs    Jobs
 	share   Knowledge
+	store   objstore.Transport
 	near    *http.Client
 	far     *http.Client // for states to other cells, and for calls
 	log     logrus.FieldLogger
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -13,9 +15,12 @@
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/masticscale/masticscale/internal/emulator/objectapi"
 	"github.com/masticscale/masticscale/internal/mesh"
+	"github.com/masticscale/masticscale/internal/objstore"
 	"github.com/masticscale/masticscale/internal/peer/link"
 	"github.com/masticscale/masticscale/internal/slots"
+	"github.com/masticscale/masticscale/platform"
 )
 
 // node is a host with a state, a job and some knowledge.
@@ -166,3 +171,54 @@
 	c.Assert(err, qt.IsNotNil)
 	c.Assert(errors.Is(err, mesh.ErrUnknownJob), qt.IsFalse)
 }
+
+// TestStoreCallThroughAPeer checks that a relayed call ends as the direct one.
+func TestStoreCallThroughAPeer(t *testing.T) {
+	c := qt.New(t)
+	web := httptest.NewServer(objectapi.New().Handler())
+	defer web.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a, b := newNode(t, "a", "127.0.0.1:0"), newNode(t, "b", "127.0.0.1:0")
+	b.mesh.SetStore(platform.NewStore(web.URL, platform.StoreDial(), log))
+	store := objstore.NewClient(objstore.NewRelayedTransport(refusing{}, func(ctx context.Context, call objstore.Call) (objstore.Page, error) {
+		return a.mesh.StoreCall(ctx, b.state.Address, call)
+	}), "a")
+	ctx := context.Background()
+	_, err := store.Get(ctx, "kind", "x")
+	c.Assert(errors.Is(err, objstore.ErrNotFound), qt.IsTrue)
+	made, err := store.Create(ctx, "kind", "x", 1)
+	c.Assert(err, qt.IsNil)
+	_, err = store.Create(ctx, "kind", "x", 2)
+	c.Assert(errors.Is(err, objstore.ErrConflict), qt.IsTrue)
+	_, err = store.Update(ctx, "kind", "x", made.Version, 3)
+	c.Assert(err, qt.IsNil)
+	all, _, err := store.List(ctx, "kind", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(all, qt.HasLen, 1)
+	c.Assert(string(all[0].Value), qt.Equals, "3")
+	c.Assert(store.Delete(ctx, "kind", "x", all[0].Version), qt.IsNil)
+}
+
+// refusing is a store that turns this host away.
+type refusing struct{ objstore.Transport }
+
+func (refusing) Get(context.Context, objstore.Kind, string) (objstore.Object, error) {
+	return objstore.Object{}, objstore.ErrUnavailable
+}
+
+func (refusing) List(context.Context, objstore.Kind, string) (objstore.Page, error) {
+	return objstore.Page{}, objstore.ErrUnavailable
+}
+
+func (refusing) Create(context.Context, objstore.Kind, string, json.RawMessage) (objstore.Object, error) {
+	return objstore.Object{}, objstore.ErrUnavailable
+}
+
+func (refusing) Replace(context.Context, objstore.Kind, string, int64, json.RawMessage) (objstore.Object, error) {
+	return objstore.Object{}, objstore.ErrUnavailable
+}
+
+func (refusing) Delete(context.Context, objstore.Kind, string, int64) error {
+	return objstore.ErrUnavailable
+}
--- /dev/null
+++ b/internal/mesh/relay.go
@@ -0,0 +1,83 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/objstore"
+	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
+)
+
+// relayTimeout bounds a call to the store that a peer makes.
+const relayTimeout = 1500 * time.Millisecond
+
+// The ends of a relayed call, as they travel between hosts.
+var relayErrors = map[peerv1.StoreEnd]error{
+	peerv1.StoreEnd_STORE_END_NOT_FOUND:   objstore.ErrNotFound,
+	peerv1.StoreEnd_STORE_END_CONFLICT:    objstore.ErrConflict,
+	peerv1.StoreEnd_STORE_END_TOO_LARGE:   objstore.ErrTooLarge,
+	peerv1.StoreEnd_STORE_END_UNAVAILABLE: objstore.ErrUnavailable,
+	peerv1.StoreEnd_STORE_END_NO_ANSWER:   objstore.ErrNoAnswer,
+}
+
+// endOf returns how a call ended. An unknown error counts as no answer, which
+// promises nothing.
+func endOf(err error) peerv1.StoreEnd {
+	if err == nil {
+		return peerv1.StoreEnd_STORE_END_DONE
+	}
+	for end, known := range relayErrors {
+		if errors.Is(err, known) {
+			return end
+		}
+	}
+	return peerv1.StoreEnd_STORE_END_NO_ANSWER
+}
+
+// SetStore sets the transport over which calls are made for peers.
+func (m *Mesh) SetStore(t objstore.Transport) { m.store = t }
+
+// StoreCall implements peerv1connect.FleetServiceHandler.
+func (s *server) StoreCall(ctx context.Context, r *connect.Request[peerv1.StoreCallRequest]) (*connect.Response[peerv1.StoreCallResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	call := objstore.Call{
+		Operation: objstore.Operation(r.Msg.Operation), Kind: objstore.Kind(r.Msg.Kind), Name: r.Msg.Name,
+		Version: r.Msg.Version, After: r.Msg.After, Value: r.Msg.Value,
+	}
+	page, err := call.Do(ctx, s.mesh.store)
+	answer := &peerv1.StoreCallResponse{End: endOf(err), Version: page.Version, More: page.More}
+	if err == nil {
+		for _, o := range page.Items {
+			answer.Objects = append(answer.Objects, &peerv1.StoreObject{Name: o.Name, Version: o.Version, Value: o.Value, Status: o.Status})
+		}
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// StoreCall makes a call to the store through the peer at the address.
+func (m *Mesh) StoreCall(ctx context.Context, address string, c objstore.Call) (objstore.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout+callTimeout)
+	defer cancel()
+	r, err := m.client(address).StoreCall(ctx, connect.NewRequest(&peerv1.StoreCallRequest{
+		Operation: string(c.Operation), Kind: string(c.Kind), Name: c.Name, Version: c.Version, After: c.After, Value: c.Value,
+	}))
+	if err != nil {
+		return objstore.Page{}, errors.Wrapf(objstore.ErrNoAnswer, "call the store through a peer: %v", err)
+	}
+	if r.Msg.End != peerv1.StoreEnd_STORE_END_DONE {
+		known, ok := relayErrors[r.Msg.End]
+		if !ok {
+			known = objstore.ErrNoAnswer
+		}
+		return objstore.Page{}, errors.Wrap(known, "call the store through a peer")
+	}
+	page := objstore.Page{Version: r.Msg.Version, More: r.Msg.More}
+	for _, o := range r.Msg.Objects {
+		page.Items = append(page.Items, objstore.Object{Kind: c.Kind, Name: o.Name, Version: o.Version, Value: o.Value, Status: o.Status})
+	}
+	return page, nil
+}
--- a/internal/peer/gen/masticscale/peer/v1/peerv1connect/fleet.connect.go
+++ b/internal/peer/gen/masticscale/peer/v1/peerv1connect/fleet.connect.go
@@ -44,6 +44,8 @@
 	FleetServiceReadItemProcedure = "/masticscale.peer.v1.FleetService/ReadItem"
 	// FleetServiceEndJobProcedure is the fully-qualified name of the FleetService's EndJob RPC.
 	FleetServiceEndJobProcedure = "/masticscale.peer.v1.FleetService/EndJob"
+	// FleetServiceStoreCallProcedure is the fully-qualified name of the FleetService's StoreCall RPC.
+	FleetServiceStoreCallProcedure = "/masticscale.peer.v1.FleetService/StoreCall"
 	// FleetServiceAdoptProcedure is the fully-qualified name of the FleetService's Adopt RPC.
 	FleetServiceAdoptProcedure = "/masticscale.peer.v1.FleetService/Adopt"
 )
@@ -60,6 +62,8 @@
 	ReadItem(context.Context, *connect.Request[v1.ReadItemRequest]) (*connect.Response[v1.ReadItemResponse], error)
 	// EndJob ends a job that the host runs.
 	EndJob(context.Context, *connect.Request[v1.EndJobRequest]) (*connect.Response[v1.EndJobResponse], error)
+	// StoreCall makes a call to the platform's store for a host that it turns away.
+	StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error)
 	// Adopt hands the jobs of a host that stops to another one.
 	Adopt(context.Context, *connect.Request[v1.AdoptRequest]) (*connect.Response[v1.AdoptResponse], error)
 }
@@ -105,6 +109,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("EndJob")),
 			connect.WithClientOptions(opts...),
 		),
+		storeCall: connect.NewClient[v1.StoreCallRequest, v1.StoreCallResponse](
+			httpClient,
+			baseURL+FleetServiceStoreCallProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("StoreCall")),
+			connect.WithClientOptions(opts...),
+		),
 		adopt: connect.NewClient[v1.AdoptRequest, v1.AdoptResponse](
 			httpClient,
 			baseURL+FleetServiceAdoptProcedure,
@@ -121,6 +131,7 @@
 	readResults *connect.Client[v1.ReadResultsRequest, v1.ReadResultsResponse]
 	readItem    *connect.Client[v1.ReadItemRequest, v1.ReadItemResponse]
 	endJob      *connect.Client[v1.EndJobRequest, v1.EndJobResponse]
+	storeCall   *connect.Client[v1.StoreCallRequest, v1.StoreCallResponse]
 	adopt       *connect.Client[v1.AdoptRequest, v1.AdoptResponse]
 }
 
@@ -149,6 +160,11 @@
 	return c.endJob.CallUnary(ctx, req)
 }
 
+// StoreCall calls masticscale.peer.v1.FleetService.StoreCall.
+func (c *fleetServiceClient) StoreCall(ctx context.Context, req *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error) {
+	return c.storeCall.CallUnary(ctx, req)
+}
+
 // Adopt calls masticscale.peer.v1.FleetService.Adopt.
 func (c *fleetServiceClient) Adopt(ctx context.Context, req *connect.Request[v1.AdoptRequest]) (*connect.Response[v1.AdoptResponse], error) {
 	return c.adopt.CallUnary(ctx, req)
@@ -166,6 +182,8 @@
 	ReadItem(context.Context, *connect.Request[v1.ReadItemRequest]) (*connect.Response[v1.ReadItemResponse], error)
 	// EndJob ends a job that the host runs.
 	EndJob(context.Context, *connect.Request[v1.EndJobRequest]) (*connect.Response[v1.EndJobResponse], error)
+	// StoreCall makes a call to the platform's store for a host that it turns away.
+	StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error)
 	// Adopt hands the jobs of a host that stops to another one.
 	Adopt(context.Context, *connect.Request[v1.AdoptRequest]) (*connect.Response[v1.AdoptResponse], error)
 }
@@ -207,6 +225,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("EndJob")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceStoreCallHandler := connect.NewUnaryHandler(
+		FleetServiceStoreCallProcedure,
+		svc.StoreCall,
+		connect.WithSchema(fleetServiceMethods.ByName("StoreCall")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceAdoptHandler := connect.NewUnaryHandler(
 		FleetServiceAdoptProcedure,
 		svc.Adopt,
@@ -225,6 +249,8 @@
 			fleetServiceReadItemHandler.ServeHTTP(w, r)
 		case FleetServiceEndJobProcedure:
 			fleetServiceEndJobHandler.ServeHTTP(w, r)
+		case FleetServiceStoreCallProcedure:
+			fleetServiceStoreCallHandler.ServeHTTP(w, r)
 		case FleetServiceAdoptProcedure:
 			fleetServiceAdoptHandler.ServeHTTP(w, r)
 		default:
@@ -256,6 +282,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.FleetService.EndJob is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.FleetService.StoreCall is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) Adopt(context.Context, *connect.Request[v1.AdoptRequest]) (*connect.Response[v1.AdoptResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("masticscale.peer.v1.FleetService.Adopt is not implemented"))
 }
--- a/internal/ratelimit/ledger/ledger.go
+++ b/internal/ratelimit/ledger/ledger.go
@@ -36,15 +36,20 @@
 type bucket struct {
 	tokens float64
 	at     time.Time
+	part   float64 // of the fleet that the tokens stand for
 }
 
+// restartTime is the least time that a host is away when it restarts. What was
+// refilled meanwhile is not lost to the team.
+const restartTime = 500 * time.Millisecond
+
 // New returns a ledger of a host that starts now.
 func New(now time.Time) *Ledger {
 	return &Ledger{
 		buckets: map[string]*bucket{},
 		own:     map[string]Count{},
 		seen:    map[string]map[string]Count{},
-		started: now,
+		started: now.Add(-restartTime),
 	}
 }
 
@@ -85,7 +90,9 @@
 
 // refilled returns the team's bucket as of now. A bucket that begins, at the
 // host's start or with the team's first request, holds what has been refilled
-// since the start, because the host can't know what was admitted before.
+// since the start, because the host can't know what was admitted before. When
+// this host hears more or less of the fleet than before, the tokens stand for
+// more or less of it too.
 func (l *Ledger) refilled(team string, rate Rate, part float64, now time.Time) *bucket {
 	b, known := l.buckets[team]
 	if !known {
@@ -93,6 +100,10 @@
 		l.buckets[team] = b
 	}
 	full := math.Max(rate.Burst, 1) * part
+	if b.tokens > 0 && b.part > 0 {
+		b.tokens *= part / b.part
+	}
+	b.part = part
 	b.tokens = math.Min(full, b.tokens+now.Sub(b.at).Seconds()*rate.PerSecond*part)
 	b.at = now
 	return b
