--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -77,7 +77,7 @@
 	}
 	h := &Host{settings: settings, path: path, log: log, out: out, metrics: telemetry.NewMetrics(), pool: connpool.New()}
 	self := entry.Identity{
-		Name: settings.Name, Incarnation: uuid.NewString(), DataCentre: settings.DataCentre, PeerAddress: settings.Listen.Peers,
+		Name: settings.Name, Incarnation: uuid.NewString(), DataCentre: settings.DataCentre, PeerAddress: settings.Listen.PeersAt,
 	}
 	h.core = entry.NewCore(self, log)
 	h.direct = newTransport(settings, log)
@@ -135,7 +135,7 @@
 	defer stopDuties()
 	jobCtx, stopJobs := context.WithCancel(duties)
 	defer stopJobs()
-	peers := mesh.New(duties, h.settings.Listen.Peers, h.core, h.runner, h.source, h.log)
+	peers := mesh.New(duties, h.settings.Listen.PeersAt, h.core, h.runner, h.source, h.log)
 	peers.SetStore(h.direct)
 	h.peers = peers
 	h.runner.SetPeers(peers)
--- a/internal/fleethost/settings.go
+++ b/internal/fleethost/settings.go
@@ -31,6 +31,7 @@
 	Callers   string `json:"callers"`
 	Readiness string `json:"readiness"`
 	Peers     string `json:"peers"`
+	PeersAt   string `json:"peers_at"` // that peers use, where it is another one than this host listens at
 	Metrics   string `json:"metrics"`
 }
 
@@ -63,6 +64,9 @@
 	if err := json.Unmarshal(plain, &s); err != nil {
 		return Settings{}, apierr.New(apierr.Invalid, "a setting has the wrong type", "correct the file").WithCause(err)
 	}
+	if s.Listen.PeersAt == "" {
+		s.Listen.PeersAt = s.Listen.Peers
+	}
 	return s, s.check()
 }
 
--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -120,6 +120,8 @@
 	engine *engine
 	wg     sync.WaitGroup
 
+	configAfter time.Duration // that a host takes to learn its configuration
+
 	mu    sync.Mutex // guards hosts and who reaches whom
 	hosts map[string]*host
 }
@@ -158,7 +160,7 @@
 	log.SetOutput(io.Discard)
 	self := entry.Identity{Name: name, Incarnation: fmt.Sprint(name, "/", time.Now().UnixNano()), DataCentre: "dc", PeerAddress: name}
 	core := entry.NewCore(self, log)
-	core.SetConfig(config(1))
+	time.AfterFunc(w.configAfter, func() { core.SetConfig(config(1)) })
 	core.SetUpstreams([]fleet.Upstream{
 		{ID: "u1", Service: "lm", Address: "u1", Slots: 8}, {ID: "u2", Service: "lm", Address: "u2", Slots: 8},
 	}, 1)
@@ -175,6 +177,9 @@
 	w.wg.Go(func() { core.Run(ctx) })
 	w.wg.Go(func() { h.runner.Run(ctx) })
 	w.wg.Go(func() { h.gossip(ctx) })
+	if w.configAfter == 0 {
+		time.Sleep(time.Millisecond)
+	}
 	return h
 }
 
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -77,6 +77,22 @@
 	})
 }
 
+// TestRestartedHostLearnsItsConfigurationLate failed in the soak (seed 2): the
+// jobs of a host that knew no configuration yet were never run again.
+func TestRestartedHostLearnsItsConfigurationLate(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		h1 := w.start("h1")
+		s := submission("j", 30)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		time.Sleep(time.Second)
+		h1.kill()
+		w.configAfter = 3 * time.Second
+		h1 = w.start("h1")
+		time.Sleep(12 * time.Second)
+		w.checkWhole(h1, s)
+	})
+}
+
 func TestJobOfALostHostIsTakenOver(t *testing.T) {
 	play(t, func(c *qt.C, w *world) {
 		h1, h2, h3 := w.start("h1"), w.start("h2"), w.start("h3")
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -110,7 +110,10 @@
 	heard := r.core.Peers()
 	now := time.Now()
 	err := r.claimWhere(ctx, func(s state) bool {
-		if _, ok := heard[s.Owner]; ok || s.Owner == r.self {
+		if s.Owner == r.self {
+			return true // it was not claimed at the start
+		}
+		if _, ok := heard[s.Owner]; ok {
 			return false
 		}
 		return r.core.SilentFor(s.Owner, now) > takeoverAfter
@@ -120,7 +123,8 @@
 	}
 }
 
-// claimWhere lists the jobs and claims those whose state matches.
+// claimWhere lists the jobs and claims those whose state matches. It returns the
+// last failure of a claim; the other jobs are claimed all the same.
 func (r *Runner) claimWhere(ctx context.Context, matches func(state) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -132,6 +136,7 @@
 	if err != nil {
 		return err
 	}
+	var failed error
 	for _, o := range objects {
 		var rec record
 		if err := o.Decode(&rec); err != nil {
@@ -147,9 +152,10 @@
 		}
 		if err := r.claim(ctx, o.Name, rec, s.Owner); err != nil {
 			r.log.WithFields(logrus.Fields{"event": "job_not_claimed", "job": o.Name, "error": err}).Warn("a job could not be taken over")
+			failed = err
 		}
 	}
-	return nil
+	return failed
 }
 
 func (r *Runner) listStates(ctx context.Context) (map[string]state, error) {
