--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -76,7 +76,7 @@
 		return errors.Wrapf(errUsage, "%v; see '%s --help'", err, c.CommandPath())
 	})
 	root.AddCommand(newServe(), newEmulate(), newConfig(), newTeam(), newKey(), newRoute(), newService(),
-		newUpstream(), newHost(), newJob(), newFleet(), newLoad(), newDemo(), newVersion())
+		newUpstream(), newHost(), newJob(), newFleet(), newExplain(), newLoad(), newDemo(), newVersion())
 	refuseUnknown(root)
 	return root
 }
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,119 @@
+// Package explain finds in the logs of several hosts what happened to one
+// request, item or job.
+package explain
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logfmt/logfmt"
+)
+
+// Line is one line of a log.
+type Line struct {
+	Time   time.Time
+	Host   string
+	Event  string
+	Fields map[string]string
+}
+
+// maxLineBytes bounds a line; hosts write far shorter ones.
+const maxLineBytes = 1 << 20
+
+// Find returns the lines of a log that name the id, as a request, an item or a
+// job. Lines that aren't key=value pairs are passed over: a process may print
+// others before its log begins.
+func Find(log io.Reader, id string) ([]Line, error) {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxLineBytes)
+	var found []Line
+	for scanner.Scan() {
+		if !strings.Contains(scanner.Text(), id) {
+			continue
+		}
+		line, ok := parse(scanner.Text())
+		if ok && (line.Fields["id"] == id || line.Fields["job"] == id) {
+			found = append(found, line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, errors.Wrap(err, "read log")
+	}
+	return found, nil
+}
+
+func parse(text string) (Line, bool) {
+	decoder := logfmt.NewDecoder(strings.NewReader(text))
+	line := Line{Fields: map[string]string{}}
+	if !decoder.ScanRecord() {
+		return line, false
+	}
+	for decoder.ScanKeyval() {
+		line.Fields[string(decoder.Key())] = string(decoder.Value())
+	}
+	at, err := time.Parse(time.RFC3339Nano, line.Fields["time"])
+	if err != nil || decoder.Err() != nil {
+		return line, false
+	}
+	line.Time, line.Host, line.Event = at, line.Fields["host"], line.Fields["event"]
+	return line, true
+}
+
+// Sort orders lines of several hosts by time.
+func Sort(lines []Line) {
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time.Before(lines[j].Time) })
+}
+
+// String shows the line without what every line has.
+func (l Line) String() string {
+	var names []string
+	for name := range l.Fields {
+		switch name {
+		case "time", "level", "msg", "host", "event":
+		default:
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	text := fmt.Sprintf("%s %-18s %-18s", l.Time.Format("15:04:05.000"), l.Host, l.Event)
+	for _, name := range names {
+		text += fmt.Sprintf(" %s=%q", name, l.Fields[name])
+	}
+	return text
+}
+
+// causes say what an outcome or event means, and what to do.
+var causes = map[string]string{
+	"answered":            "it was answered; look at first_ms and waited_ms for why it was slow",
+	"rate_limit_exceeded": "its team had used up its rate, or most peers were silent and this host gave out only its part: look for peer_silent before it",
+	"overloaded":          "every slot of its service was taken, or upstreams turned it away: look at the other requests of that second and at upstreams_in_force",
+	"unavailable":         "no upstream could be reached, or the host had no configuration yet: look for attempt_failed and store_lost before it",
+	"outcome_unknown":     "the upstream was sent the request and did not answer it: the line attempt_failed names the upstream",
+	"broken_off":          "the answer had begun and its upstream broke off, or the caller left: the line stream_broke_off names the upstream and the last event",
+	"timeout":             "its time ran out",
+	"cancelled":           "its caller left",
+	"upstream_error":      "the upstream answered with a failure",
+	"item_given_up":       "the item was given up; why tells the reason, and the lines item_run_ended before it name the upstreams",
+	"item_suspected":      "the item broke off at several upstreams without an event and isn't run again until it may be given up",
+	"job_refused":         "more tokens of its team wait than the route allows",
+	"job_not_accepted":    "the platform's store did not take the job: look for store_lost",
+	"request_refused":     "the request was refused before it was admitted; error tells why",
+}
+
+// Cause says what the last telling line means. It returns "" where the log has
+// none.
+func Cause(lines []Line) string {
+	for i := len(lines) - 1; i >= 0; i-- {
+		for _, word := range []string{lines[i].Fields["outcome"], lines[i].Event} {
+			if text, known := causes[word]; known {
+				return text
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,35 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticscale/masticscale/internal/explain"
+)
+
+const first = `some other text
+time="2026-12-03T23:07:20.697Z" level=info msg="request ended" event=request_ended host=h1 id=abc outcome=rate_limit_exceeded error="team \"x\" has used up its rate"
+time="2026-12-03T23:07:20.700Z" level=info msg="request ended" event=request_ended host=h1 id=abcd outcome=answered
+`
+
+const second = `time="2026-12-03T23:07:20.100Z" level=info msg="an attempt failed" event=attempt_failed host=h2 id=abc upstream=u1
+`
+
+func TestLinesOfSeveralHostsInOrder(t *testing.T) {
+	c := qt.New(t)
+	var all []explain.Line
+	for _, log := range []string{first, second} {
+		lines, err := explain.Find(strings.NewReader(log), "abc")
+		c.Assert(err, qt.IsNil)
+		all = append(all, lines...)
+	}
+	explain.Sort(all)
+	c.Assert(all, qt.HasLen, 2)
+	c.Assert(all[0].Event, qt.Equals, "attempt_failed")
+	c.Assert(all[1].Fields["error"], qt.Equals, `team "x" has used up its rate`)
+	c.Assert(all[0].String(), qt.Contains, `upstream="u1"`)
+	c.Assert(explain.Cause(all), qt.Contains, "its team had used up its rate")
+	c.Assert(explain.Cause(nil), qt.Equals, "")
+}
