--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
@@ -21,7 +20,6 @@
 	"github.com/masticscale/masticscale/internal/jobs"
 	"github.com/masticscale/masticscale/internal/knowledge"
 	"github.com/masticscale/masticscale/internal/mesh"
-	"github.com/masticscale/masticscale/internal/objstore"
 	"github.com/masticscale/masticscale/internal/peer/link"
 	"github.com/masticscale/masticscale/internal/telemetry"
 	"github.com/masticscale/masticscale/internal/upstream/connpool"
@@ -42,22 +40,25 @@
 	poolPeriod     = 5 * time.Second         // between looks for stale connections
 )
 
+// parts are the parts of a host.
+type parts struct {
+	Settings Settings
+	Log      *logrus.Logger
+	Metrics  *telemetry.Metrics
+	Core     *entry.Core
+	Source   *knowledge.Source
+	Runner   *jobs.Runner
+	Direct   *platform.Store // makes the calls of peers too
+	Relay    *storeRelay
+	Pool     *connpool.Pool
+	Online   *entry.Handler
+}
+
 // Host is one host before a fleet of upstreams.
 type Host struct {
-	settings Settings
+	parts
 	path     string
-	log      *logrus.Logger
 	out      *telemetry.AsyncWriter
-	metrics  *telemetry.Metrics
-	core     *entry.Core
-	source   *knowledge.Source
-	runner   *jobs.Runner
-	direct   *platform.Store // calls that no peer makes for this host
-	peers    *mesh.Mesh
-	store    *objstore.Client
-	watched  *objstore.Client
-	pool     *connpool.Pool
-	online   *entry.Handler
 	stopping atomic.Bool
 }
 
@@ -75,37 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{settings: settings, path: path, log: log, out: out, metrics: telemetry.NewMetrics(), pool: connpool.New()}
-	self := entry.Identity{
-		Name: settings.Name, Incarnation: uuid.NewString(), DataCentre: settings.DataCentre, PeerAddress: settings.Listen.PeersAt,
-	}
-	h.core = entry.NewCore(self, log)
-	h.direct = newTransport(settings, log)
-	h.store = newStore(settings, objstore.NewRelayedTransport(h.direct, h.relay), h.metrics)
-	upstreams := platform.NewUpstreams(h.pool)
-	h.online = entry.NewHandler(h.core, upstreams, h.metrics, log)
-	h.runner = jobs.NewRunner(self, h.core, h.store, upstreams, h.metrics, log)
-	// What a host knows is followed directly: peers tell what they know themselves.
-	h.watched = newStore(settings, h.direct, h.metrics)
-	h.source = knowledge.NewSource(self, h.watched, platform.Decoder{}, h.core, settings.Seeds, log)
-	return h, nil
-}
-
-func newTransport(s Settings, log logrus.FieldLogger) *platform.Store {
-	return platform.NewStore("http://"+s.Store, platform.StoreDial(), log)
-}
-
-func newStore(s Settings, t objstore.Transport, m *telemetry.Metrics) *objstore.Client {
-	return objstore.NewClient(t, s.Name, objstore.WithObserver(m), objstore.WithWatchWait(watchWait))
-}
-
-// relay makes a call to the store through a peer that it serves.
-func (h *Host) relay(ctx context.Context, c objstore.Call) (objstore.Page, error) {
-	address, found := h.core.StorePeer()
-	if !found {
-		return objstore.Page{}, errors.Wrap(objstore.ErrUnavailable, "the platform's store turns this host away, and no peer reaches it")
-	}
-	return h.peers.StoreCall(ctx, address, c)
+	return &Host{parts: newParts(settings, log), path: path, out: out}, nil
 }
 
 // tune bounds the runtime to what the process may use.
@@ -135,26 +106,26 @@
 	defer stopDuties()
 	jobCtx, stopJobs := context.WithCancel(duties)
 	defer stopJobs()
-	peers := mesh.New(duties, h.settings.Listen.PeersAt, h.core, h.runner, h.source, h.log)
-	peers.SetStore(h.direct)
-	h.peers = peers
-	h.runner.SetPeers(peers)
-	h.source.SetPeers(peers)
-	h.core.OnChanged(peers.Changed)
-	h.core.OnUrgent(peers.Urgent)
-	h.core.OnPeer(h.runner.PeerChanged)
-	h.core.OnEnded(h.runner.StopEnded)
+	peers := mesh.New(duties, h.Settings.Listen.PeersAt, h.Core, h.Runner, h.Source, h.Log)
+	peers.SetStore(h.Direct)
+	h.Relay.peers = peers
+	h.Runner.SetPeers(peers)
+	h.Source.SetPeers(peers)
+	h.Core.OnChanged(peers.Changed)
+	h.Core.OnUrgent(peers.Urgent)
+	h.Core.OnPeer(h.Runner.PeerChanged)
+	h.Core.OnEnded(h.Runner.StopEnded)
 	servers, failed, err := h.listen(peers)
 	if err != nil {
 		return err
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { h.core.Run(duties) })
-	wg.Go(func() { h.source.Run(duties) })
-	wg.Go(func() { h.runner.Run(jobCtx) })
+	wg.Go(func() { h.Core.Run(duties) })
+	wg.Go(func() { h.Source.Run(duties) })
+	wg.Go(func() { h.Runner.Run(jobCtx) })
 	wg.Go(func() { h.tidyPool(duties) })
-	wg.Go(func() { followSettings(duties, h.path, h.log) })
-	h.log.WithFields(logrus.Fields{"event": "host_started", "callers": h.settings.Listen.Callers, "peers": h.settings.Listen.Peers, "store": h.settings.Store}).Info("host started")
+	wg.Go(func() { followSettings(duties, h.path, h.Log) })
+	h.Log.WithFields(logrus.Fields{"event": "host_started", "callers": h.Settings.Listen.Callers, "peers": h.Settings.Listen.Peers, "store": h.Settings.Store}).Info("host started")
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
@@ -163,9 +134,9 @@
 	stopDuties()
 	wg.Wait()
 	peers.Wait()
-	h.store.Close()
-	h.pool.Close()
-	h.log.WithField("event", "host_stopped").WithField("log_lines_dropped", h.out.Dropped()).Info("host stopped")
+	h.Direct.Close()
+	h.Pool.Close()
+	h.Log.WithField("event", "host_stopped").WithField("log_lines_dropped", h.out.Dropped()).Info("host stopped")
 	h.out.Close(logFlushTime)
 	return err
 }
@@ -177,11 +148,11 @@
 
 // listen opens the host's addresses.
 func (h *Host) listen(peers *mesh.Mesh) ([]server, <-chan error, error) {
-	callers := platform.NewCallers(h.core, h.online, h.runner, h.stopping.Load, h.log)
+	callers := platform.NewCallers(h.Core, h.Online, h.Runner, h.stopping.Load, h.Log)
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("/", h.ready)
 	metrics := http.NewServeMux()
-	metrics.Handle("/metrics", promhttp.HandlerFor(h.metrics.Registry, promhttp.HandlerOpts{}))
+	metrics.Handle("/metrics", promhttp.HandlerFor(h.Metrics.Registry, promhttp.HandlerOpts{}))
 	failed := make(chan error, 4)
 	var servers []server
 	for _, l := range []struct {
@@ -189,10 +160,10 @@
 		handler       http.Handler
 		protocols     *http.Protocols
 	}{
-		{"peers", h.settings.Listen.Peers, peers.Handler(), link.Protocols()},
-		{"metrics", h.settings.Listen.Metrics, metrics, nil},
-		{"readiness", h.settings.Listen.Readiness, readiness, nil},
-		{"callers", h.settings.Listen.Callers, callers.Handler(), nil},
+		{"peers", h.Settings.Listen.Peers, peers.Handler(), link.Protocols()},
+		{"metrics", h.Settings.Listen.Metrics, metrics, nil},
+		{"readiness", h.Settings.Listen.Readiness, readiness, nil},
+		{"callers", h.Settings.Listen.Callers, callers.Handler(), nil},
 	} {
 		if l.address == "" {
 			continue
@@ -216,7 +187,7 @@
 
 // ready answers the balancer.
 func (h *Host) ready(w http.ResponseWriter, _ *http.Request) {
-	if h.stopping.Load() || !h.source.Ready() {
+	if h.stopping.Load() || !h.Source.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -226,13 +197,13 @@
 // stop reports "not ready", hands the jobs over, and answers every request that
 // was accepted.
 func (h *Host) stop(servers []server, stopJobs context.CancelFunc) {
-	h.log.WithField("event", "host_stopping").Info("host stops; it takes no new callers")
-	deadline := time.Now().Add(time.Duration(h.settings.StopSecond*float64(time.Second)) - stopMargin)
+	h.Log.WithField("event", "host_stopping").Info("host stops; it takes no new callers")
+	deadline := time.Now().Add(time.Duration(h.Settings.StopSecond*float64(time.Second)) - stopMargin)
 	h.stopping.Store(true)
-	h.core.SetLeaving()
+	h.Core.SetLeaving()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	h.runner.Stop(ctx)
+	h.Runner.Stop(ctx)
 	select {
 	case <-ctx.Done():
 	case <-time.After(balancerTime):
@@ -242,7 +213,7 @@
 			continue
 		}
 		if err := servers[i].http.Shutdown(ctx); err != nil {
-			h.log.WithFields(logrus.Fields{"event": "requests_cut", "listener": servers[i].name, "error": err}).Warn("requests were still running at the end of the stop")
+			h.Log.WithFields(logrus.Fields{"event": "requests_cut", "listener": servers[i].name, "error": err}).Warn("requests were still running at the end of the stop")
 			_ = servers[i].http.Close() // nothing more can be done for them
 		}
 	}
@@ -261,7 +232,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			h.pool.Retain(h.core.UpstreamAddresses())
+			h.Pool.Retain(h.Core.UpstreamAddresses())
 		}
 	}
 }
--- a/internal/fleethost/settings.go
+++ b/internal/fleethost/settings.go
@@ -22,6 +22,7 @@
 	MemoryMB   int      `json:"memory_mb"`
 	Cores      int      `json:"cores"`
 	StopSecond float64  `json:"stop_seconds"` // from the order to stop to the kill
+	KeepSecond float64  `json:"keep_seconds"` // of a job and its results, from its submission
 	LogLevel   string   `json:"log_level"`
 	LogLines   int      `json:"log_lines_per_second"` // of one event; more are counted and left out
 }
@@ -78,8 +79,8 @@
 			return apierr.Newf(apierr.Invalid, "add it to the settings", "the setting %q is missing", required.field)
 		}
 	}
-	if s.MemoryMB < 0 || s.Cores < 0 || s.StopSecond <= 0 || s.LogLines <= 0 {
-		return apierr.New(apierr.Invalid, "memory_mb, cores, stop_seconds or log_lines_per_second is out of range", "give positive numbers")
+	if s.MemoryMB < 0 || s.Cores < 0 || s.StopSecond <= 0 || s.KeepSecond < 0 || s.LogLines <= 0 {
+		return apierr.New(apierr.Invalid, "memory_mb, cores, stop_seconds, keep_seconds or log_lines_per_second is out of range", "give positive numbers")
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/fleethost/wire.go
@@ -0,0 +1,25 @@
+//go:build wireinject
+
+package fleethost
+
+import (
+	"github.com/google/wire"
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/entry"
+	"github.com/masticscale/masticscale/internal/telemetry"
+	"github.com/masticscale/masticscale/internal/upstream/connpool"
+	"github.com/masticscale/masticscale/platform"
+)
+
+func newParts(settings Settings, log *logrus.Logger) parts {
+	wire.Build(
+		wire.Struct(new(parts), "*"),
+		wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)),
+		wire.Bind(new(entry.Upstreams), new(*platform.Upstreams)),
+		telemetry.NewMetrics, connpool.New, platform.NewUpstreams,
+		newIdentity, entry.NewCore, entry.NewHandler,
+		newTransport, newStoreRelay, newRunner, newSource,
+	)
+	return parts{}
+}
--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -34,12 +34,11 @@
 
 // engine is an upstream that counts what reaches it.
 type engine struct {
-	mu    sync.Mutex
-	runs  map[string]int // by item
-	last  map[string]time.Time
-	fail  map[string]int // status that an item gets
-	cut   map[string]int // events after which a run of an item breaks off, once
-	turns int
+	mu   sync.Mutex
+	runs map[string]int // by item
+	last map[string]time.Time
+	fail map[string]int // status that an item gets
+	cut  map[string]int // events after which a run of an item breaks off, once
 }
 
 func newEngine() *engine {
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/fleet"
+	"github.com/masticscale/masticscale/internal/jobs"
+	"github.com/masticscale/masticscale/internal/objstore"
 )
 
 // play runs a test in virtual time.
@@ -47,6 +49,29 @@
 	})
 }
 
+// TestJobsAreRemoved checks that a job stays readable for its time, and that
+// nothing of it stays in the store afterwards.
+func TestJobsAreRemoved(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		h1, h2 := w.start("h1"), w.start("h2")
+		time.Sleep(time.Second)
+		s := submission("j", 5)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		time.Sleep(590 * time.Second)
+		w.checkWhole(h2, s)
+		time.Sleep(200 * time.Second)
+		for _, h := range []*host{h1, h2} {
+			_, err := h.runner.Read(background, "j", "cafe", 0, 0)
+			c.Assert(apierr.IsKind(err, apierr.NotFound), qt.IsTrue)
+		}
+		for _, kind := range []objstore.Kind{jobs.KindJob, jobs.KindState, jobs.KindResults} {
+			left, _, err := h1.store.List(background, kind, "")
+			c.Assert(err, qt.IsNil)
+			c.Assert(left, qt.HasLen, 0)
+		}
+	})
+}
+
 func TestOtherJobUnderTheSameID(t *testing.T) {
 	play(t, func(c *qt.C, w *world) {
 		h1, h2 := w.start("h1"), w.start("h2")
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -46,6 +46,7 @@
 	ended    map[string]time.Time // jobs whose end this host has noted, and when
 	pace     pace
 	stopping bool
+	keep     time.Duration // of a job and its results, from its submission
 	work     chan struct{} // an item may be waiting
 	write    chan struct{} // a result may be pending
 	verify   chan struct{} // ownership is doubtful
@@ -56,7 +57,7 @@
 func NewRunner(self entry.Identity, core *entry.Core, store objstore.Store, upstreams entry.Upstreams, metrics *telemetry.Metrics, log logrus.FieldLogger) *Runner {
 	return &Runner{
 		self: self.Name, incarnation: self.Incarnation, core: core, store: store, upstreams: upstreams, log: log, metrics: metrics,
-		jobs: map[string]*job{}, remote: map[string]*remoteJob{}, ended: map[string]time.Time{}, pace: newPace(),
+		jobs: map[string]*job{}, remote: map[string]*remoteJob{}, ended: map[string]time.Time{}, pace: newPace(), keep: defaultKeep,
 		work: make(chan struct{}, 1), write: make(chan struct{}, 1), verify: make(chan struct{}, 1),
 	}
 }
@@ -87,6 +88,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { r.writeLoop(ctx) })
 	duties.Go(func() { r.ownershipLoop(ctx) })
+	duties.Go(func() { r.collectLoop(ctx) })
 	tick := time.NewTicker(retryPeriod)
 	defer tick.Stop()
 	for ctx.Err() == nil {
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -11,4 +11,4 @@
 export PATH="$bin:$PATH"
 buf lint
 buf generate
-wire gen ./internal/app
+wire gen ./internal/app ./internal/fleethost
