--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -254,6 +254,30 @@
 	})
 }
 
+// TestAcceptedThroughAHostThatCanNotTellTheFirst failed in the soak (seed 6): the
+// first host never learned that it had stored the job, the second answered that
+// it was accepted and could not reach the first, and no host ran it.
+func TestAcceptedThroughAHostThatCanNotTellTheFirst(t *testing.T) {
+	for name, heals := range map[string]bool{"cut heals": true, "peer calls fail": false} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(c *qt.C, w *world) {
+				h1, h2 := w.start("h1"), w.start("h2")
+				w.start("h3")
+				time.Sleep(time.Second)
+				s := submission("j", 5)
+				h1.store.LoseAnswers(1)
+				c.Assert(h1.runner.Submit(background, s), qt.IsNotNil)
+				h1.setCut(true)
+				c.Assert(h2.runner.Submit(background, s), qt.IsNil)
+				time.Sleep(100 * time.Millisecond)
+				h1.setCut(!heals)
+				time.Sleep(35 * time.Second)
+				w.checkWhole(h2, s)
+			})
+		})
+	}
+}
+
 func TestBrokenOffStreamGoesOn(t *testing.T) {
 	play(t, func(c *qt.C, w *world) {
 		h1 := w.start("h1")
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,6 +17,7 @@
 const (
 	takeoverAfter = 7 * time.Second          // of silence; a host that was killed or cut off is mostly back sooner and goes on itself
 	sweepDuty     = "jobs that no host runs" // key that picks the one host which looks for them
+	untoldAfter   = 8 * time.Second          // a host tells of a new job within a second, and verifies a doubtful one within a few
 	sweepPeriod   = 12 * time.Second         // between looks for jobs that no host runs
 	verifyPeriod  = 2500 * time.Millisecond  // between looks at the jobs' states while peers are silent, whose callers may end jobs
 	cutOffPeriod  = time.Second              // the same while most peers are silent
@@ -93,7 +95,7 @@
 // resumeOwn goes on with the jobs of this host's earlier incarnation.
 func (r *Runner) resumeOwn(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := r.claimWhere(ctx, func(s state) bool { return s.Owner == r.self })
+		err := r.claimWhere(ctx, func(_ string, _ record, s state) bool { return s.Owner == r.self })
 		if err == nil {
 			return
 		}
@@ -105,16 +107,17 @@
 	}
 }
 
-// sweep takes over the jobs of hosts that are gone.
+// sweep takes over the jobs of hosts that are gone, and those that their host
+// does not know of: it may never have learned that their creation took effect.
 func (r *Runner) sweep(ctx context.Context) {
 	heard := r.core.Peers()
 	now := time.Now()
-	err := r.claimWhere(ctx, func(s state) bool {
+	err := r.claimWhere(ctx, func(id string, rec record, s state) bool {
 		if s.Owner == r.self {
 			return true // it was not claimed at the start
 		}
-		if _, ok := heard[s.Owner]; ok {
-			return false
+		if owner, ok := heard[s.Owner]; ok {
+			return !slices.Contains(owner.Jobs, id) && now.After(time.UnixMilli(rec.Submitted).Add(untoldAfter))
 		}
 		return r.core.SilentFor(s.Owner, now) > takeoverAfter
 	})
@@ -125,7 +128,7 @@
 
 // claimWhere lists the jobs and claims those whose state matches. It returns the
 // last failure of a claim; the other jobs are claimed all the same.
-func (r *Runner) claimWhere(ctx context.Context, matches func(state) bool) error {
+func (r *Runner) claimWhere(ctx context.Context, matches func(id string, rec record, s state) bool) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	states, err := r.listStates(ctx)
@@ -147,7 +150,7 @@
 		if !changed {
 			s = state{Owner: rec.Owner}
 		}
-		if s.Done || s.Ended || r.runs(o.Name) || !matches(s) {
+		if s.Done || s.Ended || r.runs(o.Name) || !matches(o.Name, rec, s) {
 			continue
 		}
 		if err := r.claim(ctx, o.Name, rec, s.Owner); err != nil {
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -110,16 +110,29 @@
 		go r.AdoptLocal([]string{s.ID})
 		return nil
 	}
-	if address, heard := r.addressOf(m.owner); heard {
-		go func() {
-			if err := r.peers.Adopt(context.Background(), address, []string{s.ID}); err != nil {
-				r.log.WithFields(logrus.Fields{"event": "owner_not_told", "job": s.ID, "peer": m.owner, "error": err}).Info("the host that runs a job was not told of it")
-			}
-		}()
-	}
+	go r.tellOwner(m)
 	return nil
 }
 
+// tellOwner makes sure that the host of a job runs it: it may not have learned
+// that the job was stored. Where it isn't reached, this host takes the job over.
+func (r *Runner) tellOwner(m *remoteJob) {
+	if _, told := r.core.HostOf(m.id); told {
+		return
+	}
+	owner := r.ownerOf(m)
+	address, heard := r.addressOf(owner)
+	if !heard {
+		return // the sweep takes over the jobs of hosts that stay silent
+	}
+	err := r.peers.Adopt(context.Background(), address, []string{m.id})
+	if err == nil {
+		return
+	}
+	r.log.WithFields(logrus.Fields{"event": "owner_not_told", "job": m.id, "peer": owner, "error": err}).Info("the host that runs a job was not told of it; this host takes the job over")
+	r.AdoptLocal([]string{m.id})
+}
+
 // checkBacklog refuses a job that doesn't fit into what a team may have waiting.
 func (r *Runner) checkBacklog(s Submission, route *fleet.Route, team string) error {
 	limit := route.Batch.MaxWaitingTokens
