Count the slots that an upstream says are taken beyond those that are known

Change: the load that comes with answers shows such requests; their slots count as taken for 0.4 s. Test: TestUpstreamThatGoesOnAfterACancel.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -40,6 +40,16 @@
 	p.core.board.Succeeded(p.Upstream.ID)
 }
 
+// Loaded notes what the upstream tells of its load.
+func (p *Place) Loaded(l *Load) {
+	if l == nil {
+		return
+	}
+	p.core.mu.Lock()
+	defer p.core.mu.Unlock()
+	p.core.board.Told(p.Upstream.ID, l.Running+l.Waiting, time.Now())
+}
+
 // Full notes that the upstream turned the request away for lack of room.
 func (p *Place) Full() {
 	p.core.mu.Lock()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -233,6 +233,7 @@
 		return h.sendFailed(ctx, r, place, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	place.Loaded(answer.Load)
 	if answer.NotRun {
 		h.turnedAway(place, answer)
 		h.metrics.Attempts.WithLabelValues("turned_away").Inc()
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -34,6 +34,13 @@
 	NotRun bool // the upstream says that it did not run the request
 	Moved  bool // another instance answered at the address
 	Signed bool // the answer carries the upstream's signature
+	Load   *Load
+}
+
+// Load is what an upstream tells of itself with an answer.
+type Load struct {
+	Running int // requests in its slots
+	Waiting int // requests in its queue
 }
 
 // Upstreams sends requests to upstreams.
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -143,6 +143,7 @@
 		return sendEnd(place, err), err
 	}
 	defer func() { _ = answer.Body.Close() }()
+	place.Loaded(answer.Load)
 	switch {
 	case answer.NotRun && answer.Moved:
 		place.Failed()
--- a/internal/slots/board.go
+++ b/internal/slots/board.go
@@ -41,6 +41,8 @@
 	downUntil time.Time // no requests before
 	failures  int       // in a row
 	fullUntil time.Time // the upstream itself turned a request away
+	hidden    int       // requests that the upstream has beyond those that are known
+	hiddenTil time.Time
 }
 
 // Board is what a host knows of the slots.
@@ -187,6 +189,18 @@
 	}
 }
 
+// Told notes how many requests an upstream says that it has. It answers upstreams
+// that go on with a request whose connection was closed, as some do: such a slot
+// looks free to hosts and isn't.
+func (b *Board) Told(id string, requests int, now time.Time) {
+	u, ok := b.upstreams[id]
+	if !ok {
+		return
+	}
+	u.hidden = max(requests-u.total.Online-u.total.Batch, 0)
+	u.hiddenTil = now.Add(toldTime)
+}
+
 // Full notes that an upstream turned a request away for lack of room.
 func (b *Board) Full(id string, now time.Time) {
 	if u, ok := b.upstreams[id]; ok {
@@ -197,8 +211,9 @@
 const (
 	downTime         = 250 * time.Millisecond // after the first failure; a crashed upstream is away for seconds
 	maxDownDoublings = 3
-	maxDownTime      = 2 * time.Second       // an upstream that is back should be found soon
-	fullTime         = 50 * time.Millisecond // in which about one slot of an engine becomes free
+	maxDownTime      = 2 * time.Second        // an upstream that is back should be found soon
+	fullTime         = 50 * time.Millisecond  // in which about one slot of an engine becomes free
+	toldTime         = 400 * time.Millisecond // in which an engine ends some of its requests and tells its load again
 )
 
 // usable reports whether new work may go to the upstream.
@@ -207,7 +222,16 @@
 }
 
 // free returns the slots that nothing runs in.
-func (u *upstream) free() int { return u.Slots - u.total.Online - u.total.Batch }
+func (u *upstream) free(now time.Time) int {
+	return u.Slots - u.total.Online - u.total.Batch - u.hiddenAt(now)
+}
+
+func (u *upstream) hiddenAt(now time.Time) int {
+	if now.After(u.hiddenTil) {
+		return 0
+	}
+	return u.hidden
+}
 
 // Tally sums up a service's slots.
 type Tally struct {
@@ -226,7 +250,7 @@
 		}
 		t.Upstreams++
 		t.Slots += u.Slots
-		t.Free += max(u.free(), 0)
+		t.Free += max(u.free(now), 0)
 		t.Batch += u.total.Batch
 	}
 	return t
@@ -252,10 +276,10 @@
 	var best *upstream
 	var bestScore float64
 	for id, u := range b.upstreams {
-		if without[id] || !u.usable(service, now) || u.total.Online >= u.Slots {
+		if without[id] || !u.usable(service, now) || u.total.Online+u.hiddenAt(now) >= u.Slots {
 			continue
 		}
-		if score := b.scoreOnline(u); best == nil || score > bestScore {
+		if score := b.scoreOnline(u, now); best == nil || score > bestScore {
 			best, bestScore = u, score
 		}
 	}
@@ -280,9 +304,9 @@
 // goes there: its own cell may have filled some that this host hasn't heard of.
 const spillFree = 2
 
-func (b *Board) scoreOnline(u *upstream) float64 {
+func (b *Board) scoreOnline(u *upstream, now time.Time) float64 {
 	score := b.random.Float64() * scoreJitter
-	free := u.free()
+	free := u.free(now)
 	switch home := b.isHome(u.ID); {
 	case home && free > 0:
 		score += scoreFree
@@ -315,10 +339,10 @@
 	var best *upstream
 	var bestScore float64
 	for _, u := range b.upstreams {
-		if !u.usable(service, now) || u.free() <= 0 || !b.isHome(u.ID) {
+		if !u.usable(service, now) || u.free(now) <= 0 || !b.isHome(u.ID) {
 			continue
 		}
-		score := float64(u.free())*scoreSlot + b.random.Float64()*scoreJitter
+		score := float64(u.free(now))*scoreSlot + b.random.Float64()*scoreJitter
 		if u.DataCentre == b.dataCentre {
 			score += scoreLocal
 		}
--- a/internal/slots/board_test.go
+++ b/internal/slots/board_test.go
@@ -193,6 +193,25 @@
 	}
 }
 
+// TestUpstreamThatGoesOnAfterACancel replays an engine that keeps working on
+// paused items: while it tells that its slots are taken, requests go elsewhere.
+func TestUpstreamThatGoesOnAfterACancel(t *testing.T) {
+	c := qt.New(t)
+	b := board(2, 8)
+	b.Told("u0", 8, epoch)
+	for range 8 {
+		r, ok := online(b, epoch)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(r.Upstream, qt.Equals, "u1")
+	}
+	_, ok := online(b, epoch)
+	c.Assert(ok, qt.IsFalse)
+	_, ok = online(b, epoch.Add(time.Second))
+	c.Assert(ok, qt.IsTrue)
+	b.Told("u1", 3, epoch) // fewer than are known: nothing is hidden
+	c.Assert(b.Tally("lm", epoch.Add(time.Second)).Free, qt.Equals, 7)
+}
+
 // TestPlacementSpreads checks that requests fill the emptiest upstreams first,
 // and the own data centre's among equals.
 func TestPlacementSpreads(t *testing.T) {
