Tell peers only the admissions that have changed, and build a state once a change

Change: unchanged counts are left out, a state is kept until something changes, and a peer's state is scheduled only when what it runs has changed. A test that changed a map it had handed over hands over a new one.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -169,6 +169,7 @@
 		return apierr.Newf(apierr.RateLimited, "send fewer requests or ask the operator for a higher rate",
 			"team %q has used up its rate", team.Name).WithRetryAfter(after)
 	}
+	c.stale = true
 	if team.Rate > 0 && c.ledger.Low(team.Name, ledgerRate(team)) {
 		c.urgent()
 	}
@@ -180,6 +181,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ledger.Refund(team)
+	c.stale = true
 }
 
 // retryAfter returns when a caller that is turned away should come back.
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -63,6 +64,8 @@
 	waiting   map[mesh.Backlog]int64
 	ended     []string // jobs
 	versions  Versions
+	state     mesh.State // for peers, as it was built last
+	stale     bool       // something has changed since
 	storeUp   bool
 	watching  bool
 	leaving   bool
@@ -105,6 +108,7 @@
 		peers:     map[string]*peerView{},
 		roster:    map[string]HostInfo{},
 		waiting:   map[mesh.Backlog]int64{},
+		stale:     true,
 		longest:   map[string]time.Duration{},
 		random:    rand.New(rand.NewPCG(seed, 1)),
 		onChanged: func() {},
@@ -158,11 +162,6 @@
 	c.board.SetUpstreams(list)
 	c.upstreams = list
 	c.formCell()
-	for name, p := range c.peers {
-		if !p.silent {
-			c.board.SetPeer(name, p.state.Running)
-		}
-	}
 	c.versions.Upstreams = max(c.versions.Upstreams, version)
 	c.urgent()
 }
@@ -174,6 +173,7 @@
 	defer c.mu.Unlock()
 	c.roster = hosts
 	c.versions.Upstreams = max(c.versions.Upstreams, version)
+	c.stale = true
 	c.formCell()
 	for name, p := range c.peers {
 		if _, listed := hosts[name]; !listed && p.silent {
@@ -215,6 +215,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	duty := c.watchDuty()
+	c.stale = c.stale || duty != c.watching
 	c.watching = duty
 	return duty
 }
@@ -299,6 +300,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.storeUp = up
+	c.stale = true
 }
 
 // SetLeaving tells peers that this host stops.
@@ -332,6 +334,15 @@
 func (c *Core) State() mesh.State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.stale {
+		c.stale = false
+		c.state = c.buildState()
+	}
+	return c.state
+}
+
+// buildState returns the state as of now; the caller holds mu.
+func (c *Core) buildState() mesh.State {
 	admitted := make(map[string]int64, len(c.ledger.Report()))
 	for team, n := range c.ledger.Report() {
 		admitted[team] = n
@@ -359,13 +370,16 @@
 	if known && p.state.Incarnation != s.Incarnation {
 		c.ledger.Forget(p.state.Incarnation)
 	}
+	moved := news || !maps.Equal(p.state.Running, s.Running)
 	p.state, p.heard, p.silent = s, time.Now(), false
 	if news {
 		c.formCell()
 	}
-	c.board.SetPeer(s.Host, s.Running)
 	c.ledger.Absorb(s.Incarnation, s.Admitted)
-	c.schedule()
+	if moved {
+		c.board.SetPeer(s.Host, s.Running)
+		c.schedule()
+	}
 	c.mu.Unlock()
 	if len(s.EndedJobs) > 0 {
 		c.onEnded(s.EndedJobs)
@@ -493,10 +507,16 @@
 }
 
 // changed tells that the state for peers is another; the caller holds mu.
-func (c *Core) changed() { c.onChanged() }
+func (c *Core) changed() {
+	c.stale = true
+	c.onChanged()
+}
 
 // urgent tells that all hosts should hear of a change soon; the caller holds mu.
-func (c *Core) urgent() { c.onUrgent() }
+func (c *Core) urgent() {
+	c.stale = true
+	c.onUrgent()
+}
 
 // wakeBatch tells the batch runner that a slot may be free.
 func (c *Core) wakeBatch() {
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -279,7 +279,7 @@
 		c.Assert(apierr.From(err).RetryAfter > 0, qt.IsTrue)
 		go func() {
 			time.Sleep(30 * time.Millisecond)
-			full.Running["u0"] = slots.Counts{Online: 7}
+			full.Running = map[string]slots.Counts{"u0": {Online: 7}}
 			core.Absorb(full)
 		}()
 		_, err = serve(core, &script{}, "/safe/x", "k")
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -174,9 +174,10 @@
 	stream := peerv1connect.NewFleetServiceClient(client, "http://"+s.address).ShareState(ctx)
 	tick := time.NewTicker(period)
 	defer tick.Stop()
+	told := map[string]int64{} // admissions, as they were sent on this stream
 	for {
 		guard := time.AfterFunc(sendTimeout, cancel)
-		err := stream.Send(encodeState(m.local.State()))
+		err := stream.Send(encodeState(m.local.State(), told))
 		guard.Stop()
 		tick.Reset(period)
 		if err != nil {
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -25,7 +25,7 @@
 	Address          string // of its peer services
 	Leaving          bool
 	Running          map[string]slots.Counts // by upstream
-	Admitted         map[string]int64        // requests of each team since the host's start
+	Admitted         map[string]int64        // requests of each team since the host's start; those unchanged may be left out
 	Waiting          map[Backlog]int64       // tokens
 	EndedJobs        []string                // that were ended a short time ago
 	Jobs             []string                // that the host answers for
@@ -35,10 +35,18 @@
 	StoreReachable   bool
 }
 
-func encodeState(s State) *peerv1.ShareStateRequest {
+// encodeState leaves out the admissions that were told already, and notes the
+// others as told.
+func encodeState(s State, told map[string]int64) *peerv1.ShareStateRequest {
+	admitted := map[string]int64{}
+	for team, n := range s.Admitted {
+		if before, known := told[team]; !known || before != n {
+			admitted[team], told[team] = n, n
+		}
+	}
 	m := &peerv1.ShareStateRequest{
 		Host: s.Host, Incarnation: s.Incarnation, DataCentre: s.DataCentre, Address: s.Address,
-		Leaving: s.Leaving, Admitted: s.Admitted, ConfigVersion: s.ConfigVersion,
+		Leaving: s.Leaving, Admitted: admitted, ConfigVersion: s.ConfigVersion,
 		UpstreamsVersion: s.UpstreamsVersion, StoreReachable: s.StoreReachable, EndedJobs: s.EndedJobs,
 		Jobs: s.Jobs, Watching: s.Watching,
 	}
--- a/internal/ratelimit/ledger/ledger.go
+++ b/internal/ratelimit/ledger/ledger.go
@@ -12,6 +12,7 @@
 package ledger
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -27,10 +28,11 @@
 
 // Ledger holds the buckets of all teams on one host.
 type Ledger struct {
-	buckets map[string]*bucket
-	own     map[string]Count
-	seen    map[string]map[string]Count // peer incarnation and team to its last report
-	started time.Time
+	buckets   map[string]*bucket
+	own       map[string]Count
+	seen      map[string]map[string]Count // peer incarnation and team to its last report
+	forgotten map[string]bool             // incarnations that were silent, whose next report of a team only sets the mark
+	started   time.Time
 }
 
 type bucket struct {
@@ -46,10 +48,11 @@
 // New returns a ledger of a host that starts now.
 func New(now time.Time) *Ledger {
 	return &Ledger{
-		buckets: map[string]*bucket{},
-		own:     map[string]Count{},
-		seen:    map[string]map[string]Count{},
-		started: now.Add(-restartTime),
+		buckets:   map[string]*bucket{},
+		own:       map[string]Count{},
+		seen:      map[string]map[string]Count{},
+		forgotten: map[string]bool{},
+		started:   now.Add(-restartTime),
 	}
 }
 
@@ -113,22 +116,32 @@
 func (l *Ledger) Report() map[string]Count { return l.own }
 
 // Absorb debits what a peer has admitted since its last report. The first
-// report of an incarnation only sets the mark.
+// report of an incarnation only sets the mark. A report may leave out teams whose
+// count has not changed.
 func (l *Ledger) Absorb(incarnation string, report map[string]Count) {
 	before, known := l.seen[incarnation]
-	l.seen[incarnation] = report
 	if !known {
+		l.seen[incarnation] = maps.Clone(report)
 		return
 	}
 	for team, count := range report {
+		if _, marked := before[team]; !marked && l.forgotten[incarnation] {
+			before[team] = count
+			continue
+		}
 		b, ok := l.buckets[team]
 		if !ok {
 			b = &bucket{at: l.started}
 			l.buckets[team] = b
 		}
 		b.tokens -= float64(count - before[team])
+		before[team] = count
 	}
 }
 
-// Forget drops what an incarnation reported.
-func (l *Ledger) Forget(incarnation string) { delete(l.seen, incarnation) }
+// Forget drops what an incarnation reported. What it admits while it isn't heard
+// comes out of its own part of the rate.
+func (l *Ledger) Forget(incarnation string) {
+	delete(l.seen, incarnation)
+	l.forgotten[incarnation] = true
+}
--- a/internal/slots/board.go
+++ b/internal/slots/board.go
@@ -51,6 +51,7 @@
 	upstreams  map[string]*upstream
 	home       map[string]bool // upstreams of this host's cell; nil makes all of them home
 	runs       map[*Run]bool
+	told       map[string]map[string]Counts // by peer: what it said last
 	random     *rand.Rand
 }
 
@@ -60,6 +61,7 @@
 		dataCentre: dataCentre,
 		upstreams:  map[string]*upstream{},
 		runs:       map[*Run]bool{},
+		told:       map[string]map[string]Counts{},
 		random:     rand.New(rand.NewPCG(seed, 0)),
 	}
 }
@@ -96,6 +98,11 @@
 			b.countOwn(r, 1)
 		}
 	}
+	for host, running := range b.told {
+		if c, ok := running[u.ID]; ok {
+			b.setPeer(host, u.ID, c)
+		}
+	}
 }
 
 // SetHome sets the upstreams that this host's cell uses first. What runs at the
@@ -115,19 +122,32 @@
 
 // SetPeer replaces what a peer runs. No counts drop the peer.
 func (b *Board) SetPeer(host string, running map[string]Counts) {
-	for id, u := range b.upstreams {
-		before := u.peers[host]
-		now := running[id]
-		if before == now {
-			continue
+	for id := range b.told[host] {
+		if _, still := running[id]; !still {
+			b.setPeer(host, id, Counts{})
 		}
-		u.peers[host] = now
-		if now == (Counts{}) {
-			delete(u.peers, host)
-		}
-		u.total.Online += now.Online - before.Online
-		u.total.Batch += now.Batch - before.Batch
 	}
+	for id, now := range running {
+		b.setPeer(host, id, now)
+	}
+	b.told[host] = running
+	if len(running) == 0 {
+		delete(b.told, host)
+	}
+}
+
+func (b *Board) setPeer(host, id string, now Counts) {
+	u, ok := b.upstreams[id]
+	if !ok {
+		return
+	}
+	before := u.peers[host]
+	u.peers[host] = now
+	if now == (Counts{}) {
+		delete(u.peers, host)
+	}
+	u.total.Online += now.Online - before.Online
+	u.total.Batch += now.Batch - before.Batch
 }
 
 // Own returns what this host runs at each upstream, to be told to peers.
