Poll the store at short intervals on two hosts, so that deaf watches are found out

Change: two hosts of the fleet poll configuration and upstreams for 1.5 s at a time; a host that sees for two looks that a peer knows more asks it, also while its own watch seems to work. Test: TestDeafWatch.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -68,6 +68,7 @@
 	stale     bool       // something has changed since
 	storeUp   bool
 	watching  bool
+	sentinel  bool
 	leaving   bool
 	random    *rand.Rand
 	longest   map[string]time.Duration // time that callers give at first, by route
@@ -212,8 +213,10 @@
 // WatchDuty reports whether this host follows the store's changes itself. In a
 // large fleet a few hosts of each data centre do, and tell the others.
 func (c *Core) WatchDuty() bool {
+	sentinel := c.Sentinel()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sentinel = sentinel
 	duty := c.watchDuty()
 	c.stale = c.stale || duty != c.watching
 	c.watching = duty
@@ -227,6 +230,26 @@
 	return len(c.cell.Hosts) < len(c.roster)
 }
 
+// Sentinel reports whether this host is one of the two that poll the store at
+// short intervals. Waiting polls can go deaf, when the store drops its history,
+// without being cut; the sentinels find out and tell the others.
+func (c *Core) Sentinel() bool {
+	names := append(c.Staying(), c.self.Name)
+	for range sentinels {
+		first := Successor(sentinelDuty, names)
+		if first == c.self.Name {
+			return true
+		}
+		names = slices.DeleteFunc(names, func(name string) bool { return name == first })
+	}
+	return false
+}
+
+const (
+	sentinels    = 2 // so that the loss of one delays nothing
+	sentinelDuty = "short polls of the store"
+)
+
 // Watching reports whether this host follows the store's changes.
 func (c *Core) Watching() bool {
 	c.mu.Lock()
@@ -253,6 +276,9 @@
 	if !served {
 		return true
 	}
+	if c.sentinel {
+		return true
+	}
 	for range watchersPerCentre {
 		first := Successor(c.self.DataCentre, append(nearby, c.self.Name))
 		if first == c.self.Name {
--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -33,6 +33,9 @@
 	idleTimeout    = 75 * time.Second // longer than callers keep a connection idle
 	headerBytes    = 64 << 10
 	watchWait      = 20 * time.Second // of one poll: each is charged
+	watchAnswer    = 3 * time.Second
+	quickWait      = 1500 * time.Millisecond // of a host that finds out for all whether watches are deaf
+	quickAnswer    = 700 * time.Millisecond
 	logFlushTime   = 200 * time.Millisecond
 	settingsPeriod = time.Second             // between looks at the settings file
 	balancerTime   = 2500 * time.Millisecond // in which the balancer has noticed that the host isn't ready
--- a/internal/fleethost/providers.go
+++ b/internal/fleethost/providers.go
@@ -26,7 +26,12 @@
 }
 
 func newStore(s Settings, t objstore.Transport, m *telemetry.Metrics) *objstore.Client {
-	return objstore.NewClient(t, s.Name, objstore.WithObserver(m), objstore.WithWatchWait(watchWait))
+	return objstore.NewClient(t, s.Name, objstore.WithObserver(m), objstore.WithWatchTimes(watchWait, watchAnswer))
+}
+
+// newQuickStore returns a client whose watches find out soon that they are deaf.
+func newQuickStore(s Settings, t objstore.Transport, m *telemetry.Metrics) *objstore.Client {
+	return objstore.NewClient(t, s.Name, objstore.WithObserver(m), objstore.WithWatchTimes(quickWait, quickAnswer))
 }
 
 // storeRelay makes calls to the platform's store through a peer that it serves.
@@ -57,5 +62,5 @@
 // newSource returns a source that follows the store directly: peers tell what
 // they know themselves.
 func newSource(s Settings, self entry.Identity, core *entry.Core, direct *platform.Store, m *telemetry.Metrics, log logrus.FieldLogger) *knowledge.Source {
-	return knowledge.NewSource(self, newStore(s, direct, m), platform.Decoder{}, core, s.Seeds, log)
+	return knowledge.NewSource(self, newStore(s, direct, m), newQuickStore(s, direct, m), platform.Decoder{}, core, s.Seeds, log)
 }
--- a/internal/knowledge/hosts.go
+++ b/internal/knowledge/hosts.go
@@ -148,12 +148,17 @@
 // learn asks a peer that knows more.
 func (s *Source) learn(ctx context.Context) {
 	s.mu.Lock()
-	lost := len(s.down) > 0 || !s.core.Watching()
 	config, upstreams := s.configVersion, s.upstreamsVersion
+	newer := func(p mesh.State) bool { return p.ConfigVersion > config || p.UpstreamsVersion > upstreams }
+	peers := s.core.Peers()
+	patient := len(s.down) == 0 && s.core.Watching()
+	if !s.fallsBehind(peers, newer) || patient && s.behind < behindLooks {
+		s.mu.Unlock()
+		return
+	}
 	s.mu.Unlock()
-	for name, p := range s.core.Peers() {
-		newer := p.ConfigVersion > config || lost && p.UpstreamsVersion > upstreams
-		if !newer {
+	for name, p := range peers {
+		if !newer(p) {
 			continue
 		}
 		d, err := s.peers.FetchKnowledge(ctx, p.Address, config, upstreams)
@@ -161,18 +166,35 @@
 			s.log.WithFields(logrus.Fields{"event": "knowledge_not_fetched", "peer": name, "error": err}).Info("a peer that knows more could not be asked")
 			continue
 		}
-		s.takeDocument(d, name, lost)
+		s.takeDocument(d, name)
 		return
 	}
 }
 
+// behindLooks is how many looks in a row a peer must know more before a host that
+// follows the store itself asks it: its own watch mostly tells within one.
+const behindLooks = 2
+
+// fallsBehind counts the looks at which a peer knew more; the caller holds mu.
+func (s *Source) fallsBehind(peers map[string]mesh.State, newer func(mesh.State) bool) bool {
+	for _, p := range peers {
+		if newer(p) {
+			s.behind++
+			return true
+		}
+	}
+	s.behind = 0
+	return false
+}
+
 // takeDocument adopts what a peer knows.
-func (s *Source) takeDocument(d mesh.Document, from string, lost bool) {
+func (s *Source) takeDocument(d mesh.Document, from string) {
 	if d.ConfigVersion > 0 {
 		s.adoptConfig(d.Config, from)
 	}
 	s.mu.Lock()
-	if lost && d.UpstreamsVersion > s.upstreamsVersion {
+	newer := d.UpstreamsVersion > s.upstreamsVersion
+	if newer {
 		s.upstreams = map[string]json.RawMessage{}
 		for id, raw := range d.Upstreams {
 			s.upstreams[id] = raw
@@ -181,7 +203,7 @@
 		s.upstreamsKnown = true
 		s.tellUpstreams(from)
 	}
-	learned := lost && len(d.Hosts) > 0
+	learned := newer && len(d.Hosts) > 0
 	if learned {
 		s.hosts = map[string]hostEntry{}
 		for name, h := range d.Hosts {
--- a/internal/knowledge/source.go
+++ b/internal/knowledge/source.go
@@ -64,6 +64,7 @@
 type Source struct {
 	self    entry.Identity
 	store   objstore.Store
+	quick   objstore.Store // whose polls are short
 	decode  Decoder
 	core    *entry.Core
 	peers   Fetcher
@@ -83,13 +84,15 @@
 	hostsKnown       bool
 	down             map[objstore.Kind]bool
 	regained         time.Time
+	behind           int // looks in a row at which a peer knew more
 	publish          chan struct{}
 }
 
-// NewSource returns a source. SetPeers must be called before Run.
-func NewSource(self entry.Identity, store objstore.Store, decode Decoder, core *entry.Core, seeds []string, log logrus.FieldLogger) *Source {
+// NewSource returns a source that follows store, and quick while this host is a
+// sentinel. SetPeers must be called before Run.
+func NewSource(self entry.Identity, store, quick objstore.Store, decode Decoder, core *entry.Core, seeds []string, log logrus.FieldLogger) *Source {
 	return &Source{
-		self: self, store: store, decode: decode, core: core, seeds: seeds, log: log, started: time.Now(),
+		self: self, store: store, quick: quick, decode: decode, core: core, seeds: seeds, log: log, started: time.Now(),
 		upstreams: map[string]json.RawMessage{}, lapsed: map[string]time.Time{},
 		hosts: map[string]hostEntry{}, hostVersions: map[string]int64{},
 		down: map[objstore.Kind]bool{}, publish: make(chan struct{}, 1),
@@ -151,18 +154,41 @@
 	}
 	s.found(kind)
 	reset(objects, version)
-	w, err := s.store.Watch(ctx, kind, version)
+	for {
+		version, err = s.watch(ctx, kind, version, apply)
+		if err != nil {
+			return true, err
+		}
+	}
+}
+
+// watch follows the kind from the version until this host becomes or ceases to
+// be a sentinel. It returns the version that was reached.
+func (s *Source) watch(ctx context.Context, kind objstore.Kind, version int64, apply func(objstore.Event)) (int64, error) {
+	if !s.awaitDuty(ctx) {
+		return version, ctx.Err()
+	}
+	sentinel := s.core.Sentinel()
+	store := s.store
+	if sentinel && kind != KindHost {
+		store = s.quick
+	}
+	w, err := store.Watch(ctx, kind, version)
 	if err != nil {
-		return true, err
+		return version, err
 	}
 	defer w.Close()
 	for {
 		if !s.awaitDuty(ctx) {
-			return true, ctx.Err()
+			return version, ctx.Err()
 		}
 		e, err := w.Next()
 		if err != nil {
-			return true, err
+			return version, err
+		}
+		version = max(version, e.Object.Version)
+		if e.Type == objstore.EventBookmark && sentinel != s.core.Sentinel() {
+			return version, nil
 		}
 		if e.Type != objstore.EventBookmark {
 			apply(e)
--- a/internal/knowledge/source_test.go
+++ b/internal/knowledge/source_test.go
@@ -99,7 +99,7 @@
 		self := entry.Identity{Name: "h1", Incarnation: "i1", DataCentre: "dc", PeerAddress: "h1:1"}
 		w := &world{store: memstore.New(), core: entry.NewCore(self, log), peers: &peers{}}
 		w.writer, w.client = w.store.Client(latency), w.store.Client(latency)
-		w.source = knowledge.NewSource(self, w.client, decoder{}, w.core, []string{"seed:1"}, log)
+		w.source = knowledge.NewSource(self, w.client, w.client, decoder{}, w.core, []string{"seed:1"}, log)
 		w.source.SetPeers(w.peers)
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
@@ -233,6 +233,25 @@
 	})
 }
 
+// TestDeafWatch replays a store that drops its history: watches that wait hear
+// nothing any more and aren't cut. What a peer knows is taken. It failed with a
+// revoked key in force after 6.8 s, on the bench.
+func TestDeafWatch(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		w.writeConfig(c, 3, 0)
+		w.writeUpstream(c, "u1")
+		time.Sleep(time.Second)
+		w.client.SetStale(true)
+		newer, err := json.Marshal(fleet.Config{Version: 5})
+		c.Assert(err, qt.IsNil)
+		w.peers.set(mesh.Document{ConfigVersion: 5, Config: newer, UpstreamsVersion: 1000, Upstreams: map[string][]byte{"u2": []byte(`{"Service":"lm","Address":"u2","Slots":8}`)}})
+		w.core.Absorb(mesh.State{Host: "h2", Incarnation: "i2", Address: "h2:1", ConfigVersion: 5, UpstreamsVersion: 1000})
+		time.Sleep(time.Second)
+		c.Assert(w.core.Config().Version, qt.Equals, int64(5))
+		c.Assert(w.core.UpstreamAddresses(), qt.DeepEquals, map[string]bool{"u2": true})
+	})
+}
+
 // TestHostsFindEachOther checks that a host publishes itself, again after its
 // entry was removed, and joins those it finds.
 func TestHostsFindEachOther(t *testing.T) {
--- a/internal/objstore/client.go
+++ b/internal/objstore/client.go
@@ -24,13 +24,14 @@
 
 // Client settles calls over a transport. It implements Store and HostLister.
 type Client struct {
-	transport Transport
-	writer    string
-	counter   atomic.Int64
-	history   *history
-	sleep     func(context.Context, time.Duration) bool
-	observe   Observer
-	watchWait time.Duration
+	transport  Transport
+	writer     string
+	counter    atomic.Int64
+	history    *history
+	sleep      func(context.Context, time.Duration) bool
+	observe    Observer
+	watchWait  time.Duration
+	answerTime time.Duration
 }
 
 // Option changes a new client.
@@ -55,21 +56,23 @@
 	return func(c *Client) { c.observe = o }
 }
 
-// WithWatchWait sets how long one poll of a watch waits for a change.
-func WithWatchWait(d time.Duration) Option {
-	return func(c *Client) { c.watchWait = d }
+// WithWatchTimes sets how long one poll of a watch waits for a change, and how
+// long its answer may take beyond that.
+func WithWatchTimes(wait, answer time.Duration) Option {
+	return func(c *Client) { c.watchWait, c.answerTime = wait, answer }
 }
 
 // NewClient returns a client over the transport. The writer name is made unique
 // to this process.
 func NewClient(transport Transport, writer string, options ...Option) *Client {
 	c := &Client{
-		transport: transport,
-		writer:    writer + "/" + uuid.NewString(),
-		sleep:     sleep,
-		history:   newHistory(),
-		observe:   noObserver{},
-		watchWait: watchWait,
+		transport:  transport,
+		writer:     writer + "/" + uuid.NewString(),
+		sleep:      sleep,
+		history:    newHistory(),
+		observe:    noObserver{},
+		watchWait:  watchWait,
+		answerTime: watchAnswerTime,
 	}
 	for _, option := range options {
 		option(c)
--- a/internal/objstore/watch.go
+++ b/internal/objstore/watch.go
@@ -54,7 +54,7 @@
 }
 
 func (w *watcher) poll() (Changes, error) {
-	ctx, cancel := context.WithTimeout(w.ctx, w.client.watchWait+watchAnswerTime)
+	ctx, cancel := context.WithTimeout(w.ctx, w.client.watchWait+w.client.answerTime)
 	defer cancel()
 	return w.client.transport.Poll(ctx, w.kind, w.after, w.client.watchWait)
 }
