--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -33,7 +33,6 @@
 	Events bool // the body is a stream of events
 	NotRun bool // the upstream says that it did not run the request
 	Moved  bool // another instance answered at the address
-	Signed bool // the answer carries the upstream's signature
 	Load   *Load
 }
 
--- a/internal/slots/wait.go
+++ b/internal/slots/wait.go
@@ -83,17 +83,17 @@
 }
 
 const (
-	returnPart    = 1.0 / 3 // of the time left that callers are willing to stay away
-	returnSpread  = 0.5     // of the stay, drawn at random, so that those turned away don't come back together
-	shortestAway  = 100 * time.Millisecond
-	waitedForPeak = 1500 * time.Millisecond // in which a peak of the users' load has passed half of its length
+	returnPart   = 1.0 / 3 // of the time left that callers are willing to stay away
+	returnSpread = 0.5     // of the stay, drawn at random, so that those turned away don't come back together
+	shortestAway = 100 * time.Millisecond
+	peakTime     = 1500 * time.Millisecond // half the length of a peak in the users' load
 )
 
 // RetryAfter returns when a caller that was refused for lack of slots should
 // come back. It answers load that swings within seconds: as late as the caller
 // can afford, up to the time in which a peak passes.
 func RetryAfter(left time.Duration, random *rand.Rand) time.Duration {
-	stay := min(time.Duration(float64(left)*returnPart), waitedForPeak)
+	stay := min(time.Duration(float64(left)*returnPart), peakTime)
 	stay -= time.Duration(float64(stay) * returnSpread * random.Float64())
 	return max(stay, min(shortestAway, left))
 }
