--- a/internal/knowledge/source_test.go
+++ b/internal/knowledge/source_test.go
@@ -178,7 +178,7 @@
 		time.Sleep(1700 * time.Millisecond)
 		c.Assert(w.listed(), qt.Equals, 2)
 		v := w.writeUpstream(c, "u1")
-		time.Sleep(2500 * time.Millisecond)
+		time.Sleep(4 * time.Second) // the host may find the store 2.2 s after it is back, and waits 2.2 s from then on
 		c.Assert(w.listed(), qt.Equals, 1)
 		c.Assert(w.writer.Delete(context.Background(), kindUpstreams, "u1", v), qt.IsNil)
 		time.Sleep(50 * time.Millisecond)
