--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -169,6 +169,23 @@
 	}
 }
 
+// TestFrozenHostWakesWhileTheStoreIsAway failed in the soak (seed 1049): the one
+// look at who runs the jobs failed, and the host never looked again.
+func TestFrozenHostWakesWhileTheStoreIsAway(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		h1 := w.start("h1")
+		time.Sleep(time.Second)
+		s := submission("j", 20)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		h1.store.SetDown(true)
+		h1.runner.Doubt()
+		time.Sleep(2 * time.Second)
+		h1.store.SetDown(false)
+		time.Sleep(10 * time.Second)
+		w.checkWhole(h1, s)
+	})
+}
+
 func TestStoppingHostHandsItsJobsOver(t *testing.T) {
 	play(t, func(c *qt.C, w *world) {
 		h1, h2 := w.start("h1"), w.start("h2")
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -17,7 +17,7 @@
 	untoldAfter   = 8 * time.Second          // a host tells of a new job within a second, and verifies a doubtful one within a few
 	sweepPeriod   = 12 * time.Second         // between looks for jobs that no host runs
 	verifyPeriod  = 2500 * time.Millisecond  // between looks at the jobs' states while peers are silent, whose callers may end jobs
-	cutOffPeriod  = time.Second              // the same while most peers are silent
+	cutOffPeriod  = time.Second              // the same while most peers are silent, or jobs are doubtful
 	storeTimeout  = 4 * time.Second          // of a read or claim
 	startRetry    = 500 * time.Millisecond   // while the store can't be read at the start
 	stopTimeout   = 1500 * time.Millisecond
@@ -49,7 +49,8 @@
 		lastLook = now
 		silent := r.silentHosts()
 		cutOff := !r.core.HearsMost()
-		if since := time.Since(lastVerify); len(silent) > 0 && (since > verifyPeriod || cutOff && since > cutOffPeriod) {
+		since := time.Since(lastVerify)
+		if len(silent) > 0 && since > verifyPeriod || (cutOff || r.doubts()) && since > cutOffPeriod {
 			lastVerify = time.Now()
 			r.verifyJobs(ctx)
 		}
@@ -136,6 +137,18 @@
 	r.tellJobs()
 }
 
+// doubts reports whether this host has yet to learn if a job is its own.
+func (r *Runner) doubts() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, j := range r.jobs {
+		if j.open() && j.doubtful {
+			return true
+		}
+	}
+	return false
+}
+
 // verifyJobs reads the states of the jobs that this host runs. Jobs that were
 // ended elsewhere stop; those that another host has taken over are dropped.
 func (r *Runner) verifyJobs(ctx context.Context) {
