--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -16,8 +16,7 @@
 	sweepDuty     = "jobs that no host runs" // key that picks the one host which looks for them
 	untoldAfter   = 8 * time.Second          // a host tells of a new job within a second, and verifies a doubtful one within a few
 	sweepPeriod   = 12 * time.Second         // between looks for jobs that no host runs
-	verifyPeriod  = 2500 * time.Millisecond  // between looks at the jobs' states while peers are silent, whose callers may end jobs
-	cutOffPeriod  = time.Second              // the same while most peers are silent, or jobs are doubtful
+	verifyPeriod  = time.Second              // between looks at the jobs' states while peers are silent, whose callers may end jobs, or jobs are doubtful
 	storeTimeout  = 4 * time.Second          // of a read or claim
 	startRetry    = 500 * time.Millisecond   // while the store can't be read at the start
 	stopTimeout   = 1500 * time.Millisecond
@@ -49,8 +48,8 @@
 		lastLook = now
 		silent := r.silentHosts()
 		cutOff := !r.core.HearsMost()
-		since := time.Since(lastVerify)
-		if len(silent) > 0 && since > verifyPeriod || (cutOff || r.doubts()) && since > cutOffPeriod {
+		unsure := len(silent) > 0 || cutOff || r.doubts()
+		if unsure && time.Since(lastVerify) > verifyPeriod {
 			lastVerify = time.Now()
 			r.verifyJobs(ctx)
 		}
