Take only a long wait for a freeze

Cause, found by reading: a look at the store that took longer than 1.5 s counted as a freeze, so a slow store made a host's own jobs doubtful, and they stopped. Change: the time is taken around the wait alone.

--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -20,7 +20,7 @@
 	storeTimeout  = 4 * time.Second          // of a read or claim
 	startRetry    = 500 * time.Millisecond   // while the store can't be read at the start
 	stopTimeout   = 1500 * time.Millisecond
-	frozenFor     = 1500 * time.Millisecond // without a look, after which this host was not running
+	frozenFor     = 1500 * time.Millisecond // of waiting for the next look, after which this host was not running
 	lookPeriod    = 250 * time.Millisecond
 )
 
@@ -30,22 +30,25 @@
 	r.resumeOwn(ctx)
 	look := time.NewTicker(lookPeriod)
 	defer look.Stop()
-	lastLook, lastSweep, lastVerify := wallClock(), time.Now(), time.Now()
+	lastSweep, lastVerify := time.Now(), time.Now()
 	handled := map[string]bool{} // silent hosts that were looked after
 	for {
+		waitsSince := wallClock()
+		asked := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.verify:
-			r.verifyJobs(ctx)
+			asked = true
 		case <-look.C:
 		}
-		now := wallClock()
-		if now.Sub(lastLook) > frozenFor {
+		frozen := wallClock().Sub(waitsSince) > frozenFor
+		if frozen {
 			r.doubtAll()
+		}
+		if frozen || asked {
 			r.verifyJobs(ctx)
 		}
-		lastLook = now
 		silent := r.silentHosts()
 		cutOff := !r.core.HearsMost()
 		unsure := len(silent) > 0 || cutOff || r.doubts()
