Give a killed host's part of a rate back once its process is known to have ended

Ruled out: a shorter ReserveTime, which would cut every team in an outage of the store; a smaller reserved part, the same. Change: the holder's address is probed while its lease has lapsed. A refused connection or another incarnation proves the end; its last transfers are waited for (TransferHold), then its part is free. Silence still proves nothing. The random histories probe too, with two mutants (silence taken for an end; transfers not waited for) that the check notices.

--- a/internal/peer/gone.go
+++ b/internal/peer/gone.go
@@ -13,19 +13,24 @@
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
 )
 
-const goneTimeout = 2 * time.Second
+const endedTimeout = 2 * time.Second // between data centres, for a peer that is busy
 
-// Gone implements orderer.Prober. A process is gone when its address refuses
-// connections, or when another incarnation answers there. An address that is
-// silent proves nothing, since the process may be paused, and neither does a
-// higher epoch, which the same process can have after a pause.
+// Gone implements orderer.Prober.
 func (c *Client) Gone(ctx context.Context, s order.Sending) bool {
-	ctx, cancel := context.WithTimeout(ctx, goneTimeout)
+	return c.Ended(ctx, s.PeerAddress, s.Incarnation)
+}
+
+// Ended implements ratelimit.Exchange. A process has ended when its address
+// refuses connections, or when another incarnation answers there. An address that
+// is silent proves nothing, since the process may be paused, and neither does a
+// higher epoch, which the same process can have after a pause.
+func (c *Client) Ended(ctx context.Context, address, incarnation string) bool {
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout)
 	defer cancel()
-	client := peerv1connect.NewHostServiceClient(c.http, c.scheme+"://"+s.PeerAddress)
+	client := peerv1connect.NewHostServiceClient(c.http, c.scheme+"://"+address)
 	resp, err := client.Status(ctx, connect.NewRequest(&peerv1.StatusRequest{}))
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return resp.Msg.Incarnation != s.Incarnation
+	return resp.Msg.Incarnation != incarnation
 }
--- a/internal/ratelimit/escrow.go
+++ b/internal/ratelimit/escrow.go
@@ -38,6 +38,7 @@
 
 	rounds  chan errand // for the borrowers
 	keeping chan *state // for the keepers
+	endings *endings
 
 	mu      sync.RWMutex
 	teams   map[string]*state
@@ -57,7 +58,7 @@
 		store: store, members: members, exchange: exchange, specs: specs, peers: peers, metrics: m, log: log,
 		self:    Holder{Host: h.Name, Incarnation: h.Incarnation, Address: h.PeerAddress, DataCentre: h.DataCentre},
 		started: time.Now(), teams: map[string]*state{},
-		rounds: make(chan errand, ringSize), keeping: make(chan *state, ringSize),
+		rounds: make(chan errand, ringSize), keeping: make(chan *state, ringSize), endings: newEndings(),
 	}
 }
 
@@ -67,6 +68,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { objstore.Follow(ctx, e.store, objstore.KindRateShare, e.reset, e.apply) })
 	wg.Go(func() { e.tickLoop(ctx) })
+	wg.Go(func() { e.probeLoop(ctx) })
 	for range borrowers {
 		wg.Go(func() { e.borrowLoop(ctx) })
 	}
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -27,6 +27,9 @@
 // Exchange asks peers for tokens. It may lose questions and answers.
 type Exchange interface {
 	Borrow(ctx context.Context, address string, r BorrowRequest) (BorrowReply, error)
+	// Ended reports whether a process has ended for certain. One that does not
+	// answer may be paused or cut off.
+	Ended(ctx context.Context, address, incarnation string) bool
 }
 
 // Peers returns the addresses of up to n hosts that are known without the
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -192,6 +192,26 @@
 	return reply, x.travel(ctx, to, latency)
 }
 
+// Ended implements Exchange. A stopped process's address refuses connections.
+func (x fleetExchange) Ended(ctx context.Context, address, incarnation string) bool {
+	f := x.from.fleet
+	for _, h := range f.hosts {
+		if h.address() != address {
+			continue
+		}
+		f.mu.Lock()
+		up, members := h.up, h.members
+		apart := h.centre() != x.from.centre() && (f.cut[h.centre()] || f.cut[x.from.centre()])
+		f.mu.Unlock()
+		if apart {
+			<-ctx.Done()
+			return false
+		}
+		return !up || members.Self().Incarnation != incarnation
+	}
+	return false
+}
+
 // travel waits as a message does; one to an unreachable host is never answered.
 func (x fleetExchange) travel(ctx context.Context, to *fleetHost, d time.Duration) error {
 	if !x.from.fleet.reachable(x.from, to) {
--- a/internal/ratelimit/history_test.go
+++ b/internal/ratelimit/history_test.go
@@ -390,6 +390,8 @@
 		"reply used twice":                                 {variant: variant{repeatedReplies: true}},
 		"reclaim without waiting":                          {reclaimAtOnce: true},
 		"restart with a full bucket":                       {fullRestart: true},
+		"silence taken for the end of a process":           {silenceIsEnd: true},
+		"an ended process's transfers not waited for":      {endedAtOnce: true},
 		"even split by the hosts in sight":                 {splitBySight: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/ratelimit/holderstate.go
+++ b/internal/ratelimit/holderstate.go
@@ -15,11 +15,14 @@
 //
 // A host that resigned has stopped taking requests and lends nothing; its last
 // transfers expire within TransferHold. A host that fell silent uses its
-// reserved part for ReserveTime at most.
-func HolderStateOf(l membership.Lapse) HolderState {
+// reserved part for ReserveTime at most, or until its process has ended: that
+// is known since the given time, which is 0 when it is not known.
+func HolderStateOf(l membership.Lapse, sinceEnd time.Duration) HolderState {
 	switch {
 	case !l.Lapsed:
 		return Alive
+	case sinceEnd >= TransferHold:
+		return Gone
 	case l.Resigned && l.For >= TransferHold:
 		return Gone
 	case l.Resigned:
--- a/internal/ratelimit/keep.go
+++ b/internal/ratelimit/keep.go
@@ -154,7 +154,7 @@
 			if err != nil {
 				lapse = membership.Lapse{}
 			}
-			states[h] = HolderStateOf(lapse)
+			states[h] = HolderStateOf(lapse, e.endings.since(h, time.Now()))
 		}
 	}
 	return states
--- a/internal/ratelimit/world_test.go
+++ b/internal/ratelimit/world_test.go
@@ -66,6 +66,7 @@
 	leaseVersion  int64
 	leaving       bool
 	sightings     map[string]simSighting
+	ends          map[string]time.Time // by incarnation: when the process was first seen to have ended
 	member        *Member
 	plan          Plan // write that is out
 	written       time.Time
@@ -101,6 +102,8 @@
 	reclaimAtOnce bool // a silent holder's share is freed without waiting
 	fullRestart   bool // a new incarnation begins with its old share, full
 	splitBySight  bool // each host divides by the number of hosts that it sees
+	silenceIsEnd  bool // a process that does not answer is taken to have ended
+	endedAtOnce   bool // transfers of an ended process are not waited for
 }
 
 func newWorld(src source, m mutant) *world {
@@ -132,6 +135,7 @@
 	h.lease, h.leaseVersion = Lease{}, 0
 	h.started = h.clock()
 	h.sightings = map[string]simSighting{}
+	h.ends = map[string]time.Time{}
 	holding := NewHolding(h.w.rate, h.w.burst, uint64(h.birth)<<32|uint64(h.index)<<48, h.clock())
 	holding.variant = h.w.mutant.variant
 	before := h.member
@@ -302,5 +306,36 @@
 	if other.Host == h.name {
 		return EarlierProcessState(h.clock().Sub(h.started))
 	}
-	return HolderStateOf(h.lapse(other))
+	return HolderStateOf(h.lapse(other), h.sinceEnd(other))
+}
+
+// sinceEnd asks the holder's address and returns how long its process is known
+// to have ended.
+func (h *simHost) sinceEnd(other Holder) time.Duration {
+	if _, known := h.ends[other.Incarnation]; !known {
+		if !h.seesEnd(other) {
+			return 0
+		}
+		h.ends[other.Incarnation] = h.clock()
+	}
+	if h.w.mutant.endedAtOnce {
+		return TransferHold
+	}
+	return h.clock().Sub(h.ends[other.Incarnation])
+}
+
+// seesEnd reports whether the holder's address refuses connections or another
+// process answers there. A frozen process, or one behind a cut, is silent.
+func (h *simHost) seesEnd(other Holder) bool {
+	for _, o := range h.w.hosts {
+		if o.name != other.Host {
+			continue
+		}
+		silent := h.w.cut[[2]int{min(h.index, o.index), max(h.index, o.index)}] || o.up && o.frozen
+		if silent {
+			return h.w.mutant.silenceIsEnd
+		}
+		return !o.up || o.identity().Incarnation != other.Incarnation
+	}
+	return false
 }
