Ask for the permit to dispatch an item again before its first byte

Cause: the permit (lease held, job not cancelled) was asked before the HTTP client was called, and the connection was made afterwards. A host frozen in between sent the item after its thaw, though the job had been reported as cancelled. Ruled out: the retry of an item, which asks anew. Change: the connection asks again at the request's first byte and is closed unwritten when it is refused. Before: TestPermitWithdrawnWhileConnecting sent the request; after: no byte.

--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -17,8 +17,8 @@
 	Body       []byte
 	Repeatable bool // whether running it twice does no harm
 	Fresh      bool // uses a new connection, since a kept one may have been forgotten by the network
-	// Permit, where set, is asked immediately before the call is sent; its error
-	// stops the call, which then was not sent.
+	// Permit, where set, is asked before the call and again before its first byte
+	// is written; its error stops the call, which then was not sent.
 	Permit func() error
 }
 
--- a/internal/upstream/httpengine/conn.go
+++ b/internal/upstream/httpengine/conn.go
@@ -17,32 +17,40 @@
 	armed  bool
 	begun  bool
 	sealed bool
+	permit func() error // asked before the current request's first byte; may be nil
 }
 
 // Write implements net.Conn.
 func (c *guardedConn) Write(p []byte) (int, error) {
-	if !c.begin() {
-		return 0, net.ErrClosed
+	if err := c.begin(); err != nil {
+		return 0, err
 	}
 	return c.Conn.Write(p)
 }
 
-func (c *guardedConn) begin() bool {
+func (c *guardedConn) begin() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed {
-		return false
+		return net.ErrClosed
+	}
+	if c.armed && !c.begun && c.permit != nil {
+		if err := c.permit(); err != nil {
+			c.sealed = true
+			return err
+		}
 	}
 	c.begun = c.begun || c.armed
-	return true
+	return nil
 }
 
-// arm starts to watch for a new request's first byte.
-func (c *guardedConn) arm() {
+// arm starts to watch for a new request's first byte, which needs the permit.
+func (c *guardedConn) arm(permit func() error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.armed = true
 	c.begun = false
+	c.permit = permit
 }
 
 // seal forbids further writes and reports whether any had begun.
@@ -65,6 +73,8 @@
 
 // sending follows the connections that one call was given.
 type sending struct {
+	permit func() error // of the call; may be nil
+
 	mu      sync.Mutex
 	conn    *guardedConn
 	unknown bool // a connection whose writes cannot be watched, or an earlier one with writes
@@ -89,7 +99,7 @@
 		return
 	}
 	s.conn = guarded
-	guarded.arm()
+	guarded.arm(s.permit)
 }
 
 // stop makes sure that nothing more is written for a call that failed, and
--- a/internal/upstream/httpengine/httpengine.go
+++ b/internal/upstream/httpengine/httpengine.go
@@ -63,7 +63,7 @@
 
 // Start implements upstream.Engine.
 func (e *Engine) Start(ctx context.Context, address string, call upstream.Call) (*upstream.Answer, error) {
-	var sent sending
+	sent := sending{permit: call.Permit}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, sent.trace()), address, call)
 	if err != nil {
 		return nil, &upstream.SendError{Cause: errors.Wrap(err, "build request")}
--- a/internal/upstream/httpengine/httpengine_test.go
+++ b/internal/upstream/httpengine/httpengine_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
 	"go.uber.org/goleak"
 
 	"github.com/masticscale/masticscale/internal/upstream"
@@ -148,6 +149,28 @@
 	})
 }
 
+// TestPermitWithdrawnWhileConnecting withdraws the permit after the call has
+// begun, as when the process is paused while the connection is being made: not a
+// byte is sent.
+func TestPermitWithdrawnWhileConnecting(t *testing.T) {
+	c := qt.New(t)
+	u := newRawUpstream(c, func(u *rawUpstream, conn net.Conn) { u.read(conn, 64) })
+	call := call
+	call.Repeatable = true
+	asked := 0
+	withdrawn := errors.New("the lease has lapsed")
+	call.Permit = func() error {
+		if asked++; asked > 1 {
+			return withdrawn
+		}
+		return nil
+	}
+	_, err := newEngine(c).Start(t.Context(), u.url(), call)
+	c.Assert(err, qt.ErrorIs, withdrawn)
+	c.Assert(upstream.CanHaveRun(err), qt.IsFalse)
+	c.Assert(u.bytes.Load(), qt.Equals, int64(0))
+}
+
 // TestCancelledCallIsSealed cancels calls at many moments around the
 // connection's making. Where "not sent" is reported, nothing arrives, also
 // later.
