--- a/internal/ratelimit/borrow.go
+++ b/internal/ratelimit/borrow.go
@@ -51,10 +51,10 @@
 	reached, gained := e.askAround(ctx, t, candidates, amount, minimum)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.cutOff = !reached
+	t.cutOff, t.decided = !reached, true
 	now = time.Now()
 	served := minimum > 0 && gained >= minimum // those who wait still came during the round
-	if !served && t.member.Holding.Available(now) < float64(max(len(t.waiting), 1)) {
+	if !served && t.member.Holding.Available(now) < float64(max(t.waiting, 1)) {
 		t.rest(now)
 	}
 	close(t.round)
--- a/internal/ratelimit/escrow.go
+++ b/internal/ratelimit/escrow.go
@@ -16,7 +16,7 @@
 const (
 	waitTime     = 250 * time.Millisecond // a request waits so long for a token that is due
 	joinTime     = time.Second            // a team's first requests wait so long for its share to be written
-	answerTime   = joinTime + askTime     // a request waits so long for its share and for peers that were asked
+	answerTime   = 5 * time.Second        // bounds a request's wait; rounds of questions end sooner, but on a host out of processor time
 	roundsWaited = 8                      // rounds that one request waits for at most
 	ringSize     = 1024
 	borrowers    = 16
@@ -123,8 +123,14 @@
 	if e.takeHere(t, spec) {
 		return nil
 	}
-	turn := t.enter()
-	defer t.leave(turn)
+	t.mu.Lock()
+	t.waiting++
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		t.waiting--
+		t.mu.Unlock()
+	}()
 	deadline := time.Now().Add(waitTime)
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
@@ -137,11 +143,11 @@
 		if !resting {
 			deadline = deadline.Add(time.Since(began)) // slow peers are not a lack of tokens
 		}
-		if e.retake(t, turn) {
+		if e.retake(t) {
 			return nil
 		}
 	}
-	if e.retake(t, turn) { // tokens may have come since the last round ended
+	if e.retake(t) { // tokens may have come since the last round ended
 		return nil
 	}
 	return e.refuse(t)
@@ -195,15 +201,12 @@
 	return ok
 }
 
-// retake takes a token for a request that waits, unless all tokens are due to
-// requests that came before it.
-func (e *Escrow) retake(t *state, turn uint64) bool {
+func (e *Escrow) retake(t *state) bool {
 	l := e.lease()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h, now := t.member.Holding, time.Now()
-	h.Renew(l)
-	return h.Take(now)
+	t.member.Holding.Renew(l)
+	return t.member.Holding.Take(time.Now())
 }
 
 // startRound returns the end of a round of borrowing that can help, or the time
@@ -218,7 +221,7 @@
 		return t.round, 0
 	}
 	if rest := time.Until(t.dryUntil); rest > 0 {
-		if float64(len(t.waiting)) > max(1, t.member.Holding.rate*waitTime.Seconds()) {
+		if float64(t.waiting) > max(1, t.member.Holding.rate*waitTime.Seconds()) {
 			return nil, 0
 		}
 		return nil, rest
@@ -251,7 +254,7 @@
 	if e.isStopped() {
 		return apierr.New(apierr.Unavailable, "this host is stopping", "send again; another host will take it").WithRetryAfter(dryTimeMin)
 	}
-	if t.member.Holding.Fraction(now) > 0 || !t.cutOff {
+	if t.member.Holding.Fraction(now) > 0 || t.decided && !t.cutOff {
 		return Refusal(t.name, wait)
 	}
 	return apierr.Newf(apierr.Unavailable, "send again after the time in Retry-After, or through a host of another data centre",
--- a/internal/ratelimit/state.go
+++ b/internal/ratelimit/state.go
@@ -28,40 +28,18 @@
 	member   *Member
 	demand   demand
 	wanted   time.Time // when a caller last came
-	turns    uint64    // last turn given
-	waiting  []uint64  // turns of the requests that wait for tokens, in order
+	waiting  int       // requests that wait for tokens
 	lenders  map[string]*lenderView
 	debts    map[string][]Settlement // due, by giver
 	dryUntil time.Time               // no peer is expected to have tokens before
 	cutOff   bool                    // the last round reached no lender
+	decided  bool                    // a round has ended
 	round    chan struct{}           // closed at the end of the round that is out
 	queued   bool                    // for the keepers
 
 	writing chan struct{} // holds one element while the share is changed
 }
 
-// enter adds a request to those that wait and returns its turn.
-func (t *state) enter() uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.turns++
-	t.waiting = append(t.waiting, t.turns)
-	return t.turns
-}
-
-func (t *state) leave(turn uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	i, _ := slices.BinarySearch(t.waiting, turn)
-	t.waiting = slices.Delete(t.waiting, i, i+1)
-}
-
-// ahead returns how many requests have waited longer; the caller holds mu.
-func (t *state) ahead(turn uint64) int {
-	i, _ := slices.BinarySearch(t.waiting, turn)
-	return i
-}
-
 // lender is a peer that can be asked.
 type lender struct {
 	address string
@@ -99,8 +77,8 @@
 func (t *state) shortage(now time.Time) (amount, minimum float64) {
 	t.demand.decay(now)
 	available := t.member.Holding.Available(now)
-	minimum = max(0, float64(len(t.waiting))-available)
-	amount = max(float64(len(t.waiting)), t.demand.rate*borrowHorizon.Seconds()) - available
+	minimum = max(0, float64(t.waiting)-available)
+	amount = max(float64(t.waiting), t.demand.rate*borrowHorizon.Seconds()) - available
 	return max(amount, minimum), minimum
 }
 
--- a/test.sh
+++ b/test.sh
@@ -29,8 +29,9 @@
 known() { [ ! -e KNOWN-RED.txt ] || grep -v '^#' KNOWN-RED.txt | awk -F' *[|] *' 'NF >= 4 {print $1}'; }
 skip=$(known | sed 's,/,$/^,; s,^,^,; s,$,$,' | paste -sd'|')
 
+# Scenarios and the soak start many processes each: half the cores run packages.
 step "tests under the race detector"
-go test -race -count=1 -timeout 15m ${skip:+-skip "$skip"} ./...
+go test -race -p "$(( ($(nproc) + 1) / 2 ))" -count=1 -timeout 15m ${skip:+-skip "$skip"} ./...
 
 if [ -n "$skip" ]; then
   step "known failures that were passed over"
