Bound the states that a host sends to other cells

Each host sent its state to every host of the other cells twice a second: some 63 of them, 126 states sent and 126 received a second, and more with each host. Ruled out: states within the cell, whose number does not grow with the fleet. Change: at most 70 a second to other cells, at a period of 0.5 to 2 s; the wait before such a host counts as silent grows with it. A team close to its rate still makes states go out within 0.15 s.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	silentAfter    = 700 * time.Millisecond  // three heartbeats and a margin
-	silentFarAfter = 1400 * time.Millisecond // the same for hosts of other cells
-	dropAfter      = 3 * time.Second         // what a silent host ran has mostly ended
-	checkPeriod    = 100 * time.Millisecond
+	silentAfter = 700 * time.Millisecond // three heartbeats and a margin
+	farMissed   = 2.8                    // periods without a state, after which a host of another cell counts as silent
+	dropAfter   = 3 * time.Second        // what a silent host ran has mostly ended
+	checkPeriod = 100 * time.Millisecond
 )
 
 // peerView is what this host knows of a peer.
@@ -72,6 +72,17 @@
 	c.board.SetHome(c.cell.Upstreams)
 }
 
+// farPeers returns the number of known hosts of other cells; the caller holds mu.
+func (c *Core) farPeers() int {
+	n := 0
+	for name := range c.peers {
+		if !c.cell.Hosts[name] {
+			n++
+		}
+	}
+	return n
+}
+
 // InCell reports whether the host is in this host's cell.
 func (c *Core) InCell(host string) bool {
 	c.mu.Lock()
@@ -159,9 +170,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var changes []PeerChange
+	farLimit := time.Duration(farMissed * float64(mesh.FarPeriod(c.farPeers())))
 	for name, p := range c.peers {
 		age := now.Sub(p.heard)
-		limit := silentFarAfter
+		limit := farLimit
 		if c.cell.Hosts[name] {
 			limit = silentAfter
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -19,7 +19,9 @@
 
 const (
 	heartbeat       = 200 * time.Millisecond  // between states when nothing changes; peers count as silent after a few
-	farHeartbeat    = 500 * time.Millisecond  // the same to hosts of other cells
+	farHeartbeat    = 500 * time.Millisecond  // the least time between states to a host of another cell when nothing changes
+	farHeartbeatMax = 2 * time.Second         // the most: a lost host is noticed within seconds
+	farStates       = 70                      // a second to the hosts of other cells, all together
 	farPause        = 150 * time.Millisecond  // least time between two states to a host of another cell
 	coalesce        = 5 * time.Millisecond    // in which changes are gathered into one state
 	dialTimeout     = 500 * time.Millisecond  // hosts are milliseconds apart
@@ -33,6 +35,13 @@
 	knowledgeExpiry = 2 * time.Second        // of a call that carries the whole configuration
 )
 
+// FarPeriod returns the time between two states to each of n hosts of other
+// cells. What a host spends on them grows with the fleet up to a bound only.
+func FarPeriod(n int) time.Duration {
+	even := time.Duration(n) * time.Second / farStates
+	return min(max(even, farHeartbeat), farHeartbeatMax)
+}
+
 // Peer serves the calls of peers.
 type Peer interface {
 	// State returns what to tell peers.
@@ -54,6 +63,7 @@
 	ctx     context.Context
 	mu      sync.Mutex
 	senders map[string]*sender // by address
+	period  time.Duration      // between states to hosts of other cells
 	wg      sync.WaitGroup
 }
 
@@ -103,12 +113,22 @@
 		m.senders[address] = s
 		m.wg.Go(func() { m.run(ctx, s) })
 	}
+	far := 0
 	for address, s := range m.senders {
 		if _, joined := near[address]; !joined {
 			s.stop()
 			delete(m.senders, address)
+		} else if s.far {
+			far++
 		}
 	}
+	m.period = FarPeriod(far)
+}
+
+func (m *Mesh) farPeriod() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(m.period, farHeartbeat)
 }
 
 // Changed makes the state go out to the near hosts at once.
@@ -167,19 +187,20 @@
 func (m *Mesh) stream(ctx context.Context, s *sender) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	client, period, pause := m.near, heartbeat, coalesce
+	client, pause := m.near, coalesce
+	period := func() time.Duration { return heartbeat }
 	if s.far {
-		client, period, pause = m.far, farHeartbeat, farPause
+		client, pause, period = m.far, farPause, m.farPeriod
 	}
 	stream := peerv1connect.NewFleetServiceClient(client, "http://"+s.address).ShareState(ctx)
-	tick := time.NewTicker(period)
+	tick := time.NewTicker(period())
 	defer tick.Stop()
 	told := map[string]int64{} // admissions, as they were sent on this stream
 	for {
 		guard := time.AfterFunc(sendTimeout, cancel)
 		err := stream.Send(encodeState(m.local.State(), told))
 		guard.Stop()
-		tick.Reset(period)
+		tick.Reset(period())
 		if err != nil {
 			_, end := stream.CloseAndReceive()
 			return errors.Wrapf(err, "send state (%v)", end)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -222,3 +222,13 @@
 func (refusing) Delete(context.Context, objstore.Kind, string, int64) error {
 	return objstore.ErrUnavailable
 }
+
+// TestStatesToOtherCellsAreBounded: a host of the grown sites has some 63 peers in
+// other cells, one of the largest fleet 372.
+func TestStatesToOtherCellsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(mesh.FarPeriod(0), qt.Equals, 500*time.Millisecond)
+	c.Assert(mesh.FarPeriod(30), qt.Equals, 500*time.Millisecond)
+	c.Assert(mesh.FarPeriod(63), qt.Equals, 900*time.Millisecond)
+	c.Assert(mesh.FarPeriod(372), qt.Equals, 2*time.Second)
+}
