Count only an upstream's own silence; survive late log lines

A caller, or a machine out of processor time, that took longer than the allowed silence (0.5 s in the test's fixture) got a whole answer cut. Change: the watch runs only while the upstream is read. Before: TestSlowCallerGetsTheWholeAnswer, a caller that pauses for 1.5 s in a 32 MB answer, got an unexpected EOF; after: whole. Ruled out: buffering by the sockets (the same test with the pause before the first byte passed before too, since the host had buffered the beginning).

Also: a log line after the log's close panicked ('send on closed channel'); it is dropped and counted now. Tests for a reader that never reads, for late lines and for the bound on lines of an event; the dropped lines are a metric.

--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -79,7 +79,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Host{parts: newParts(settings, log), path: path, out: out}, nil
+	h := &Host{parts: newParts(settings, log), path: path, out: out}
+	h.Metrics.LogDropped(out.Dropped)
+	return h, nil
 }
 
 // tune bounds the runtime to what the process may use.
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -215,6 +217,41 @@
 	}
 }
 
+// TestSlowCallerGetsTheWholeAnswer lets a caller stop reading for three times as
+// long as an upstream may be silent.
+func TestSlowCallerGetsTheWholeAnswer(t *testing.T) {
+	c := qt.New(t)
+	const (
+		size       = 32 << 20                // more than the buffers of two sockets take
+		readBuffer = 256 << 10               // of the caller's socket
+		pause      = 1500 * time.Millisecond // the harness allows a silence of 0.5 s
+	)
+	f := newFleet(c)
+	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(strings.Repeat("y", size)) + "0\r\n\r\n"
+	f.service("cards", service.Plain, newScripted(c, -1, fixed(text)).url())
+	f.parts.Routes["cards"] = route.Spec{Path: "/export", Service: "cards"}
+	target := f.host("h1") + "/export"
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return conn, conn.(*net.TCPConn).SetReadBuffer(readBuffer)
+	}}}
+	defer client.CloseIdleConnections()
+	req, err := http.NewRequest(http.MethodGet, target, nil)
+	c.Assert(err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+f.secret)
+	resp, err := client.Do(req)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.CopyN(io.Discard, resp.Body, size/2)
+	c.Assert(err, qt.IsNil)
+	time.Sleep(pause)
+	_, err = io.CopyN(io.Discard, resp.Body, size/2)
+	c.Assert(err, qt.IsNil)
+}
+
 // TestUndeliveredStreamRunsElsewhere lets an upstream die after its headers.
 // Nothing went out, so the request runs again and the caller gets one whole
 // answer.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -164,7 +164,7 @@
 	if gone == nil || keepOn {
 		gone = firstOf(gone, s.pass([]byte("\n")))
 	}
-	s.watch.timer.Reset(drainBound)
+	s.watch.limit = drainBound
 	_, _ = io.CopyN(io.Discard, s.lines, drainBytes)
 	u := s.end(false)
 	if gone != nil {
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -145,7 +145,9 @@
 	return outcome.Outcome{State: outcome.Answered, Status: kept.Status}
 }
 
-// silenceWatch closes a body that sends nothing for too long.
+// silenceWatch closes a body that sends nothing for too long. Only the time in
+// which it is read counts: a caller that takes its time says nothing about the
+// upstream.
 type silenceWatch struct {
 	body  io.ReadCloser
 	limit time.Duration
@@ -153,14 +155,16 @@
 }
 
 func watchSilence(body io.ReadCloser, limit time.Duration) *silenceWatch {
-	return &silenceWatch{body: body, limit: limit, timer: time.AfterFunc(limit, func() { _ = body.Close() })}
+	timer := time.AfterFunc(limit, func() { _ = body.Close() })
+	timer.Stop()
+	return &silenceWatch{body: body, limit: limit, timer: timer}
 }
 
 // Read implements io.Reader.
 func (s *silenceWatch) Read(p []byte) (int, error) {
-	n, err := s.body.Read(p)
 	s.timer.Reset(s.limit)
-	return n, err
+	defer s.timer.Stop()
+	return s.body.Read(p)
 }
 
 func (s *silenceWatch) stop() { s.timer.Stop() }
--- a/internal/telemetry/asynclog.go
+++ b/internal/telemetry/asynclog.go
@@ -20,19 +20,27 @@
 	lines   chan []byte
 	out     io.Writer
 	dropped atomic.Int64
+	closing sync.Once
+	closed  chan struct{}
 	done    chan struct{}
 }
 
 // NewAsyncWriter returns a writer that writes to out until Close.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{lines: make(chan []byte, logRing), out: out, done: make(chan struct{})}
+	w := &AsyncWriter{lines: make(chan []byte, logRing), out: out, closed: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
 
-// Write implements io.Writer. It never blocks; a line that finds the ring full
-// is dropped and counted.
+// Write implements io.Writer. It never blocks; a line that finds the ring full,
+// or the writer closed, is dropped and counted.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	select {
+	case <-w.closed:
+		w.dropped.Add(1)
+		return len(line), nil
+	default:
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -46,14 +54,36 @@
 
 func (w *AsyncWriter) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		_, _ = w.out.Write(line) // there is nowhere to tell of a log that can't be written
+	for {
+		select {
+		case line := <-w.lines:
+			w.pass(line)
+		case <-w.closed:
+			w.flush()
+			return
+		}
 	}
 }
 
+// flush writes the lines that wait already.
+func (w *AsyncWriter) flush() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.pass(line)
+		default:
+			return
+		}
+	}
+}
+
+func (w *AsyncWriter) pass(line []byte) {
+	_, _ = w.out.Write(line) // there is nowhere to tell of a log that can't be written
+}
+
 // Close writes the waiting lines, for at most the time.
 func (w *AsyncWriter) Close(atMost time.Duration) {
-	close(w.lines)
+	w.closing.Do(func() { close(w.closed) })
 	select {
 	case <-w.done:
 	case <-time.After(atMost):
--- /dev/null
+++ b/internal/telemetry/asynclog_test.go
@@ -0,0 +1,94 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/telemetry"
+)
+
+// stuckWriter never returns from a write until it is released, as a pipe whose
+// reader has stopped reading.
+type stuckWriter struct{ released chan struct{} }
+
+func (w stuckWriter) Write(line []byte) (int, error) {
+	<-w.released
+	return len(line), nil
+}
+
+// TestLogIsNeverWaitedFor writes far more lines than the ring holds to a reader
+// that never reads, in virtual time: not an instant passes.
+func TestLogIsNeverWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stuck := stuckWriter{make(chan struct{})}
+		w := telemetry.NewAsyncWriter(stuck)
+		log := logrus.New()
+		log.SetOutput(w)
+		started := time.Now()
+		const lines = 5000
+		for range lines {
+			log.WithField("event", "request_ended").Info("request ended")
+		}
+		c.Assert(time.Since(started), qt.Equals, time.Duration(0))
+		c.Assert(w.Dropped() > lines/2, qt.IsTrue, qt.Commentf("%d of %d lines were dropped", w.Dropped(), lines))
+		const atMost = 300 * time.Millisecond
+		w.Close(atMost)
+		c.Assert(time.Since(started), qt.Equals, atMost)
+		close(stuck.released)
+	})
+}
+
+// TestLineAfterCloseIsDropped logs from a goroutine that outlasts the log.
+func TestLineAfterCloseIsDropped(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	w := telemetry.NewAsyncWriter(&out)
+	_, _ = io.WriteString(w, "first\n")
+	w.Close(time.Minute)
+	_, err := io.WriteString(w, "late\n")
+	c.Assert(err, qt.IsNil)
+	c.Assert(out.String(), qt.Equals, "first\n")
+	c.Assert(w.Dropped(), qt.Equals, int64(1))
+}
+
+// TestLinesOfAnEventAreBounded sends a burst of one event beside a rare other.
+func TestLinesOfAnEventAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var out bytes.Buffer
+		log := logrus.New()
+		log.SetOutput(&out)
+		telemetry.LimitEvents(log, 50)
+		for range 400 {
+			log.WithField("event", "request_ended").Info("request ended")
+		}
+		log.WithField("event", "host_stopping").Info("host stops")
+		time.Sleep(time.Second)
+		log.WithField("event", "request_ended").Info("request ended")
+		text := out.String()
+		c.Assert(strings.Count(text, "event=request_ended"), qt.Equals, 51)
+		c.Assert(strings.Count(text, "event=host_stopping"), qt.Equals, 1)
+		c.Assert(strings.Count(text, "omitted=350"), qt.Equals, 1)
+	})
+}
+
+// BenchmarkLine is the processor time of one line with the fields of a request.
+func BenchmarkLine(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	telemetry.LimitEvents(log, 1<<30)
+	for b.Loop() {
+		log.WithFields(logrus.Fields{
+			"event": "request_ended", "id": "d4f834b9729bcb05", "route": "kiosk-reply", "team": "forecourt", "upstream": "i-ac15783188",
+			"outcome": "answered", "status": 200, "attempts": 1, "age": 21 * time.Millisecond,
+		}).Info("request ended")
+	}
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -65,6 +65,13 @@
 	}, seconds))
 }
 
+// LogDropped publishes the number of log lines that found no place or reader.
+func (m *Metrics) LogDropped(lines func() int64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: "masticscale", Name: "log_lines_dropped_total", Help: "Log lines that were dropped since their reader was too slow.",
+	}, func() float64 { return float64(lines()) }))
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "masticscale", Name: name, Help: help}, labels)
 }
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -20,6 +20,7 @@
 	c.Assert(err, qt.IsNil)
 	m := telemetry.NewMetrics()
 	m.KnowledgeAge(func() float64 { return 0 })
+	m.LogDropped(func() int64 { return 0 })
 	described := make(chan *prometheus.Desc)
 	go func() {
 		defer close(described)
