Take the host down before its lease object is read in a membership test

Cause: the test read the object's version at the instant at which a renewal was due; when the renewal landed between the read and the deletion, the deletion met a conflict. Change: the host loses the store first; every check stays.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -198,9 +198,9 @@
 		defer b.stop()
 		time.Sleep(LapseTime + RenewInterval)
 		first := a.owner()
+		a.client.SetDown(true) // first, since a renewal is due at this instant
 		o, err := b.client.Get(context.Background(), objstore.KindHost, "a")
 		c.Assert(err, quicktest.IsNil)
-		a.client.SetDown(true)
 		c.Assert(b.client.Delete(context.Background(), objstore.KindHost, "a", o.Version), quicktest.IsNil)
 		time.Sleep(time.Second)
 		c.Assert(a.Owns(), quicktest.IsTrue)
