--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -21,7 +21,7 @@
 	heartbeat       = 200 * time.Millisecond  // between states when nothing changes; peers count as silent after a few
 	farHeartbeat    = 500 * time.Millisecond  // the least time between states to a host of another cell when nothing changes
 	farHeartbeatMax = 2 * time.Second         // the most: a lost host is noticed within seconds
-	farStates       = 70                      // a second to the hosts of other cells, all together
+	farStates       = 70                      // a second to the hosts of other cells, all together, while the period allows it
 	farPause        = 150 * time.Millisecond  // least time between two states to a host of another cell
 	coalesce        = 5 * time.Millisecond    // in which changes are gathered into one state
 	dialTimeout     = 500 * time.Millisecond  // hosts are milliseconds apart
@@ -36,7 +36,8 @@
 )
 
 // FarPeriod returns the time between two states to each of n hosts of other
-// cells. What a host spends on them grows with the fleet up to a bound only.
+// cells. A host sends at most farStates a second to them all, until the longest
+// period is reached; with more hosts than that the number grows with the fleet.
 func FarPeriod(n int) time.Duration {
 	even := time.Duration(n) * time.Second / farStates
 	return min(max(even, farHeartbeat), farHeartbeatMax)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -223,9 +223,9 @@
 	return objstore.ErrUnavailable
 }
 
-// TestStatesToOtherCellsAreBounded: a host of the grown sites has some 63 peers in
+// TestLargerFleetsSendStatesLessOften: a host of the grown sites has some 63 peers in
 // other cells, one of the largest fleet 372.
-func TestStatesToOtherCellsAreBounded(t *testing.T) {
+func TestLargerFleetsSendStatesLessOften(t *testing.T) {
 	c := qt.New(t)
 	c.Assert(mesh.FarPeriod(0), qt.Equals, 500*time.Millisecond)
 	c.Assert(mesh.FarPeriod(30), qt.Equals, 500*time.Millisecond)
