Read jobs and results stale, at a tenth of the price

Each finished job also read its state, which mostly doesn't exist yet, before it noted the end.

Ruled out: results in one list call instead of one a segment (a page holds up to a megabyte of other jobs' results); stale reads where ownership is decided without a write (a stale state names a former host).

Change: objstore gets GetStale, sent as the store's own option; objects that never change are read so and read again only when missing. A change of a job's state starts from a stale read, and its conditional write finds out if that was behind. Results in the store are read before the store is asked who runs the job, and those read before are answered from memory.

Tests: TestReadingADoneJobCostsLittle (8 calls before, 0 after), TestDoneJobIsNotedInOneCall (4, 3); TestStaleReadsHideNothing and TestJobIsTakenOverTwice fail when the second read is left out.

--- a/internal/emulator/memstore/memstore.go
+++ b/internal/emulator/memstore/memstore.go
@@ -27,8 +27,10 @@
 	version int64
 	objects map[objectID]objstore.Object
 	history []objstore.Event
+	times   []time.Time   // of the history's events
+	lag     time.Duration // by which stale reads are behind
 	changed chan struct{} // closed and replaced at each write
-	calls   int
+	calls   int           // at full price
 }
 
 // New returns an empty store.
@@ -36,7 +38,14 @@
 	return &Store{objects: map[objectID]objstore.Object{}, changed: make(chan struct{})}
 }
 
-// Calls returns the number of calls that reached the store.
+// SetLag sets by how much stale reads are behind.
+func (s *Store) SetLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = lag
+}
+
+// Calls returns the number of calls that reached the store, without stale reads.
 func (s *Store) Calls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -48,7 +57,7 @@
 	return &Client{store: s, latency: latency, faulted: make(chan struct{})}
 }
 
-// Client implements objstore.Store.
+// Client implements objstore.Store and objstore.StaleGetter.
 type Client struct {
 	store *Store
 
@@ -106,15 +115,23 @@
 	if c.down {
 		return objstore.ErrUnavailable
 	}
+	return nil
+}
+
+// enterPriced lets a call travel that counts at its full price.
+func (c *Client) enterPriced(ctx context.Context) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
 	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
 	c.store.calls++
-	c.store.mu.Unlock()
 	return nil
 }
 
 // Get implements objstore.Store.
 func (c *Client) Get(ctx context.Context, kind objstore.Kind, name string) (objstore.Object, error) {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enterPriced(ctx); err != nil {
 		return objstore.Object{}, err
 	}
 	c.store.mu.Lock()
@@ -126,9 +143,34 @@
 	return o, nil
 }
 
+// GetStale implements objstore.StaleGetter.
+func (c *Client) GetStale(ctx context.Context, kind objstore.Kind, name string) (objstore.Object, error) {
+	if err := c.enter(ctx); err != nil {
+		return objstore.Object{}, err
+	}
+	return c.store.before(objectID{kind, name}, time.Now())
+}
+
+// before returns the object as it was the lag ago.
+func (s *Store) before(id objectID, now time.Time) (objstore.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := len(s.history) - 1; n >= 0; n-- {
+		e := s.history[n]
+		if e.Object.Kind != id.kind || e.Object.Name != id.name || s.times[n].After(now.Add(-s.lag)) {
+			continue
+		}
+		if e.Type == objstore.EventDelete {
+			break
+		}
+		return e.Object, nil
+	}
+	return objstore.Object{}, objstore.ErrNotFound
+}
+
 // List implements objstore.Store.
 func (c *Client) List(ctx context.Context, kind objstore.Kind, prefix string) ([]objstore.Object, int64, error) {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enterPriced(ctx); err != nil {
 		return nil, 0, err
 	}
 	c.store.mu.Lock()
@@ -158,7 +200,7 @@
 	if err != nil {
 		return objstore.Object{}, errors.Wrap(err, "encode value")
 	}
-	if err := c.enter(ctx); err != nil {
+	if err := c.enterPriced(ctx); err != nil {
 		return objstore.Object{}, err
 	}
 	o, err := c.store.put(objectID{kind, name}, version, spec)
@@ -194,7 +236,7 @@
 
 // Delete implements objstore.Store.
 func (c *Client) Delete(ctx context.Context, kind objstore.Kind, name string, version int64) error {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enterPriced(ctx); err != nil {
 		return err
 	}
 	s, id := c.store, objectID{kind, name}
@@ -215,13 +257,14 @@
 // record appends to the history and wakes the watches; the caller holds mu.
 func (s *Store) record(e objstore.Event) {
 	s.history = append(s.history, e)
+	s.times = append(s.times, time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // Watch implements objstore.Store.
 func (c *Client) Watch(ctx context.Context, kind objstore.Kind, after int64) (objstore.Watcher, error) {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enterPriced(ctx); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	s, _, err := r.readState(ctx, id, rec.Owner)
+	s, _, err := readState(ctx, r.store.Get, id, rec.Owner)
 	if err != nil || s.Done || s.Ended {
 		return err
 	}
--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -320,3 +320,14 @@
 		w.c.Assert(string(r.Output), qt.Equals, outputOf(r.ID))
 	}
 }
+
+// ownerOf returns the host that the store names for a job that was taken over.
+func (w *world) ownerOf(reader *host, id string) string {
+	o, err := reader.store.Get(background, jobs.KindState, id)
+	w.c.Assert(err, qt.IsNil)
+	var state struct {
+		Owner string `json:"owner"`
+	}
+	w.c.Assert(o.Decode(&state), qt.IsNil)
+	return state.Owner
+}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -49,6 +49,62 @@
 	})
 }
 
+// TestReadingADoneJobCostsLittle reads a job through a host that has just
+// started, as callers do after all hosts were lost. It failed with a call at full
+// price for each part of the results.
+func TestReadingADoneJobCostsLittle(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		h1, h2 := w.start("h1"), w.start("h2")
+		time.Sleep(time.Second)
+		s := submission("j", 30)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		time.Sleep(15 * time.Second)
+		h1.kill()
+		h2.kill()
+		h1, h2 = w.start("h1"), w.start("h2")
+		time.Sleep(3 * time.Second)
+		before := w.store.Calls()
+		w.checkWhole(h1, s)
+		w.checkWhole(h2, s)
+		c.Assert(w.store.Calls()-before, qt.Equals, 0)
+	})
+}
+
+// TestDoneJobIsNotedInOneCall counts the calls of a job from its submission to
+// its end.
+func TestDoneJobIsNotedInOneCall(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		h1 := w.start("h1")
+		time.Sleep(time.Second)
+		before := w.store.Calls()
+		c.Assert(h1.runner.Submit(background, submission("j", 1)), qt.IsNil)
+		time.Sleep(5 * time.Second)
+		c.Assert(w.store.Calls()-before, qt.Equals, 3) // the job, its result, its end
+	})
+}
+
+// TestStaleReadsHideNothing reads what was written within the time that stale
+// reads are behind.
+func TestStaleReadsHideNothing(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		w.store.SetLag(5 * time.Second)
+		h1, h2 := w.start("h1"), w.start("h2")
+		time.Sleep(time.Second)
+		s := submission("j", 10)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		time.Sleep(2 * time.Second)
+		h1.kill()
+		w.checkWhole(h2, s)
+		h3 := w.start("h3")
+		h3.setCut(true)
+		c.Assert(h3.runner.End(background, "j", "cafe"), qt.IsNil)
+		rec, err := h2.store.Get(background, jobs.KindState, "j")
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(rec.Value), qt.Contains, `"ended":true`)
+		c.Assert(string(rec.Value), qt.Contains, `"done":true`)
+	})
+}
+
 // TestJobsAreRemoved checks that a job stays readable for its time, and that
 // nothing of it stays in the store afterwards.
 func TestJobsAreRemoved(t *testing.T) {
@@ -385,3 +441,24 @@
 		c.Assert(results, qt.HasLen, 40)
 	})
 }
+
+// TestJobIsTakenOverTwice loses the host of a job, and then the one that took it
+// over, while stale reads still name the first.
+func TestJobIsTakenOverTwice(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		w.store.SetLag(time.Minute)
+		h1 := w.start("h1")
+		for _, name := range []string{"h2", "h3", "h4", "h5"} { // a host takes over while it hears most others
+			w.start(name)
+		}
+		time.Sleep(time.Second)
+		c.Assert(h1.runner.Submit(background, submission("j", 90)), qt.IsNil)
+		h1.kill()
+		time.Sleep(10 * time.Second)
+		second := w.ownerOf(h1, "j")
+		c.Assert(second, qt.Not(qt.Equals), "h1")
+		w.hosts[second].kill()
+		time.Sleep(10 * time.Second)
+		c.Assert([]string{"h1", second}, qt.Not(qt.Contains), w.ownerOf(h1, "j"))
+	})
+}
--- a/internal/jobs/remote.go
+++ b/internal/jobs/remote.go
@@ -64,23 +64,42 @@
 	return s.Address, heard
 }
 
-// readAtOwner reads at the host that runs the job. Where it is another one by
-// now, the state in the store tells which.
-func (r *Runner) readAtOwner(ctx context.Context, m *remoteJob, after int, wait time.Duration) (Page, bool) {
-	for range 2 {
-		address, heard := r.addressOf(r.ownerOf(m))
-		if !heard {
-			return Page{}, false
-		}
-		total, results, err := r.peers.ReadResults(ctx, address, m.id, m.record.Team, after, wait)
-		if err == nil {
-			return pageFrom(total, results), true
-		}
-		if !errors.Is(err, mesh.ErrUnknownJob) || !r.refreshOwner(ctx, m) {
-			return Page{}, false
-		}
+// readElsewhere reads a job that another host runs, or ran.
+func (r *Runner) readElsewhere(ctx context.Context, m *remoteJob, after int, wait time.Duration) (Page, error) {
+	if page, ok := m.remembered(after); ok {
+		return page, nil
+	}
+	page, err := r.readAtOwner(ctx, m, after, wait)
+	if err == nil {
+		return page, nil
 	}
-	return Page{}, false
+	unknown := errors.Is(err, mesh.ErrUnknownJob)
+	page, err = r.readStored(ctx, m, after)
+	if err != nil || len(page.Results) > 0 || after >= page.Total || !unknown || !r.refreshOwner(ctx, m) {
+		return page, err
+	}
+	if there, err := r.readAtOwner(ctx, m, after, wait); err == nil {
+		return there, nil
+	}
+	return page, nil
+}
+
+// readAtOwner reads at the host that is known to run the job.
+func (r *Runner) readAtOwner(ctx context.Context, m *remoteJob, after int, wait time.Duration) (Page, error) {
+	owner := r.ownerOf(m)
+	address, heard := r.addressOf(owner)
+	if !heard {
+		return Page{}, errors.Errorf("host %q is not heard", owner)
+	}
+	total, results, err := r.peers.ReadResults(ctx, address, m.id, m.record.Team, after, wait)
+	return pageFrom(total, results), err
+}
+
+// remembered returns the results from the position on that were read before.
+func (m *remoteJob) remembered(after int) (Page, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return pageOf(m.record.Total, m.results, after), after < len(m.results)
 }
 
 // readAtTeller reads at the host that says it answers for the job.
@@ -106,7 +125,7 @@
 
 // refreshOwner reports whether the store names another host for the job.
 func (r *Runner) refreshOwner(ctx context.Context, m *remoteJob) bool {
-	s, _, err := r.readState(ctx, m.id, m.record.Owner)
+	s, _, err := readState(ctx, r.store.Get, m.id, m.record.Owner)
 	if err != nil {
 		return false
 	}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -29,12 +29,18 @@
 	Adopt(ctx context.Context, address string, jobs []string) error
 }
 
+// Store keeps the jobs.
+type Store interface {
+	objstore.Store
+	objstore.StaleGetter
+}
+
 // Runner accepts jobs, runs those that are this host's, and answers reads.
 type Runner struct {
 	self        string
 	incarnation string
 	core        *entry.Core
-	store       objstore.Store
+	store       Store
 	peers       Peers
 	upstreams   entry.Upstreams
 	log         logrus.FieldLogger
@@ -54,7 +60,7 @@
 }
 
 // NewRunner returns a runner. SetPeers must be called before Run.
-func NewRunner(self entry.Identity, core *entry.Core, store objstore.Store, upstreams entry.Upstreams, metrics *telemetry.Metrics, log logrus.FieldLogger) *Runner {
+func NewRunner(self entry.Identity, core *entry.Core, store Store, upstreams entry.Upstreams, metrics *telemetry.Metrics, log logrus.FieldLogger) *Runner {
 	return &Runner{
 		self: self.Name, incarnation: self.Incarnation, core: core, store: store, upstreams: upstreams, log: log, metrics: metrics,
 		jobs: map[string]*job{}, remote: map[string]*remoteJob{}, ended: map[string]time.Time{}, pace: newPace(), keep: defaultKeep,
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -99,10 +99,7 @@
 	if m.record.Team != team {
 		return Page{}, unknownJob(id)
 	}
-	if page, ok := r.readAtOwner(ctx, m, after, wait); ok {
-		return page, nil
-	}
-	page, err = r.readStored(ctx, m, after)
+	page, err = r.readElsewhere(ctx, m, after, wait)
 	if err != nil {
 		return Page{}, r.readError(id, err)
 	}
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -168,10 +168,20 @@
 	return parts
 }
 
+// getFixed reads an object that doesn't change once it exists. A stale read that
+// finds it is right; one that doesn't may only be too early.
+func (r *Runner) getFixed(ctx context.Context, kind objstore.Kind, name string) (objstore.Object, error) {
+	o, err := r.store.GetStale(ctx, kind, name)
+	if errors.Is(err, objstore.ErrNotFound) {
+		return r.store.Get(ctx, kind, name)
+	}
+	return o, err
+}
+
 // load reads a job and its items.
 func (r *Runner) load(ctx context.Context, id string) (record, error) {
 	var rec record
-	o, err := r.store.Get(ctx, KindJob, id)
+	o, err := r.getFixed(ctx, KindJob, id)
 	if err != nil {
 		return rec, err
 	}
@@ -183,7 +193,7 @@
 
 func (r *Runner) loadParts(ctx context.Context, id string, rec *record) error {
 	for n := range rec.Parts {
-		o, err := r.store.Get(ctx, KindPart, segmentName(id, n))
+		o, err := r.getFixed(ctx, KindPart, segmentName(id, n))
 		if err != nil {
 			return errors.Wrapf(err, "read part %d of job %q", n, id)
 		}
--- a/internal/jobs/write.go
+++ b/internal/jobs/write.go
@@ -166,7 +166,7 @@
 
 func (r *Runner) readSegment(ctx context.Context, job string, n int) (segment, error) {
 	var s segment
-	o, err := r.store.Get(ctx, KindResults, segmentName(job, n))
+	o, err := r.getFixed(ctx, KindResults, segmentName(job, n))
 	if err != nil {
 		return s, err
 	}
@@ -176,18 +176,29 @@
 // stateTries bounds a change of a job's state against others who change it.
 const stateTries = 4
 
-// changeState changes the state of a job that was accepted by the owner.
+// changeState changes the state of a job that was accepted by the owner. It
+// starts from a stale read, which mostly finds rightly that there is no state
+// yet: a write on an old version fails, and only the current state tells that
+// nothing is to be changed.
 func (r *Runner) changeState(ctx context.Context, id, owner string, change func(*state)) error {
-	for range stateTries {
-		s, version, err := r.readState(ctx, id, owner)
+	for try := range stateTries {
+		current := try > 0
+		get := r.store.GetStale
+		if current {
+			get = r.store.Get
+		}
+		s, version, err := readState(ctx, get, id, owner)
 		if err != nil {
 			return err
 		}
 		before := s
 		change(&s)
-		if s == before {
+		if s == before && current {
 			return nil
 		}
+		if s == before {
+			continue
+		}
 		if version == 0 {
 			_, err = r.store.Create(ctx, KindState, id, s)
 		} else {
@@ -200,10 +211,13 @@
 	return errors.Wrapf(objstore.ErrConflict, "change state of job %q", id)
 }
 
+// getter reads an object, as Get and GetStale do.
+type getter func(ctx context.Context, kind objstore.Kind, name string) (objstore.Object, error)
+
 // readState returns the job's state and its version, which is zero where the
 // state has not changed since the job was accepted.
-func (r *Runner) readState(ctx context.Context, id, owner string) (state, int64, error) {
-	o, err := r.store.Get(ctx, KindState, id)
+func readState(ctx context.Context, get getter, id, owner string) (state, int64, error) {
+	o, err := get(ctx, KindState, id)
 	if errors.Is(err, objstore.ErrNotFound) {
 		return state{Owner: owner}, 0, nil
 	}
--- a/internal/objstore/client.go
+++ b/internal/objstore/client.go
@@ -93,6 +93,20 @@
 	return o, err
 }
 
+// GetStale implements StaleGetter.
+func (c *Client) GetStale(ctx context.Context, kind Kind, name string) (Object, error) {
+	var o Object
+	err := c.call(ctx, "GET_STALE", func(ctx context.Context) (err error) {
+		o, err = c.transport.GetStale(ctx, kind, name)
+		return err
+	})
+	if err != nil {
+		return Object{}, errors.Wrapf(err, "get stale %s %q", kind, name)
+	}
+	c.unwrap(&o)
+	return o, nil
+}
+
 func (c *Client) get(ctx context.Context, kind Kind, name string) (Object, []writer, error) {
 	var o Object
 	err := c.call(ctx, "GET", func(ctx context.Context) (err error) {
--- a/internal/objstore/objstore.go
+++ b/internal/objstore/objstore.go
@@ -102,6 +102,13 @@
 	Watch(ctx context.Context, kind Kind, after int64) (Watcher, error)
 }
 
+// StaleGetter reads objects that never change once they exist.
+type StaleGetter interface {
+	// GetStale returns the object as it was at some moment of the last seconds,
+	// at a fraction of the price of Get. One that was created since is missing.
+	GetStale(ctx context.Context, kind Kind, name string) (Object, error)
+}
+
 // HostState is the state of a machine in the platform's list.
 type HostState string
 
--- a/internal/objstore/relay.go
+++ b/internal/objstore/relay.go
@@ -24,11 +24,12 @@
 
 // The operations that hosts make for each other. Watches stay with each host.
 const (
-	OpGet     Operation = "get"
-	OpList    Operation = "list"
-	OpCreate  Operation = "create"
-	OpReplace Operation = "replace"
-	OpDelete  Operation = "delete"
+	OpGet      Operation = "get"
+	OpGetStale Operation = "get stale"
+	OpList     Operation = "list"
+	OpCreate   Operation = "create"
+	OpReplace  Operation = "replace"
+	OpDelete   Operation = "delete"
 )
 
 // Do makes the call over a transport. Of a list it returns the page, of all
@@ -41,6 +42,8 @@
 		return t.List(ctx, c.Kind, c.After)
 	case OpGet:
 		o, err = t.Get(ctx, c.Kind, c.Name)
+	case OpGetStale:
+		o, err = t.GetStale(ctx, c.Kind, c.Name)
 	case OpCreate:
 		o, err = t.Create(ctx, c.Kind, c.Name, c.Value)
 	case OpReplace:
@@ -106,6 +109,11 @@
 	return t.one(ctx, Call{Operation: OpGet, Kind: kind, Name: name})
 }
 
+// GetStale implements Transport.
+func (t *RelayedTransport) GetStale(ctx context.Context, kind Kind, name string) (Object, error) {
+	return t.one(ctx, Call{Operation: OpGetStale, Kind: kind, Name: name})
+}
+
 // List implements Transport.
 func (t *RelayedTransport) List(ctx context.Context, kind Kind, after string) (Page, error) {
 	return t.do(ctx, Call{Operation: OpList, Kind: kind, After: after})
--- a/internal/objstore/transport.go
+++ b/internal/objstore/transport.go
@@ -13,6 +13,8 @@
 type Transport interface {
 	// Get returns the object, or ErrNotFound.
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
+	// GetStale returns what Get returned at some moment of the last seconds.
+	GetStale(ctx context.Context, kind Kind, name string) (Object, error)
 	// List returns one page of the kind's objects, in name order.
 	List(ctx context.Context, kind Kind, after string) (Page, error)
 	// Create returns ErrConflict when the name is taken.
