Use upstreams of a data centre that may be cut off last

While a data centre was cut off, its hosts went on placing every third request at upstreams beyond the cut and waited 500 ms for a connection, or twice that (sends=2 and 3, waited_ms=0, first_ms near 512 and 1,014). Each failure was remembered for one upstream only, and for two seconds at most.

Ruled out: lack of slots in the cut data centre (none was waited for); a shorter connection timeout (upstreams that are slow to accept would count as lost, and each try would still cost it).

Change: the board is told of data centres none of whose known hosts is heard. Their upstreams come last; one run at a time finds out whether they are in reach, its failure counts for all of them, its success ends the doubt, as when only the hosts there are gone. Batch items find out too, when there is no other slot. A log line tells of each change.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -39,6 +39,7 @@
 	queue     slots.Queue
 	ledger    *ledger.Ledger
 	peers     map[string]*peerView
+	unheard   map[string]bool     // other data centres all of whose hosts are silent
 	roster    map[string]HostInfo // hosts of the store's list
 	cell      fleet.Cell
 	upstreams []fleet.Upstream
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -56,6 +56,7 @@
 			delete(c.peers, name)
 		}
 	}
+	c.noteUnheard()
 }
 
 // formCell finds the cell of this host among the listed hosts; the caller holds
@@ -133,6 +134,7 @@
 	p.state, p.heard, p.silent = s, time.Now(), false
 	if news {
 		c.formCell()
+		c.noteUnheard()
 	}
 	c.ledger.Absorb(s.Incarnation, s.Admitted)
 	if moved {
@@ -186,10 +188,33 @@
 			c.board.SetPeer(name, nil)
 		}
 	}
+	if len(changes) > 0 {
+		c.noteUnheard()
+	}
 	c.schedule() // upstreams that were down may be tried again
 	return changes
 }
 
+// noteUnheard finds the other data centres all of whose known hosts are silent;
+// the caller holds mu.
+func (c *Core) noteUnheard() {
+	unheard := map[string]bool{}
+	for _, p := range c.peers {
+		dc := p.state.DataCentre
+		others, known := unheard[dc]
+		unheard[dc] = p.silent && (others || !known)
+	}
+	delete(unheard, c.self.DataCentre)
+	maps.DeleteFunc(unheard, func(_ string, silent bool) bool { return !silent })
+	if maps.Equal(unheard, c.unheard) {
+		return
+	}
+	c.log.WithFields(logrus.Fields{"event": "unheard_data_centres", "now": slices.Sorted(maps.Keys(unheard)), "before": slices.Sorted(maps.Keys(c.unheard))}).
+		Warn("upstreams of data centres whose hosts are all silent are used last")
+	c.unheard = unheard
+	c.board.SetUnheard(unheard)
+}
+
 // Peers returns the peers that are heard, by name, and their states.
 func (c *Core) Peers() map[string]mesh.State {
 	c.mu.Lock()
--- a/internal/slots/board.go
+++ b/internal/slots/board.go
@@ -52,6 +52,7 @@
 	home       map[string]bool // upstreams of this host's cell; nil makes all of them home
 	runs       map[*Run]bool
 	told       map[string]map[string]Counts // by peer: what it said last
+	doubts     doubts
 	random     *rand.Rand
 }
 
@@ -62,6 +63,7 @@
 		upstreams:  map[string]*upstream{},
 		runs:       map[*Run]bool{},
 		told:       map[string]map[string]Counts{},
+		doubts:     doubts{reached: map[string]bool{}, probes: map[string]*Run{}},
 		random:     rand.New(rand.NewPCG(seed, 0)),
 	}
 }
@@ -165,6 +167,7 @@
 func (b *Board) Start(r *Run) {
 	b.runs[r] = true
 	b.countOwn(r, 1)
+	b.noteProbe(r)
 }
 
 // Finish counts the end of a run. It may be called again.
@@ -174,6 +177,7 @@
 	}
 	b.countOwn(r, -1)
 	delete(b.runs, r)
+	b.endProbe(r)
 }
 
 // countOwn adds a run to the counts of its upstream, or takes it out.
@@ -193,10 +197,13 @@
 
 // Failed notes that an upstream could not be reached or broke off.
 func (b *Board) Failed(id string, now time.Time) {
-	u, ok := b.upstreams[id]
-	if !ok {
-		return
+	if u, ok := b.upstreams[id]; ok {
+		u.fail(now)
+		b.failedInDoubt(u, now)
 	}
+}
+
+func (u *upstream) fail(now time.Time) {
 	u.failures++
 	u.downUntil = now.Add(min(downTime<<min(u.failures-1, maxDownDoublings), maxDownTime))
 }
@@ -206,6 +213,9 @@
 	if u, ok := b.upstreams[id]; ok {
 		u.failures = 0
 		u.downUntil = time.Time{}
+		if b.doubts.unheard[u.DataCentre] {
+			b.doubts.reached[u.DataCentre] = true
+		}
 	}
 }
 
@@ -265,7 +275,7 @@
 func (b *Board) Tally(service string, now time.Time) Tally {
 	var t Tally
 	for id, u := range b.upstreams {
-		if !u.usable(service, now) || !b.isHome(id) {
+		if !u.usable(service, now) || !b.isHome(id) || b.doubtful(u) {
 			continue
 		}
 		t.Upstreams++
@@ -296,7 +306,7 @@
 	var best *upstream
 	var bestScore float64
 	for id, u := range b.upstreams {
-		if without[id] || !u.usable(service, now) || u.total.Online+u.hiddenAt(now) >= u.Slots {
+		if without[id] || !u.usable(service, now) || b.closed(u) || u.total.Online+u.hiddenAt(now) >= u.Slots {
 			continue
 		}
 		if score := b.scoreOnline(u, now); best == nil || score > bestScore {
@@ -317,7 +327,7 @@
 	scoreItem    = 500  // a batch item of another host of the cell can be paused
 	scoreSlot    = 1    // for each free slot: an emptier engine is faster
 	scoreLocal   = 0.9  // the same data centre: fewer bytes between data centres
-	scoreJitter  = 1.0  // keeps hosts from picking the same upstream at once
+	scoreJitter  = 1.0  // keeps hosts from picking the same upstream at once; all that a doubtful upstream gets
 )
 
 // spillFree is how many slots an upstream of another cell shows free before work
@@ -326,6 +336,9 @@
 
 func (b *Board) scoreOnline(u *upstream, now time.Time) float64 {
 	score := b.random.Float64() * scoreJitter
+	if b.doubtful(u) {
+		return score
+	}
 	free := u.free(now)
 	switch home := b.isHome(u.ID); {
 	case home && free > 0:
@@ -354,12 +367,12 @@
 		reserve = 0
 	}
 	if t.Free <= reserve {
-		return "", false
+		return b.placeProbe(service, now)
 	}
 	var best *upstream
 	var bestScore float64
 	for _, u := range b.upstreams {
-		if !u.usable(service, now) || u.free(now) <= 0 || !b.isHome(u.ID) {
+		if !u.usable(service, now) || u.free(now) <= 0 || !b.isHome(u.ID) || b.doubtful(u) {
 			continue
 		}
 		score := float64(u.free(now))*scoreSlot + b.random.Float64()*scoreJitter
