Doubt a job whose end could not be noted

A caller ended a job at the host that ran it, which was cut off; the items stopped and the end could not be noted. Another host took the job over and showed results. After the cut the first host still counted the job as its own: ended jobs were left out when it read who runs its jobs. It told peers that it answers for the job, so reads through them found no result where one had been read.

Change: a job is settled once all its results are written, or its end stands in the store. Until then its host verifies that the job is its own, and after a failed note of the end answers no reads for it. The end is noted as soon as the store answers, although the caller may not ask again. A job that a peer tells to be ended is verified too.

--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -104,7 +104,8 @@
 	segments int
 	pending  []Result // that are not written yet
 	changed  chan struct{}
-	ended    bool
+	ended    bool // by its caller
+	noted    bool // the end stands in the store, so no other host takes the job over
 	doubtful bool // another host may run it by now
 	fenced   bool // another host has written a segment
 	writing  bool
@@ -132,6 +133,9 @@
 // open reports whether the job has work left.
 func (j *job) open() bool { return !j.ended && !j.done() }
 
+// settled reports whether no other host can have results that this one lacks.
+func (j *job) settled() bool { return j.done() || j.ended && j.noted }
+
 // notify wakes the readers.
 func (j *job) notify() {
 	close(j.changed)
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -225,6 +225,62 @@
 	}
 }
 
+// TestEndAtACutOffHost ends a job at the host that runs it while that host is cut
+// off, and another takes the job over. After the cut the first host answered for
+// the job from its memory, and hid results that had been read.
+func TestEndAtACutOffHost(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		h1 := w.start("h1")
+		var others []*host
+		for _, name := range []string{"h2", "h3", "h4"} {
+			others = append(others, w.start(name))
+		}
+		time.Sleep(time.Second)
+		c.Assert(h1.runner.Submit(background, submission("j", 60)), qt.IsNil)
+		h1.setCut(true)
+		h1.store.SetDown(true)
+		time.Sleep(500 * time.Millisecond)
+		c.Assert(h1.runner.End(background, "j", "cafe"), qt.Not(qt.IsNil))
+		time.Sleep(10 * time.Second)
+		_, before, err := others[0].read("j")
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(before) > 0, qt.IsTrue)
+		h1.setCut(false)
+		h1.store.SetDown(false)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			for _, h := range append(others, h1) {
+				_, results, err := h.read("j")
+				c.Assert(err, qt.IsNil)
+				c.Assert(len(results) >= len(before), qt.IsTrue, qt.Commentf("%s shows %d results after %d were read", h.name, len(results), len(before)))
+			}
+		}
+	})
+}
+
+// TestEndIsNotedOnceTheStoreIsBack ends a job while the store is away: its items
+// stop at once, and the end is noted later although nobody asks again.
+func TestEndIsNotedOnceTheStoreIsBack(t *testing.T) {
+	play(t, func(c *qt.C, w *world) {
+		h1 := w.start("h1")
+		time.Sleep(time.Second)
+		s := submission("j", 60)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		h1.store.SetDown(true)
+		c.Assert(h1.runner.End(background, "j", "cafe"), qt.Not(qt.IsNil))
+		ended := time.Now()
+		time.Sleep(3 * time.Second)
+		h1.store.SetDown(false)
+		time.Sleep(3 * time.Second)
+		for _, i := range s.Items {
+			c.Assert(w.engine.lastRun(i.ID).After(ended), qt.IsFalse)
+		}
+		o, err := h1.store.Get(background, jobs.KindState, "j")
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(o.Value), qt.Contains, `"ended":true`)
+	})
+}
+
 // TestFrozenHostWakesWhileTheStoreIsAway failed in the soak (seed 1049): the one
 // look at who runs the jobs failed, and the host never looked again.
 func TestFrozenHostWakesWhileTheStoreIsAway(t *testing.T) {
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -132,7 +132,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, j := range r.jobs {
-		if j.open() {
+		if !j.settled() {
 			j.doubtful = true
 		}
 	}
@@ -144,27 +144,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, j := range r.jobs {
-		if j.open() && j.doubtful {
+		if !j.settled() && j.doubtful {
 			return true
 		}
 	}
 	return false
 }
 
-// verifyJobs reads the states of the jobs that this host runs. Jobs that were
-// ended elsewhere stop; those that another host has taken over are dropped.
+// verifyJobs reads the states of this host's jobs that aren't settled. Jobs that
+// were ended elsewhere stop, and ends that could not be noted are; jobs that
+// another host has taken over are dropped.
 func (r *Runner) verifyJobs(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	r.mu.Lock()
-	var open []*job
+	var unsettled []*job
 	for _, j := range r.jobs {
-		if j.open() {
-			open = append(open, j)
+		if !j.settled() {
+			unsettled = append(unsettled, j)
 		}
 	}
 	r.mu.Unlock()
-	if len(open) == 0 {
+	if len(unsettled) == 0 {
 		return
 	}
 	states, err := r.listStates(ctx)
@@ -174,22 +175,32 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, j := range open {
-		s, changed := states[j.id]
-		switch {
-		case changed && s.Owner != r.self:
-			r.drop(j, s.Owner)
-		case s.Ended && !j.ended:
-			r.stop(j)
-		default:
-			j.doubtful, j.fenced = false, false
-			signal(r.write)
-		}
+	for _, j := range unsettled {
+		r.conclude(j, states)
 	}
 	r.tellJobs()
 	signal(r.work)
 }
 
+// conclude draws the conclusions for one job; the caller holds mu.
+func (r *Runner) conclude(j *job, states map[string]state) {
+	s, changed := states[j.id]
+	if changed && s.Owner != r.self {
+		r.drop(j, s.Owner)
+		return
+	}
+	if s.Ended && !j.ended {
+		r.stop(j)
+	}
+	if j.ended && !s.Ended {
+		go r.noteEndAgain(j)
+		return
+	}
+	j.noted = s.Ended
+	j.doubtful, j.fenced = false, false
+	signal(r.write)
+}
+
 // drop stops running a job that another host runs; the caller holds mu.
 func (r *Runner) drop(j *job, owner string) {
 	r.log.WithFields(logrus.Fields{"event": "job_lost", "job": j.id, "to": owner}).Info("another host has taken the job over")
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -207,14 +207,43 @@
 
 // noteEnd writes the end of a job and tells the peers, one of which may run it.
 func (r *Runner) noteEnd(ctx context.Context, id string, rec record) error {
-	if err := r.changeState(ctx, id, rec.Owner, func(s *state) { s.Ended = true }); err != nil {
+	var owner string
+	err := r.changeState(ctx, id, rec.Owner, func(s *state) { s.Ended, owner = true, s.Owner })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j, known := r.jobs[id]
+	if err != nil {
+		if known && !j.settled() {
+			j.doubtful = true // another host may take it over
+			r.tellJobs()
+		}
 		return refusedForNow("the end of the job can't be noted at the moment", err)
 	}
-	r.mu.Lock()
-	if j, known := r.jobs[id]; known && !j.ended {
-		r.stop(j) // it was taken up meanwhile
+	if known {
+		r.stop(j) // it may have been taken up meanwhile
+		j.noted = true
+	}
+	if known && owner != r.self {
+		r.drop(j, owner)
 	}
 	r.ended[id] = time.Now()
+	r.tellEnded()
+	r.log.WithFields(logrus.Fields{"event": "job_ended", "job": id, "team": rec.Team}).Info("a job was ended by its caller")
+	return nil
+}
+
+// noteEndAgain notes an end that could not be noted when the caller asked.
+func (r *Runner) noteEndAgain(j *job) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTime)
+	defer cancel()
+	if err := r.noteEnd(ctx, j.id, j.record); err != nil {
+		r.log.WithFields(logrus.Fields{"event": "job_end_not_noted", "job": j.id, "error": err}).Info("the end of a job could not be noted; it is tried again")
+	}
+}
+
+// tellEnded tells the peers which jobs were ended a short time ago; the caller
+// holds mu.
+func (r *Runner) tellEnded() {
 	var told []string
 	for id, at := range r.ended {
 		if time.Since(at) > endedTold {
@@ -223,19 +252,19 @@
 		}
 		told = append(told, id)
 	}
-	r.mu.Unlock()
 	r.core.SetEnded(told)
-	r.log.WithFields(logrus.Fields{"event": "job_ended", "job": id, "team": rec.Team}).Info("a job was ended by its caller")
-	return nil
 }
 
-// StopEnded stops the jobs that a peer knows to be ended.
+// StopEnded stops the jobs that a peer knows to be ended. Another host may have
+// taken them over before.
 func (r *Runner) StopEnded(ids []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, id := range ids {
-		if j, known := r.jobs[id]; known && !j.ended {
+		if j, known := r.jobs[id]; known && j.open() {
 			r.stop(j)
+			j.doubtful = true
+			signal(r.verify)
 		}
 	}
 }
