Try connections to upstreams out of reach beside the requests

Change: an upstream that gave no answer or no connection gets no work before a connection to it was made, which is tried beside the requests at growing distances and kept for the next request. The upstreams of a data centre none of whose hosts is heard are treated the same. An attempt for which no time was left no longer counts against its upstream, nor one that a pause of the item ended.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -26,13 +26,16 @@
 	p.core.schedule()
 }
 
-// Failed notes that the upstream could not be reached or broke off.
+// Failed notes that the upstream broke off its answer, or gave a wrong one.
 func (p *Place) Failed() {
 	p.core.mu.Lock()
 	defer p.core.mu.Unlock()
 	p.core.board.Failed(p.Upstream.ID, time.Now())
 }
 
+// Unreached notes that no answer came from the upstream, or no connection.
+func (p *Place) Unreached() { p.core.noteUnreached(p.Upstream) }
+
 // Succeeded notes that the upstream answers.
 func (p *Place) Succeeded() {
 	p.core.mu.Lock()
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -60,6 +60,8 @@
 	batchWake chan struct{}
 	onPeer    func(PeerChange)
 	onEnded   func(jobs []string)
+	reacher   Reacher
+	probes    sync.WaitGroup
 }
 
 // Versions are the versions of what this host knows.
@@ -85,6 +87,7 @@
 		onUrgent:  func() {},
 		onPeer:    func(PeerChange) {},
 		onEnded:   func([]string) {},
+		reacher:   trusting{},
 		batchWake: make(chan struct{}, 1),
 	}
 }
@@ -102,6 +105,10 @@
 // OnEnded sets what is called with the jobs that peers know to be ended.
 func (c *Core) OnEnded(f func(jobs []string)) { c.onEnded = f }
 
+// SetReacher sets how connections to upstreams are tried. It must be called
+// before Run.
+func (c *Core) SetReacher(r Reacher) { c.reacher = r }
+
 // BatchWake tells that a batch item may find a slot.
 func (c *Core) BatchWake() <-chan struct{} { return c.batchWake }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -151,16 +151,19 @@
 	}
 }
 
-// Run looks after peers that fall silent until ctx ends.
+// Run looks after peers that fall silent, and upstreams that are out of reach,
+// until ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	tick := time.NewTicker(checkPeriod)
 	defer tick.Stop()
+	defer c.probes.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
+		c.probe(ctx, time.Now())
 		for _, change := range c.checkPeers(time.Now()) {
 			c.log.WithFields(logrus.Fields{"event": "peer_silent", "peer": change.Host}).Warn("a peer is silent")
 			c.onPeer(change)
@@ -210,7 +213,7 @@
 		return
 	}
 	c.log.WithFields(logrus.Fields{"event": "unheard_data_centres", "now": slices.Sorted(maps.Keys(unheard)), "before": slices.Sorted(maps.Keys(c.unheard))}).
-		Warn("upstreams of data centres whose hosts are all silent are used last")
+		Warn("no host of some data centres is heard; their upstreams get no work before connections to them were made")
 	c.unheard = unheard
 	c.board.SetUnheard(unheard)
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -280,8 +280,8 @@
 func (h *Handler) sendFailed(ctx context.Context, r *request, place *Place, err error) (bool, error) {
 	var send *SendError
 	notRun := errors.As(err, &send) && send.NotRun
-	if ctx.Err() == nil {
-		place.Failed()
+	if ctx.Err() == nil && !errors.Is(err, ErrNoTime) {
+		place.Unreached()
 	}
 	h.metrics.Attempts.WithLabelValues("failed").Inc()
 	h.log.WithFields(logrus.Fields{"event": "attempt_failed", "id": r.ID, "upstream": r.upstream, "not_run": notRun, "error": err}).Info("an attempt failed")
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/masticscale/masticscale/internal/fleet"
 )
 
@@ -48,6 +50,9 @@
 	Do(ctx context.Context, call Call) (*Answer, error)
 }
 
+// ErrNoTime means that a caller's time was over before the attempt.
+var ErrNoTime = errors.New("no time is left for the request")
+
 // SendError is an attempt without an answer.
 type SendError struct {
 	NotRun bool // nothing was sent, so the request can't have run
--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -55,6 +55,7 @@
 	Relay    *storeRelay
 	Pool     *connpool.Pool
 	Online   *entry.Handler
+	Reacher  entry.Reacher
 }
 
 // Host is one host before a fleet of upstreams.
@@ -120,6 +121,7 @@
 	h.Core.OnUrgent(peers.Urgent)
 	h.Core.OnPeer(h.Runner.PeerChanged)
 	h.Core.OnEnded(h.Runner.StopEnded)
+	h.Core.SetReacher(h.Reacher)
 	servers, failed, err := h.listen(peers)
 	if err != nil {
 		return err
--- a/internal/fleethost/wire.go
+++ b/internal/fleethost/wire.go
@@ -17,6 +17,7 @@
 		wire.Struct(new(parts), "*"),
 		wire.Bind(new(logrus.FieldLogger), new(*logrus.Logger)),
 		wire.Bind(new(entry.Upstreams), new(*platform.Upstreams)),
+		wire.Bind(new(entry.Reacher), new(*platform.Upstreams)),
 		telemetry.NewMetrics, connpool.New, platform.NewUpstreams,
 		newIdentity, entry.NewCore, entry.NewHandler,
 		newTransport, newStoreRelay, newRunner, newSource,
--- a/internal/fleethost/wire_gen.go
+++ b/internal/fleethost/wire_gen.go
@@ -38,6 +38,7 @@
 		Relay:    fleethostStoreRelay,
 		Pool:     pool,
 		Online:   handler,
+		Reacher:  upstreams,
 	}
 	return fleethostParts
 }
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -140,7 +140,7 @@
 		Header: header, Body: i.Body, Left: r.timeFor(i), ResumeAfter: p.lastID, Silence: itemSilence,
 	})
 	if err != nil {
-		return sendEnd(place, err), err
+		return sendEnd(ctx, place, err), err
 	}
 	defer func() { _ = answer.Body.Close() }()
 	place.Loaded(answer.Load)
@@ -160,10 +160,13 @@
 	return collect(answer.Body, p)
 }
 
-func sendEnd(place *entry.Place, err error) runEnd {
+// sendEnd says how a run ended to which no answer began.
+func sendEnd(ctx context.Context, place *entry.Place, err error) runEnd {
+	if ctx.Err() == nil {
+		place.Unreached()
+	}
 	var send *entry.SendError
 	if errors.As(err, &send) && send.NotRun {
-		place.Failed()
 		return runNotRun
 	}
 	return runBrokeOff
--- a/internal/slots/board.go
+++ b/internal/slots/board.go
@@ -40,6 +40,7 @@
 	total     Counts    // own and peers'
 	downUntil time.Time // no requests before
 	failures  int       // in a row
+	unreached bool      // no requests before a connection was made
 	fullUntil time.Time // the upstream itself turned a request away
 	hidden    int       // requests that the upstream has beyond those that are known
 	hiddenTil time.Time
@@ -52,7 +53,7 @@
 	home       map[string]bool // upstreams of this host's cell; nil makes all of them home
 	runs       map[*Run]bool
 	told       map[string]map[string]Counts // by peer: what it said last
-	doubts     doubts
+	unheard    map[string]bool              // data centres
 	random     *rand.Rand
 }
 
@@ -63,7 +64,6 @@
 		upstreams:  map[string]*upstream{},
 		runs:       map[*Run]bool{},
 		told:       map[string]map[string]Counts{},
-		doubts:     doubts{reached: map[string]bool{}, probes: map[string]*Run{}},
 		random:     rand.New(rand.NewPCG(seed, 0)),
 	}
 }
@@ -81,6 +81,7 @@
 		}
 		if known.Started != u.Started || known.Address != u.Address {
 			known.downUntil, known.fullUntil, known.failures = time.Time{}, time.Time{}, 0
+			known.unreached = false
 		}
 		known.Upstream = u
 	}
@@ -105,6 +106,7 @@
 			b.setPeer(host, u.ID, c)
 		}
 	}
+	b.upstreams[u.ID].unreached = b.unheard[u.DataCentre]
 }
 
 // SetHome sets the upstreams that this host's cell uses first. What runs at the
@@ -167,7 +169,6 @@
 func (b *Board) Start(r *Run) {
 	b.runs[r] = true
 	b.countOwn(r, 1)
-	b.noteProbe(r)
 }
 
 // Finish counts the end of a run. It may be called again.
@@ -177,7 +178,6 @@
 	}
 	b.countOwn(r, -1)
 	delete(b.runs, r)
-	b.endProbe(r)
 }
 
 // countOwn adds a run to the counts of its upstream, or takes it out.
@@ -195,11 +195,10 @@
 	u.total.Online = max(u.total.Online+change, 0)
 }
 
-// Failed notes that an upstream could not be reached or broke off.
+// Failed notes that an upstream broke off an answer, or gave a wrong one.
 func (b *Board) Failed(id string, now time.Time) {
 	if u, ok := b.upstreams[id]; ok {
 		u.fail(now)
-		b.failedInDoubt(u, now)
 	}
 }
 
@@ -213,9 +212,7 @@
 	if u, ok := b.upstreams[id]; ok {
 		u.failures = 0
 		u.downUntil = time.Time{}
-		if b.doubts.unheard[u.DataCentre] {
-			b.doubts.reached[u.DataCentre] = true
-		}
+		u.unreached = false
 	}
 }
 
@@ -248,7 +245,7 @@
 
 // usable reports whether new work may go to the upstream.
 func (u *upstream) usable(service string, now time.Time) bool {
-	return u.Service == service && !u.Leaving && !now.Before(u.downUntil) && !now.Before(u.fullUntil)
+	return u.Service == service && !u.Leaving && !u.unreached && !now.Before(u.downUntil) && !now.Before(u.fullUntil)
 }
 
 // free returns the slots that nothing runs in.
@@ -275,7 +272,7 @@
 func (b *Board) Tally(service string, now time.Time) Tally {
 	var t Tally
 	for id, u := range b.upstreams {
-		if !u.usable(service, now) || !b.isHome(id) || b.doubtful(u) {
+		if !u.usable(service, now) || !b.isHome(id) {
 			continue
 		}
 		t.Upstreams++
@@ -306,7 +303,7 @@
 	var best *upstream
 	var bestScore float64
 	for id, u := range b.upstreams {
-		if without[id] || !u.usable(service, now) || b.closed(u) || u.total.Online+u.hiddenAt(now) >= u.Slots {
+		if without[id] || !u.usable(service, now) || u.total.Online+u.hiddenAt(now) >= u.Slots {
 			continue
 		}
 		if score := b.scoreOnline(u, now); best == nil || score > bestScore {
@@ -327,7 +324,7 @@
 	scoreItem    = 500  // a batch item of another host of the cell can be paused
 	scoreSlot    = 1    // for each free slot: an emptier engine is faster
 	scoreLocal   = 0.9  // the same data centre: fewer bytes between data centres
-	scoreJitter  = 1.0  // keeps hosts from picking the same upstream at once; all that a doubtful upstream gets
+	scoreJitter  = 1.0  // keeps hosts from picking the same upstream at once
 )
 
 // spillFree is how many slots an upstream of another cell shows free before work
@@ -336,9 +333,6 @@
 
 func (b *Board) scoreOnline(u *upstream, now time.Time) float64 {
 	score := b.random.Float64() * scoreJitter
-	if b.doubtful(u) {
-		return score
-	}
 	free := u.free(now)
 	switch home := b.isHome(u.ID); {
 	case home && free > 0:
@@ -367,12 +361,12 @@
 		reserve = 0
 	}
 	if t.Free <= reserve {
-		return b.placeProbe(service, now)
+		return "", false
 	}
 	var best *upstream
 	var bestScore float64
 	for _, u := range b.upstreams {
-		if !u.usable(service, now) || u.free(now) <= 0 || !b.isHome(u.ID) || b.doubtful(u) {
+		if !u.usable(service, now) || u.free(now) <= 0 || !b.isHome(u.ID) {
 			continue
 		}
 		score := float64(u.free(now))*scoreSlot + b.random.Float64()*scoreJitter
--- a/internal/upstream/connpool/connpool.go
+++ b/internal/upstream/connpool/connpool.go
@@ -79,6 +79,16 @@
 	return &Conn{Conn: conn, Reader: bufio.NewReader(conn), address: address}, nil
 }
 
+// Reach makes a new connection and keeps it for a request.
+func (p *Pool) Reach(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.keep(c, idleDefault)
+	return nil
+}
+
 // take removes the connection that was used last.
 func (p *Pool) take(address string) *Conn {
 	p.mu.Lock()
@@ -99,7 +109,12 @@
 		_ = c.Close() // the upstream closes it, or sent more than its answer
 		return
 	}
-	c.idleUntil = time.Now().Add(keep)
+	p.keep(c, keep)
+}
+
+// keep makes a connection available for the time.
+func (p *Pool) keep(c *Conn, idle time.Duration) {
+	c.idleUntil = time.Now().Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= idlePerTarget {
