Suspect upstreams that answer health checks and fail requests

Cause: an upstream that fails a part of its requests (errors, resets, silence) while its health check passes counted as good again with each answer that was whole.

Ruled out: what one host sees alone (0.7 requests a second at one upstream: ten seconds to three failures); three failures as a pattern (once in a minute three of eleven failed by chance where one run in fifty fails).

Change: hosts tell each other how runs have ended in five seconds at upstreams that failed some. Four failures that are a quarter of all, as all hosts or those of one data centre see it, make an upstream the last choice for 6 s, longer after a relapse; at most a third of a service at a time, as more has another cause. Batch items stay away from it, requests take it when nothing else is free. Its return is the trial.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -33,6 +33,17 @@
 	p.core.board.Failed(p.Upstream.ID, time.Now())
 }
 
+// RunEnded notes whether a run at the upstream failed there.
+func (p *Place) RunEnded(failed bool) {
+	p.core.mu.Lock()
+	defer p.core.mu.Unlock()
+	now := time.Now()
+	if p.core.board.RunEnded(p.Upstream.ID, failed, now) {
+		p.core.logSuspect(p.Upstream.ID, now)
+	}
+	p.core.tellOutcomes(now)
+}
+
 // Unreached notes that no answer came from the upstream, or no connection.
 func (p *Place) Unreached() { p.core.noteUnreached(p.Upstream) }
 
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -45,7 +45,8 @@
 	upstreams []fleet.Upstream
 	jobs      []string // that this host runs or has run
 	waiting   map[mesh.Backlog]int64
-	ended     []string // jobs
+	ended     []string                  // jobs
+	outcomes  map[string]slots.Outcomes // as peers are told
 	versions  Versions
 	state     mesh.State // for peers, as it was built last
 	stale     bool       // something has changed since
@@ -205,7 +206,7 @@
 	}
 	return mesh.State{
 		Host: c.self.Name, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
-		Address: c.self.PeerAddress, Leaving: c.leaving, Running: c.board.Own(), Admitted: admitted,
+		Address: c.self.PeerAddress, Leaving: c.leaving, Running: c.board.Own(), Outcomes: c.outcomes, Admitted: admitted,
 		Waiting: c.waiting, EndedJobs: c.ended, Jobs: c.jobs, Watching: c.watching, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams,
 		StoreReachable: c.storeUp,
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -131,12 +131,16 @@
 		c.ledger.Forget(p.state.Incarnation)
 	}
 	moved := news || !maps.Equal(p.state.Running, s.Running)
+	judged := !maps.Equal(p.state.Outcomes, s.Outcomes)
 	p.state, p.heard, p.silent = s, time.Now(), false
 	if news {
 		c.formCell()
 		c.noteUnheard()
 	}
 	c.ledger.Absorb(s.Incarnation, s.Admitted)
+	if judged {
+		c.judge(s, time.Now())
+	}
 	if moved {
 		c.board.SetPeer(s.Host, s.Running)
 		c.schedule()
@@ -184,6 +188,8 @@
 		}
 		if !p.silent && age > limit {
 			p.silent = true
+			p.state.Outcomes = nil
+			c.board.SetPeerOutcomes(name, false, nil, now)
 			c.ledger.Forget(p.state.Incarnation)
 			changes = append(changes, PeerChange{Host: name, Address: p.state.Address, Incarnation: p.state.Incarnation, Silent: true})
 		}
@@ -194,6 +200,7 @@
 	if len(changes) > 0 {
 		c.noteUnheard()
 	}
+	c.tellOutcomes(now)
 	c.schedule() // upstreams that were down may be tried again
 	return changes
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -242,17 +242,26 @@
 	}
 	r.runs++
 	place.Succeeded()
-	if answer.Status >= http.StatusInternalServerError && r.mayRepeat() {
+	failed := answer.Status >= http.StatusInternalServerError
+	if failed {
+		place.RunEnded(true)
+	}
+	if failed && r.mayRepeat() {
 		return true, h.passOnLater(r, answer)
 	}
 	if promisesNotRun(answer.Status) {
 		return false, apierr.Newf(apierr.UpstreamError, "send the request again only if it may run twice",
 			"upstream %s answered with status %d, though it may have run the request", r.upstream, answer.Status).MayHaveRun()
 	}
+	relay := h.relayWhole
 	if answer.Events && answer.Status == http.StatusOK {
-		return h.relayEvents(ctx, r, place, answer, w)
+		relay = h.relayEvents
+	}
+	again, err := relay(ctx, r, place, answer, w)
+	if err == nil && !failed {
+		place.RunEnded(false)
 	}
-	return h.relayWhole(ctx, r, place, answer, w)
+	return again, err
 }
 
 // promisesNotRun reports whether callers take the status as a promise that the
@@ -290,6 +299,9 @@
 			WithRetryAfter(h.core.retryAfter(time.Until(r.deadline))).WithCause(err)
 	}
 	r.runs++
+	if ctx.Err() == nil {
+		place.RunEnded(true)
+	}
 	return r.route.Repeatable(), apierr.New(apierr.Unknown, "the upstream did not answer, and the request may have run", "send it again only if it may run twice").
 		MayHaveRun().WithCause(err)
 }
@@ -360,6 +372,7 @@
 func (h *Handler) streamBroke(ctx context.Context, r *request, place *Place, err error) (bool, error) {
 	if ctx.Err() == nil {
 		place.Failed()
+		place.RunEnded(true)
 	}
 	h.metrics.Attempts.WithLabelValues("broken_off").Inc()
 	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "upstream": r.upstream, "after_event": r.lastID, "error": err}).Info("a stream broke off at its upstream")
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -39,6 +39,12 @@
 	return [...]string{"done", "failed", "hopeless", "turned_away", "broke_off", "paused", "malformed"}[e]
 }
 
+// failed reports whether the upstream failed the run.
+func (e runEnd) failed() bool { return e == runFailed || e == runBrokeOff || e == runMalformed }
+
+// judges reports whether the end tells something of the upstream.
+func (e runEnd) judges() bool { return e.failed() || e == runDone || e == runHopeless }
+
 // progress is what a run adds to an item.
 type progress struct {
 	output []byte
@@ -60,6 +66,9 @@
 	if end == runBrokeOff || end == runMalformed {
 		place.Failed()
 	}
+	if end.judges() {
+		place.RunEnded(end.failed())
+	}
 	place.End()
 	took := time.Since(started)
 	r.mu.Lock()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -117,6 +117,7 @@
 	c.Assert(b.hears("a", func(s mesh.State) bool { return s.Incarnation == "a/1" }), qt.IsTrue)
 	a.mu.Lock()
 	a.state.Running = map[string]slots.Counts{"u": {Online: 2, Batch: 3}}
+	a.state.Outcomes = map[string]slots.Outcomes{"u": {Failed: 2, Ended: 5}}
 	a.state.Admitted = map[string]int64{"team": 7}
 	a.state.Waiting = map[mesh.Backlog]int64{{Route: "r", Team: "t"}: 11}
 	a.state.EndedJobs = []string{"j"}
@@ -124,6 +125,7 @@
 	a.mesh.Changed()
 	c.Assert(b.hears("a", func(s mesh.State) bool { return s.Running["u"] == slots.Counts{Online: 2, Batch: 3} }), qt.IsTrue)
 	heard := b.heard["a"]
+	c.Assert(heard.Outcomes["u"], qt.Equals, slots.Outcomes{Failed: 2, Ended: 5})
 	c.Assert(heard.Admitted["team"], qt.Equals, int64(7))
 	c.Assert(heard.Waiting[mesh.Backlog{Route: "r", Team: "t"}], qt.Equals, int64(11))
 	c.Assert(heard.EndedJobs, qt.DeepEquals, []string{"j"})
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -24,12 +24,13 @@
 	DataCentre       string
 	Address          string // of its peer services
 	Leaving          bool
-	Running          map[string]slots.Counts // by upstream
-	Admitted         map[string]int64        // requests of each team since the host's start; those unchanged may be left out
-	Waiting          map[Backlog]int64       // tokens
-	EndedJobs        []string                // that were ended a short time ago
-	Jobs             []string                // that the host answers for
-	Watching         bool                    // the host follows the store's changes
+	Running          map[string]slots.Counts   // by upstream
+	Outcomes         map[string]slots.Outcomes // by upstream
+	Admitted         map[string]int64          // requests of each team since the host's start; those unchanged may be left out
+	Waiting          map[Backlog]int64         // tokens
+	EndedJobs        []string                  // that were ended a short time ago
+	Jobs             []string                  // that the host answers for
+	Watching         bool                      // the host follows the store's changes
 	ConfigVersion    int64
 	UpstreamsVersion int64
 	StoreReachable   bool
@@ -53,6 +54,9 @@
 	for id, c := range s.Running {
 		m.Running = append(m.Running, &peerv1.Running{Upstream: id, Online: int32(c.Online), Batch: int32(c.Batch)})
 	}
+	for id, o := range s.Outcomes {
+		m.Outcomes = append(m.Outcomes, &peerv1.Outcomes{Upstream: id, Failed: int32(o.Failed), Ended: int32(o.Ended)})
+	}
 	for key, tokens := range s.Waiting {
 		m.Waiting = append(m.Waiting, &peerv1.WaitingTokens{Route: key.Route, Team: key.Team, Tokens: tokens})
 	}
@@ -70,6 +74,12 @@
 	for _, r := range m.Running {
 		s.Running[r.Upstream] = slots.Counts{Online: int(r.Online), Batch: int(r.Batch)}
 	}
+	for _, o := range m.Outcomes {
+		if s.Outcomes == nil {
+			s.Outcomes = map[string]slots.Outcomes{}
+		}
+		s.Outcomes[o.Upstream] = slots.Outcomes{Failed: int(o.Failed), Ended: int(o.Ended)}
+	}
 	for _, w := range m.Waiting {
 		s.Waiting[Backlog{Route: w.Route, Team: w.Team}] = w.Tokens
 	}
--- a/internal/slots/board.go
+++ b/internal/slots/board.go
@@ -41,6 +41,7 @@
 	downUntil time.Time // no requests before
 	failures  int       // in a row
 	unreached bool      // no requests before a connection was made
+	trust     trust
 	fullUntil time.Time // the upstream itself turned a request away
 	hidden    int       // requests that the upstream has beyond those that are known
 	hiddenTil time.Time
@@ -81,7 +82,7 @@
 		}
 		if known.Started != u.Started || known.Address != u.Address {
 			known.downUntil, known.fullUntil, known.failures = time.Time{}, time.Time{}, 0
-			known.unreached = false
+			known.unreached, known.trust = false, trust{}
 		}
 		known.Upstream = u
 	}
@@ -272,7 +273,7 @@
 func (b *Board) Tally(service string, now time.Time) Tally {
 	var t Tally
 	for id, u := range b.upstreams {
-		if !u.usable(service, now) || !b.isHome(id) {
+		if !u.usable(service, now) || !b.isHome(id) || u.trust.suspect(now) {
 			continue
 		}
 		t.Upstreams++
@@ -333,6 +334,9 @@
 
 func (b *Board) scoreOnline(u *upstream, now time.Time) float64 {
 	score := b.random.Float64() * scoreJitter
+	if u.trust.suspect(now) {
+		return score // below all others
+	}
 	free := u.free(now)
 	switch home := b.isHome(u.ID); {
 	case home && free > 0:
@@ -366,7 +370,7 @@
 	var best *upstream
 	var bestScore float64
 	for _, u := range b.upstreams {
-		if !u.usable(service, now) || u.free(now) <= 0 || !b.isHome(u.ID) {
+		if !u.usable(service, now) || u.free(now) <= 0 || !b.isHome(u.ID) || u.trust.suspect(now) {
 			continue
 		}
 		score := float64(u.free(now))*scoreSlot + b.random.Float64()*scoreJitter
