--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -116,7 +116,7 @@
 			err = ErrBrokenOff // no error of this host may follow a part of an answer
 		}
 	}
-	h.record(in, r, err)
+	h.record(ctx, in, r, err)
 	return err
 }
 
@@ -406,7 +406,7 @@
 }
 
 // record writes the request's line and counts its outcome.
-func (h *Handler) record(in Request, r *request, err error) {
+func (h *Handler) record(ctx context.Context, in Request, r *request, err error) {
 	outcome := outcomeOf(r, err)
 	fields := logrus.Fields{"event": "request_ended", "id": in.ID, "outcome": outcome}
 	class := "none"
@@ -426,6 +426,9 @@
 	if err != nil {
 		fields["error"] = err
 	}
+	if id := telemetry.TraceID(ctx); id != "" {
+		fields["trace"] = id
+	}
 	h.log.WithFields(fields).Info("request ended")
 }
 
--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -37,6 +37,7 @@
 	quickWait      = 1500 * time.Millisecond // of a host that finds out for all whether watches are deaf
 	quickAnswer    = 700 * time.Millisecond
 	logFlushTime   = 200 * time.Millisecond
+	traceFlushTime = 200 * time.Millisecond
 	settingsPeriod = time.Second             // between looks at the settings file
 	balancerTime   = 2500 * time.Millisecond // in which the balancer has noticed that the host isn't ready
 	stopMargin     = 1200 * time.Millisecond // before the kill, for closing what is left
@@ -108,6 +109,11 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (h *Host) Run(ctx context.Context) error {
+	flush, err := telemetry.StartTraces(ctx, h.Settings.Traces, h.Settings.Name)
+	if err != nil {
+		return err
+	}
+	defer h.flushTraces(flush)
 	duties, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopDuties()
 	jobCtx, stopJobs := context.WithCancel(duties)
@@ -230,6 +236,15 @@
 	}
 }
 
+// flushTraces sends the last spans.
+func (h *Host) flushTraces(flush func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), traceFlushTime)
+	defer cancel()
+	if err := flush(ctx); err != nil {
+		h.Log.WithFields(logrus.Fields{"event": "traces_not_sent", "error": err}).Warn("the last spans could not be sent")
+	}
+}
+
 // tidyPool closes connections that are no longer of use.
 func (h *Host) tidyPool(ctx context.Context) {
 	tick := time.NewTicker(poolPeriod)
--- a/internal/fleethost/settings.go
+++ b/internal/fleethost/settings.go
@@ -23,6 +23,7 @@
 	Cores      int      `json:"cores"`
 	StopSecond float64  `json:"stop_seconds"` // from the order to stop to the kill
 	KeepSecond float64  `json:"keep_seconds"` // of a job and its results, from its submission
+	Traces     string   `json:"traces"`       // none, stdout or an OTLP URL
 	LogLevel   string   `json:"log_level"`
 	LogLines   int      `json:"log_lines_per_second"` // of one event; more are counted and left out
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -15,6 +15,7 @@
 	peerv1 "github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1/peerv1connect"
 	"github.com/masticscale/masticscale/internal/peer/link"
+	"github.com/masticscale/masticscale/internal/telemetry"
 )
 
 const (
@@ -160,7 +161,7 @@
 }
 
 func (m *Mesh) client(address string) peerv1connect.FleetServiceClient {
-	return peerv1connect.NewFleetServiceClient(m.far, "http://"+address)
+	return peerv1connect.NewFleetServiceClient(m.far, "http://"+address, telemetry.CallTraces())
 }
 
 // run keeps a stream of states open and opens another when it ends.
@@ -219,7 +220,7 @@
 // Handler returns the HTTP surface for peers.
 func (m *Mesh) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewFleetServiceHandler(&server{mesh: m}))
+	mux.Handle(peerv1connect.NewFleetServiceHandler(&server{mesh: m}, telemetry.CallTraces()))
 	return mux
 }
 
