Go through a peer when the store is silent to a host

Ruled out: the same write sent twice at once (a refused first try then could be the writer's own second one, which settling does not tell apart).

Change: a direct call has 400 ms; after one without an answer calls go through a peer, a write once a read has shown that it had no effect. Direct tries meanwhile are reads of 100 ms, or made beside a write. Hosts tell peers whether the store served their last call; a peer's call has 500 ms.

Tests: TestSilentStoreIsReachedThroughAPeer (first write failed before), TestHostThatTheStoreTurnsAwayMakesNoCallsForPeers.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -50,7 +50,8 @@
 	versions  Versions
 	state     mesh.State // for peers, as it was built last
 	stale     bool       // something has changed since
-	storeUp   bool
+	storeUp   bool       // as the watches tell
+	storeDeaf bool       // the store did not serve this host's last call
 	watching  bool
 	sentinel  bool
 	leaving   bool
@@ -160,6 +161,19 @@
 	c.stale = true
 }
 
+// SetStoreServes notes whether the platform's store served this host's last call.
+// A host that doesn't watch the store learns only from its calls.
+func (c *Core) SetStoreServes(served bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.storeDeaf != served {
+		return
+	}
+	c.storeDeaf = !served
+	c.urgent()
+	c.log.WithFields(logrus.Fields{"event": "store_calls", "served": served}).Info("the platform's store began or ceased to serve this host's calls")
+}
+
 // SetLeaving tells peers that this host stops.
 func (c *Core) SetLeaving() {
 	c.mu.Lock()
@@ -208,7 +222,7 @@
 		Host: c.self.Name, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
 		Address: c.self.PeerAddress, Leaving: c.leaving, Running: c.board.Own(), Outcomes: c.outcomes, Admitted: admitted,
 		Waiting: c.waiting, EndedJobs: c.ended, Jobs: c.jobs, Watching: c.watching, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams,
-		StoreReachable: c.storeUp,
+		StoreReachable: c.storeUp && (c.watching || !c.storeDeaf),
 	}
 }
 
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -317,3 +317,16 @@
 	c.Assert(core.SetConfig(&fleet.Config{Version: 2}), qt.IsFalse)
 	c.Assert(core.Config().Version, qt.Equals, int64(3))
 }
+
+// TestHostThatTheStoreTurnsAwayMakesNoCallsForPeers: peers take a host's word for
+// whether it reaches the store, also when the host doesn't watch it.
+func TestHostThatTheStoreTurnsAwayMakesNoCallsForPeers(t *testing.T) {
+	c := qt.New(t)
+	core := newCore(1)
+	core.SetStoreReachable(true)
+	c.Assert(core.State().StoreReachable, qt.IsTrue)
+	core.SetStoreServes(false)
+	c.Assert(core.State().StoreReachable, qt.IsFalse)
+	core.SetStoreServes(true)
+	c.Assert(core.State().StoreReachable, qt.IsTrue)
+}
--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -119,7 +119,7 @@
 	jobCtx, stopJobs := context.WithCancel(duties)
 	defer stopJobs()
 	peers := mesh.New(duties, h.Settings.Listen.PeersAt, h.Core, h.Runner, h.Source, h.Log)
-	peers.SetStore(h.Direct)
+	peers.SetStore(h.Direct, h.Core.SetStoreServes)
 	h.Relay.peers = peers
 	h.Runner.SetPeers(peers)
 	h.Source.SetPeers(peers)
--- a/internal/fleethost/providers.go
+++ b/internal/fleethost/providers.go
@@ -53,7 +53,7 @@
 // newRunner returns a runner whose calls to the store go through a peer while
 // the store turns this host away.
 func newRunner(s Settings, self entry.Identity, core *entry.Core, direct *platform.Store, relay *storeRelay, u entry.Upstreams, m *telemetry.Metrics, log logrus.FieldLogger) *jobs.Runner {
-	store := newStore(s, objstore.NewRelayedTransport(direct, relay.call), m)
+	store := newStore(s, objstore.NewRelayedTransport(direct, relay.call, core.SetStoreServes), m)
 	r := jobs.NewRunner(self, core, store, u, m, log)
 	r.SetKeep(time.Duration(s.KeepSecond * float64(time.Second)))
 	return r
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -59,6 +59,7 @@
 	jobs    Jobs
 	share   Knowledge
 	store   objstore.Transport
+	served  func(bool) // told of calls for peers
 	near    *http.Client
 	far     *http.Client // for states to other cells, and for calls
 	log     logrus.FieldLogger
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -182,10 +182,10 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	a, b := newNode(t, "a", "127.0.0.1:0"), newNode(t, "b", "127.0.0.1:0")
-	b.mesh.SetStore(platform.NewStore(web.URL, platform.StoreDial(), log))
+	b.mesh.SetStore(platform.NewStore(web.URL, platform.StoreDial(), log), func(bool) {})
 	store := objstore.NewClient(objstore.NewRelayedTransport(refusing{}, func(ctx context.Context, call objstore.Call) (objstore.Page, error) {
 		return a.mesh.StoreCall(ctx, b.state.Address, call)
-	}), "a")
+	}, func(bool) {}), "a")
 	ctx := context.Background()
 	_, err := store.Get(ctx, "kind", "x")
 	c.Assert(errors.Is(err, objstore.ErrNotFound), qt.IsTrue)
--- a/internal/mesh/relay.go
+++ b/internal/mesh/relay.go
@@ -12,7 +12,7 @@
 )
 
 // relayTimeout bounds a call to the store that a peer makes.
-const relayTimeout = 1500 * time.Millisecond
+const relayTimeout = 500 * time.Millisecond
 
 // The ends of a relayed call, as they travel between hosts.
 var relayErrors = map[peerv1.StoreEnd]error{
@@ -37,8 +37,9 @@
 	return peerv1.StoreEnd_STORE_END_NO_ANSWER
 }
 
-// SetStore sets the transport over which calls are made for peers.
-func (m *Mesh) SetStore(t objstore.Transport) { m.store = t }
+// SetStore sets the transport over which calls are made for peers, and what is
+// told of each whether the store served it.
+func (m *Mesh) SetStore(t objstore.Transport, served func(bool)) { m.store, m.served = t, served }
 
 // StoreCall implements peerv1connect.FleetServiceHandler.
 func (s *server) StoreCall(ctx context.Context, r *connect.Request[peerv1.StoreCallRequest]) (*connect.Response[peerv1.StoreCallResponse], error) {
@@ -49,6 +50,7 @@
 		Version: r.Msg.Version, After: r.Msg.After, Value: r.Msg.Value,
 	}
 	page, err := call.Do(ctx, s.mesh.store)
+	s.mesh.served(objstore.Served(err))
 	answer := &peerv1.StoreCallResponse{End: endOf(err), Version: page.Version, More: page.More}
 	if err == nil {
 		for _, o := range page.Items {
--- a/internal/objstore/relay.go
+++ b/internal/objstore/relay.go
@@ -60,42 +60,97 @@
 // make it, and ErrNoAnswer where the peer's answer was lost.
 type Relay func(ctx context.Context, c Call) (Page, error)
 
+// changes reports whether the call changes an object.
+func (c Call) changes() bool {
+	return c.Operation == OpCreate || c.Operation == OpReplace || c.Operation == OpDelete
+}
+
 // RelayedTransport makes calls directly, and through a peer while the store
-// turns this host away and serves others.
+// turns this host away, or is silent to it, and serves others.
 type RelayedTransport struct {
 	Transport
 	relay  Relay
+	served func(bool)   // told of each direct call whether the store served it
 	failed atomic.Int64 // calls in a row that the store did not answer
 	last   atomic.Int64 // Unix nanoseconds of the last direct try
 }
 
 const (
-	relayAfter  = 2                      // failures in a row
+	relayAfter  = 2                      // refusals in a row
+	directTime  = 400 * time.Millisecond // of a direct call: twice what a store takes that is fifty times slower than usual
 	directAgain = 500 * time.Millisecond // between direct tries while calls are relayed
+	probeTime   = 100 * time.Millisecond // of these tries
 )
 
-// NewRelayedTransport returns a transport over the direct one and a relay.
-func NewRelayedTransport(direct Transport, relay Relay) *RelayedTransport {
-	return &RelayedTransport{Transport: direct, relay: relay}
+// NewRelayedTransport returns a transport over the direct one and a relay. It
+// tells served of each direct call whether the store served it.
+func NewRelayedTransport(direct Transport, relay Relay, served func(bool)) *RelayedTransport {
+	return &RelayedTransport{Transport: direct, relay: relay, served: served}
 }
 
+// Served reports whether a call ended with an answer of the store.
+func Served(err error) bool { return !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrNoAnswer) }
+
 // do makes the call directly or through a peer.
 func (t *RelayedTransport) do(ctx context.Context, c Call) (Page, error) {
-	if t.failed.Load() < relayAfter || time.Since(time.Unix(0, t.last.Load())) > directAgain {
-		t.last.Store(time.Now().UnixNano())
-		page, err := c.Do(ctx, t.Transport)
-		if !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrNoAnswer) {
-			t.failed.Store(0)
-			return page, err
-		}
+	if t.failed.Load() < relayAfter {
+		return t.direct(ctx, c, directTime)
+	}
+	if !t.due() {
+		return t.relay(ctx, c)
+	}
+	if !c.changes() {
+		return t.direct(ctx, c, probeTime)
+	}
+	page, err := t.relay(ctx, c)
+	if errors.Is(err, ErrUnavailable) { // nothing was done, and no peer can help
+		return t.direct(ctx, c, directTime)
+	}
+	go t.probe(c)
+	return page, err
+}
+
+// due reports whether a direct call is to be tried while calls are relayed.
+func (t *RelayedTransport) due() bool {
+	return time.Since(time.Unix(0, t.last.Load())) > directAgain
+}
+
+// direct makes the call directly. One that can't have changed anything is made
+// through a peer when the store doesn't serve it; one that may have is left to
+// its writer, who reads back.
+func (t *RelayedTransport) direct(ctx context.Context, c Call, limit time.Duration) (Page, error) {
+	t.last.Store(time.Now().UnixNano())
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	page, err := c.Do(limited, t.Transport)
+	t.served(Served(err))
+	switch {
+	case errors.Is(err, ErrNoAnswer):
+		t.failed.Store(relayAfter) // each further try would cost as much time
+	case errors.Is(err, ErrUnavailable):
 		t.failed.Add(1)
-		if errors.Is(err, ErrNoAnswer) {
-			return page, err // it may take effect; the caller reads back
-		}
+	default:
+		t.failed.Store(0)
+		return page, err
+	}
+	if errors.Is(err, ErrNoAnswer) && c.changes() {
+		return page, err
 	}
 	return t.relay(ctx, c)
 }
 
+// probe finds out whether the store serves this host again.
+func (t *RelayedTransport) probe(c Call) {
+	t.last.Store(time.Now().UnixNano())
+	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
+	defer cancel()
+	_, err := t.Transport.GetStale(ctx, c.Kind, c.Name)
+	t.served(Served(err))
+	if Served(err) {
+		t.failed.Store(0)
+	}
+}
+
 func (t *RelayedTransport) one(ctx context.Context, c Call) (Object, error) {
 	page, err := t.do(ctx, c)
 	if err != nil || len(page.Items) == 0 {
--- a/internal/objstore/relay_test.go
+++ b/internal/objstore/relay_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,7 +44,7 @@
 		transport := objstore.NewRelayedTransport(direct, func(context.Context, objstore.Call) (objstore.Page, error) {
 			relayed++
 			return objstore.Page{Items: []objstore.Object{{Name: "relayed"}}}, nil
-		})
+		}, func(bool) {})
 		o, err := transport.Get(ctx, testKind, "a")
 		c.Assert(err, qt.IsNil)
 		c.Assert(o.Name, qt.Equals, "direct")
@@ -69,7 +72,115 @@
 	transport := objstore.NewRelayedTransport(direct, func(context.Context, objstore.Call) (objstore.Page, error) {
 		c.Fatal("the write was sent through a peer too")
 		return objstore.Page{}, nil
-	})
+	}, func(bool) {})
 	_, err := transport.Create(context.Background(), testKind, "a", nil)
 	c.Assert(errors.Is(err, objstore.ErrNoAnswer), qt.IsTrue)
 }
+
+// objects is a store in memory.
+type objects struct {
+	objstore.Transport
+	mu      sync.Mutex
+	version int64
+	byName  map[string]objstore.Object
+	calls   int
+}
+
+func (m *objects) Get(_ context.Context, _ objstore.Kind, name string) (objstore.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if o, ok := m.byName[name]; ok {
+		return o, nil
+	}
+	return objstore.Object{}, objstore.ErrNotFound
+}
+
+func (m *objects) GetStale(ctx context.Context, kind objstore.Kind, name string) (objstore.Object, error) {
+	return m.Get(ctx, kind, name)
+}
+
+func (m *objects) Create(_ context.Context, kind objstore.Kind, name string, value json.RawMessage) (objstore.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if _, ok := m.byName[name]; ok {
+		return objstore.Object{}, objstore.ErrConflict
+	}
+	m.version++
+	o := objstore.Object{Kind: kind, Name: name, Version: m.version, Value: value}
+	m.byName[name] = o
+	return o, nil
+}
+
+// silenced is the way of one host to a store. While it is silent, calls end with
+// their time; writes take effect all the same where they are late.
+type silenced struct {
+	*objects
+	silent, late atomic.Bool
+}
+
+func (s *silenced) wait(ctx context.Context) error {
+	if !s.silent.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return objstore.ErrNoAnswer
+}
+
+func (s *silenced) Get(ctx context.Context, kind objstore.Kind, name string) (objstore.Object, error) {
+	if err := s.wait(ctx); err != nil {
+		return objstore.Object{}, err
+	}
+	return s.objects.Get(ctx, kind, name)
+}
+
+func (s *silenced) GetStale(ctx context.Context, kind objstore.Kind, name string) (objstore.Object, error) {
+	return s.Get(ctx, kind, name)
+}
+
+func (s *silenced) Create(ctx context.Context, kind objstore.Kind, name string, value json.RawMessage) (objstore.Object, error) {
+	if s.late.Load() {
+		_, _ = s.objects.Create(ctx, kind, name, value)
+	}
+	if err := s.wait(ctx); err != nil {
+		return objstore.Object{}, err
+	}
+	return s.objects.Create(ctx, kind, name, value)
+}
+
+// TestSilentStoreIsReachedThroughAPeer replays a store that is silent to one host
+// and serves the others. The first write failed after 1.5 s, and so did each that
+// met a direct try, twice a second.
+func TestSilentStoreIsReachedThroughAPeer(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			way := &silenced{objects: &objects{byName: map[string]objstore.Object{}}}
+			way.silent.Store(true)
+			way.late.Store(late)
+			relay := func(ctx context.Context, call objstore.Call) (objstore.Page, error) { return call.Do(ctx, way.objects) }
+			served := true
+			client := objstore.NewClient(objstore.NewRelayedTransport(way, relay, func(now bool) { served = now }), "h")
+			for n := range 20 {
+				started := time.Now()
+				_, err := client.Create(ctx, testKind, fmt.Sprint("job-", n), n)
+				c.Assert(err, qt.IsNil)
+				took := time.Since(started)
+				c.Assert(took < time.Second, qt.IsTrue, qt.Commentf("write %d took %v", n, took))
+				c.Assert(n == 0 || took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("write %d took %v", n, took))
+				_, err = client.Create(ctx, testKind, fmt.Sprint("job-", n), n)
+				c.Assert(errors.Is(err, objstore.ErrConflict), qt.IsTrue)
+				time.Sleep(300 * time.Millisecond)
+			}
+			c.Assert(served, qt.IsFalse)
+			way.silent.Store(false)
+			way.late.Store(false)
+			time.Sleep(time.Second)
+			_, err := client.Get(ctx, testKind, "job-0")
+			c.Assert(err, qt.IsNil)
+			c.Assert(served, qt.IsTrue)
+		})
+	}
+}
