Let few hosts use an upstream of another cell

Hosts whose cells are full send to upstreams of other cells that seem free, and hear of each other once in 0.5 to 2 s only.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -70,7 +70,7 @@
 		hosts[name] = p.state.DataCentre
 	}
 	c.cell = fleet.CellOf(c.self.Name, hosts, c.upstreams)
-	c.board.SetHome(c.cell.Upstreams)
+	c.board.SetHome(c.cell.Upstreams, c.cell.Others)
 }
 
 // farPeers returns the number of known hosts of other cells; the caller holds mu.
--- a/internal/fleet/cells_test.go
+++ b/internal/fleet/cells_test.go
@@ -43,3 +43,44 @@
 		c.Assert(covered, qt.HasLen, size)
 	}
 }
+
+// TestCellsShareWhatIsLeft replays a scale-in that takes most upstreams from two
+// of five data centres: every cell keeps as many upstreams that stay for its hosts
+// as the others.
+func TestCellsShareWhatIsLeft(t *testing.T) {
+	c := qt.New(t)
+	names := map[string]string{}
+	for i := range 66 {
+		names[fmt.Sprintf("h%03d", i)] = fmt.Sprint("dc", i%5)
+	}
+	var list []fleet.Upstream
+	for i := range 60 {
+		dc := i % 5
+		list = append(list, fleet.Upstream{
+			ID: fmt.Sprintf("u%03d", i), Service: fmt.Sprint("s", i%2), DataCentre: fmt.Sprint("dc", dc), Leaving: dc < 2 && i >= 15,
+		})
+	}
+	staying := 0
+	for _, u := range list {
+		if !u.Leaving {
+			staying++
+		}
+	}
+	mean := float64(staying) / float64(len(names))
+	users := map[string]map[string]bool{} // hosts by upstream
+	for self := range names {
+		cell := fleet.CellOf(self, names, list)
+		part := float64(len(cell.Upstreams)) / float64(len(cell.Hosts))
+		c.Assert(part >= mean*0.6, qt.IsTrue, qt.Commentf("%s: %d upstreams for %d hosts", self, len(cell.Upstreams), len(cell.Hosts)))
+		for id := range cell.Upstreams {
+			if users[id] == nil {
+				users[id] = map[string]bool{}
+			}
+			users[id][self] = true
+		}
+	}
+	c.Assert(users, qt.HasLen, staying)
+	for id, hosts := range users {
+		c.Assert(len(hosts) <= 8, qt.IsTrue, qt.Commentf("%s is used by %d hosts", id, len(hosts)))
+	}
+}
--- a/internal/slots/board.go
+++ b/internal/slots/board.go
@@ -52,6 +52,7 @@
 	dataCentre string
 	upstreams  map[string]*upstream
 	home       map[string]bool // upstreams of this host's cell; nil makes all of them home
+	others     map[string]bool // further ones that this host may use; nil makes it all
 	runs       map[*Run]bool
 	told       map[string]map[string]Counts // by peer: what it said last
 	unheard    map[string]bool              // data centres
@@ -110,9 +111,13 @@
 	b.upstreams[u.ID].unreached = b.unheard[u.DataCentre]
 }
 
-// SetHome sets the upstreams that this host's cell uses first. What runs at the
-// others is known with a delay.
-func (b *Board) SetHome(ids map[string]bool) { b.home = ids }
+// SetHome sets the upstreams that this host's cell uses first, and the others
+// that it may use. What runs at these is known with a delay: were they open to all
+// hosts, a peak that fills some cells would send the same free slots several
+// requests each, and those would wait inside engines.
+func (b *Board) SetHome(ids, others map[string]bool) { b.home, b.others = ids, others }
+
+func (b *Board) isOpen(id string) bool { return b.isHome(id) || b.others == nil || b.others[id] }
 
 func (b *Board) isHome(id string) bool { return b.home == nil || b.home[id] }
 
@@ -304,7 +309,7 @@
 	var best *upstream
 	var bestScore float64
 	for id, u := range b.upstreams {
-		if without[id] || !u.usable(service, now) || u.total.Online+u.hiddenAt(now) >= u.Slots {
+		if without[id] || !u.usable(service, now) || !b.isOpen(id) || u.total.Online+u.hiddenAt(now) >= u.Slots {
 			continue
 		}
 		if score := b.scoreOnline(u, now); best == nil || score > bestScore {
