Pick sentinels among hosts that reach the store

The store dropped its history while its waiting polls were deaf; both hosts that poll at short intervals to notice that had lost the store at 1.7 s, and kept the duty since peers still heard them.

Change: a host that doesn't reach the store is no sentinel. Test: TestSentinelsReachTheStore, failing before.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -32,9 +32,18 @@
 
 // Sentinel reports whether this host is one of the two that poll the store at
 // short intervals. Waiting polls can go deaf, when the store drops its history,
-// without being cut; the sentinels find out and tell the others.
+// without being cut; the sentinels find out and tell the others. Hosts that don't
+// reach the store are none.
 func (c *Core) Sentinel() bool {
-	names := append(c.Staying(), c.self.Name)
+	if !c.State().StoreReachable {
+		return false
+	}
+	names := []string{c.self.Name}
+	for name, s := range c.Peers() {
+		if !s.Leaving && s.StoreReachable {
+			names = append(names, name)
+		}
+	}
 	for range sentinels {
 		first := Successor(sentinelDuty, names)
 		if first == c.self.Name {
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -330,3 +330,25 @@
 	core.SetStoreServes(true)
 	c.Assert(core.State().StoreReachable, qt.IsTrue)
 }
+
+// TestSentinelsReachTheStore: hosts that are heard and don't reach the store are
+// not counted on to find out whether watches are deaf. On a grown site both
+// sentinels were cut off from the store when it dropped its history, and a
+// configuration came into force six seconds late.
+func TestSentinelsReachTheStore(t *testing.T) {
+	c := qt.New(t)
+	core := newCore(1)
+	core.SetStoreReachable(true)
+	peer := func(n int, reaches bool) mesh.State {
+		return mesh.State{Host: fmt.Sprint("peer-", n), Incarnation: "i", DataCentre: "dc", StoreReachable: reaches}
+	}
+	for n := range 20 {
+		core.Absorb(peer(n, false))
+	}
+	c.Assert(core.Sentinel(), qt.IsTrue)
+	core.SetStoreReachable(false)
+	for n := range 20 {
+		core.Absorb(peer(n, true))
+	}
+	c.Assert(core.Sentinel(), qt.IsFalse)
+}
