Plain names for what a newcomer would stumble over

Change: storeUnserved, outsideHosts, alwaysReachable, expire. No behaviour changes; no check was touched.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -33,37 +33,37 @@
 	self Identity
 	log  logrus.FieldLogger
 
-	mu        sync.Mutex
-	config    *fleet.Config
-	board     *slots.Board
-	queue     slots.Queue
-	ledger    *ledger.Ledger
-	peers     map[string]*peerView
-	unheard   map[string]bool     // other data centres all of whose hosts are silent
-	roster    map[string]HostInfo // hosts of the store's list
-	cell      fleet.Cell
-	upstreams []fleet.Upstream
-	jobs      []string // that this host runs or has run
-	waiting   map[mesh.Backlog]int64
-	ended     []string                  // jobs
-	outcomes  map[string]slots.Outcomes // as peers are told
-	versions  Versions
-	state     mesh.State // for peers, as it was built last
-	stale     bool       // something has changed since
-	storeUp   bool       // as the watches tell
-	storeDeaf bool       // the store did not serve this host's last call
-	watching  bool
-	sentinel  bool
-	leaving   bool
-	random    *rand.Rand
-	longest   map[string]time.Duration // time that callers give at first, by route
-	onChanged func()
-	onUrgent  func()
-	batchWake chan struct{}
-	onPeer    func(PeerChange)
-	onEnded   func(jobs []string)
-	reacher   Reacher
-	probes    sync.WaitGroup
+	mu            sync.Mutex
+	config        *fleet.Config
+	board         *slots.Board
+	queue         slots.Queue
+	ledger        *ledger.Ledger
+	peers         map[string]*peerView
+	unheard       map[string]bool     // other data centres all of whose hosts are silent
+	roster        map[string]HostInfo // hosts of the store's list
+	cell          fleet.Cell
+	upstreams     []fleet.Upstream
+	jobs          []string // that this host runs or has run
+	waiting       map[mesh.Backlog]int64
+	ended         []string                  // jobs
+	outcomes      map[string]slots.Outcomes // as peers are told
+	versions      Versions
+	state         mesh.State // for peers, as it was built last
+	stale         bool       // something has changed since
+	storeUp       bool       // as the watches tell
+	storeUnserved bool       // the store did not serve this host's last call
+	watching      bool
+	sentinel      bool
+	leaving       bool
+	random        *rand.Rand
+	longest       map[string]time.Duration // time that callers give at first, by route
+	onChanged     func()
+	onUrgent      func()
+	batchWake     chan struct{}
+	onPeer        func(PeerChange)
+	onEnded       func(jobs []string)
+	reacher       Reacher
+	probes        sync.WaitGroup
 }
 
 // Versions are the versions of what this host knows.
@@ -89,7 +89,7 @@
 		onUrgent:  func() {},
 		onPeer:    func(PeerChange) {},
 		onEnded:   func([]string) {},
-		reacher:   trusting{},
+		reacher:   alwaysReachable{},
 		batchWake: make(chan struct{}, 1),
 	}
 }
@@ -166,10 +166,10 @@
 func (c *Core) SetStoreServes(served bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.storeDeaf != served {
+	if c.storeUnserved != served {
 		return
 	}
-	c.storeDeaf = !served
+	c.storeUnserved = !served
 	c.urgent()
 	c.log.WithFields(logrus.Fields{"event": "store_calls", "served": served}).Info("the platform's store began or ceased to serve this host's calls")
 }
@@ -222,7 +222,7 @@
 		Host: c.self.Name, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
 		Address: c.self.PeerAddress, Leaving: c.leaving, Running: c.board.Own(), Outcomes: c.outcomes, Admitted: admitted,
 		Waiting: c.waiting, EndedJobs: c.ended, Jobs: c.jobs, Watching: c.watching, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams,
-		StoreReachable: c.storeUp && (c.watching || !c.storeDeaf),
+		StoreReachable: c.storeUp && (c.watching || !c.storeUnserved),
 	}
 }
 
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -19,10 +19,10 @@
 	Reach(ctx context.Context, u fleet.Upstream) error
 }
 
-// trusting is used where no way to try connections is set.
-type trusting struct{}
+// alwaysReachable is used where no way to try connections is set.
+type alwaysReachable struct{}
 
-func (trusting) Reach(context.Context, fleet.Upstream) error { return nil }
+func (alwaysReachable) Reach(context.Context, fleet.Upstream) error { return nil }
 
 // noteUnreached keeps work away from an upstream until a connection was made.
 func (c *Core) noteUnreached(u fleet.Upstream) {
--- a/internal/fleet/cells.go
+++ b/internal/fleet/cells.go
@@ -16,9 +16,9 @@
 // hosts that know the same lists form the same cells.
 
 const (
-	wholeFleet = 12 // hosts up to which all form one cell
-	cellHosts  = 8  // of a cell of a larger fleet
-	guests     = 3  // hosts of other cells that may use an upstream, on average: what they send before they hear of each other stays below half of its slots
+	wholeFleet   = 12 // hosts up to which all form one cell
+	cellHosts    = 8  // of a cell of a larger fleet
+	outsideHosts = 3  // hosts of other cells that may use an upstream, on average: what they send before they hear of each other stays below half of its slots
 )
 
 // Cell is the cell of one host.
@@ -70,7 +70,7 @@
 func others(self string, hosts int, upstreams []Upstream) map[string]bool {
 	picked := map[string]bool{}
 	for _, u := range upstreams {
-		if xxhash.Sum64String(self+"\x00"+u.ID) < math.MaxUint64/uint64(hosts)*guests {
+		if xxhash.Sum64String(self+"\x00"+u.ID) < math.MaxUint64/uint64(hosts)*outsideHosts {
 			picked[u.ID] = true
 		}
 	}
--- a/internal/slots/trust.go
+++ b/internal/slots/trust.go
@@ -47,8 +47,8 @@
 	near bool // the host is in this one's data centre
 }
 
-// turn empties the buckets of seconds that have passed.
-func (t *trust) turn(now time.Time) {
+// expire empties the buckets of seconds that have passed.
+func (t *trust) expire(now time.Time) {
 	second := now.Unix()
 	for n := max(t.last, second-trustBuckets); n < second; n++ {
 		t.buckets[(n+1)%trustBuckets] = Outcomes{}
@@ -57,7 +57,7 @@
 }
 
 func (t *trust) own(now time.Time) Outcomes {
-	t.turn(now)
+	t.expire(now)
 	var sum Outcomes
 	for _, b := range t.buckets {
 		sum = sum.plus(b)
@@ -82,7 +82,7 @@
 	if !ok {
 		return false
 	}
-	u.trust.turn(now)
+	u.trust.expire(now)
 	bucket := &u.trust.buckets[now.Unix()%trustBuckets]
 	bucket.Ended++
 	if !failed {
