Log the content of failed runs and the end of upstreams

Each call of a repeated request has an id of its own, and no line said whether an upstream had ended, left or was only cut off. Change: failed attempts, streams that broke off, failed item runs and failed requests that ran carry the fingerprint of team, method, host, target and body; upstream_ended says which upstream left the registry or was replaced and whether it had announced that; explain finds lines by fingerprint. The hash is the one that dispatch had, now in internal/quarantine, with the same values. Ruled out: fingerprints in all request lines; a hash per request for nothing. Evidence: TestRepeatedRequestIsFoundByItsFingerprint finds 0 lines without the change. No decision is changed.

--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/hmac"
-	"crypto/sha256"
-	"encoding/hex"
 	"sync"
 	"time"
 
@@ -12,6 +9,7 @@
 
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/objstore"
+	"github.com/masticscale/masticscale/internal/quarantine"
 )
 
 // FingerprintKey is the secret key of the fingerprint hash. It prevents the
@@ -19,20 +17,11 @@
 type FingerprintKey []byte
 
 // Fingerprint identifies a team's request by its content.
-type Fingerprint [16]byte
+type Fingerprint = quarantine.Fingerprint
 
-// String returns the fingerprint in hexadecimal.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
-
-// FingerprintOf returns the HMAC of the request's team, service and content.
+// FingerprintOf returns the fingerprint of the request's team, service and content.
 func FingerprintOf(key FingerprintKey, r Request) Fingerprint {
-	h := hmac.New(sha256.New, key)
-	for _, part := range []string{r.Team, r.Service, r.Call.Method, r.Call.Path, r.Call.RawQuery} {
-		_, _ = h.Write([]byte(part))
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(r.Call.Body)
-	return Fingerprint(h.Sum(nil)[:16])
+	return quarantine.FingerprintOf(key, r.Call.Body, r.Team, r.Service, r.Call.Method, r.Call.Path, r.Call.RawQuery)
 }
 
 // Level is the level of suspicion that a request crashes upstreams.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -297,7 +297,7 @@
 		slot.ReportUnreachable()
 	}
 	h.metrics.Attempts.WithLabelValues("failed").Inc()
-	h.log.WithFields(logrus.Fields{"event": "attempt_failed", "id": r.ID, "upstream": r.upstream, "not_run": notRun, "error": err}).Info("an attempt failed")
+	h.log.WithFields(logrus.Fields{"event": "attempt_failed", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "not_run": notRun, "error": err}).Info("an attempt failed")
 	if notRun {
 		return true, apierr.New(apierr.Unavailable, "the upstreams can't be reached", "send the request again after the stated time").
 			WithRetryAfter(h.core.retryAfter(time.Until(r.deadline))).WithCause(err)
@@ -381,7 +381,7 @@
 		slot.ReportRunResult(true)
 	}
 	h.metrics.Attempts.WithLabelValues("broken_off").Inc()
-	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "upstream": r.upstream, "after_event": r.lastEventID, "error": err}).Info("upstream truncated a response")
+	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "after_event": r.lastEventID, "error": err}).Info("upstream truncated a response")
 	if r.mayRetry() && ctx.Err() == nil {
 		return true, ErrResponseTruncated
 	}
@@ -424,6 +424,9 @@
 		fields["upstream"], fields["sends"], fields["runs"] = r.upstream, r.sends, r.runs
 		fields["waited_ms"], fields["first_ms"], fields["took_ms"] = r.waited.Milliseconds(), r.firstByte.Milliseconds(), took.Milliseconds()
 		fields["left_ms"], fields["last_event"] = in.TimeLeft.Milliseconds(), r.lastEventID
+		if err != nil && r.runs > 0 {
+			fields["fingerprint"] = r.fingerprint()
+		}
 		h.metrics.Duration.WithLabelValues(class).Observe(took.Seconds())
 		if r.firstByte > 0 {
 			h.metrics.FirstByte.WithLabelValues(class).Observe(r.firstByte.Seconds())
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -25,7 +25,7 @@
 // maxLineBytes limits the length of a log line; hosts write far shorter lines.
 const maxLineBytes = 1 << 20
 
-// Find returns the lines of a log whose id or job field equals id. It skips lines
+// Find returns the lines of a log whose id, job or fingerprint equals id. It skips lines
 // that aren't in logfmt, because a process may print other text before its log
 // begins.
 func Find(log io.Reader, id string) ([]Line, error) {
@@ -37,7 +37,7 @@
 			continue
 		}
 		line, ok := parseLine(scanner.Text())
-		if ok && (line.Fields["id"] == id || line.Fields["job"] == id) {
+		if ok && line.isAbout(id) {
 			found = append(found, line)
 		}
 	}
@@ -47,6 +47,10 @@
 	return found, nil
 }
 
+func (l Line) isAbout(id string) bool {
+	return l.Fields["id"] == id || l.Fields["job"] == id || l.Fields["fingerprint"] == id
+}
+
 func parseLine(text string) (Line, bool) {
 	decoder := logfmt.NewDecoder(strings.NewReader(text))
 	line := Line{Fields: map[string]string{}}
@@ -103,6 +107,7 @@
 	"item_suspected":      "the item broke off at several upstreams without an event and isn't run again until it may be given up",
 	"job_refused":         "more tokens of its team wait than the route allows",
 	"job_not_accepted":    "the platform's store did not take the job: look for store_lost",
+	"upstream_ended":      "the upstream left the registry, or another process has taken its place; was_leaving tells whether it had announced that",
 	"request_refused":     "the request was refused before it was admitted; error tells why",
 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -33,3 +33,17 @@
 	c.Assert(explain.Cause(all), qt.Contains, "its team had used up its rate")
 	c.Assert(explain.Cause(nil), qt.Equals, "")
 }
+
+// TestRepeatedRequestIsFoundByItsFingerprint guards against calls of one content that
+// can't be put together, because each has an id of its own.
+func TestRepeatedRequestIsFoundByItsFingerprint(t *testing.T) {
+	c := qt.New(t)
+	const log = `time="2026-12-03T23:07:20.100Z" level=info event=stream_broke_off host=h1 id=a fingerprint=0badf00d upstream=u1
+time="2026-12-03T23:07:21.100Z" level=info event=stream_broke_off host=h1 id=b fingerprint=0badf00d upstream=u2
+time="2026-12-03T23:07:21.200Z" level=info event=stream_broke_off host=h1 id=c fingerprint=0badf00e upstream=u2
+`
+	lines, err := explain.Find(strings.NewReader(log), "0badf00d")
+	c.Assert(err, qt.IsNil)
+	c.Assert(lines, qt.HasLen, 2)
+	c.Assert(lines[1].Fields["id"], qt.Equals, "b")
+}
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -81,10 +81,14 @@
 		r.stats.observe(took, p.events)
 	}
 	r.recordOutcome(i, route, outcome, p)
-	r.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"event": "item_run_ended", "job": i.job.id, "id": i.ID, "upstream": slot.Upstream.ID, "end": outcome.String(),
 		"events": i.events, "took_ms": took.Milliseconds(), "due_in_ms": time.Until(i.job.due).Milliseconds(), "error": err,
-	}).Info("item run ended")
+	}
+	if outcome.failed() {
+		fields["fingerprint"], fields["stalls"] = i.fingerprint(), i.stalls
+	}
+	r.log.WithFields(fields).Info("item run ended")
 	signal(r.work)
 }
 
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -9,7 +9,11 @@
 package jobs
 
 import (
+	"net/http"
 	"time"
+
+	"github.com/masticscale/masticscale/internal/entry"
+	"github.com/masticscale/masticscale/internal/quarantine"
 )
 
 // Item is a single request of a job.
@@ -94,6 +98,11 @@
 	cancelRun func()    // nil while the item isn't running
 }
 
+// fingerprint returns the fingerprint of the item's content.
+func (i *item) fingerprint() quarantine.Fingerprint {
+	return entry.FingerprintOf(i.job.record.Team, http.MethodPost, i.job.record.Host, i.Path, i.Body)
+}
+
 // job is the in-memory state of a job that this host runs or ran. It is guarded
 // by Runner.mu.
 type job struct {
