--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,10 +40,43 @@
 	last     map[string]time.Time // start of the last run by item
 	status   map[string]int       // response status by item
 	cutAfter map[string]int       // number of events after which the item's next run is cut short
+	crashes  map[string]int       // number of events after which each run of the item crashes its upstream
+	down     map[string]bool      // upstreams that have crashed
+	onCrash  func(upstream string)
 }
 
 func newEngine() *engine {
-	return &engine{runs: map[string]int{}, last: map[string]time.Time{}, status: map[string]int{}, cutAfter: map[string]int{}}
+	return &engine{
+		runs: map[string]int{}, last: map[string]time.Time{}, status: map[string]int{}, cutAfter: map[string]int{},
+		crashes: map[string]int{}, down: map[string]bool{}, onCrash: func(string) {},
+	}
+}
+
+// Connect implements entry.Connector.
+func (e *engine) Connect(_ context.Context, u fleet.Upstream) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down[u.ID] {
+		return errors.New("connection refused")
+	}
+	return nil
+}
+
+// crash ends the upstream's process.
+func (e *engine) crash(upstream string) {
+	e.mu.Lock()
+	wasDown := e.down[upstream]
+	e.down[upstream] = true
+	e.mu.Unlock()
+	if !wasDown {
+		e.onCrash(upstream)
+	}
+}
+
+func (e *engine) isDown(upstream string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down[upstream]
 }
 
 // stream is a response body that produces an event each eventTime.
@@ -50,8 +84,11 @@
 	ctx      context.Context
 	next     int
 	cutAfter int
+	crash    bool // the upstream crashes where the stream is cut
 	id       string
 	unread   string
+	engine   *engine
+	upstream string
 }
 
 func (s *stream) Read(p []byte) (int, error) {
@@ -60,6 +97,12 @@
 			return 0, io.EOF
 		}
 		if s.cutAfter > 0 && s.next > s.cutAfter {
+			if s.crash {
+				s.engine.crash(s.upstream)
+			}
+			return 0, errors.New("connection reset")
+		}
+		if s.engine.isDown(s.upstream) {
 			return 0, errors.New("connection reset")
 		}
 		select {
@@ -81,14 +124,20 @@
 func (e *engine) Do(ctx context.Context, call entry.Call) (*entry.Response, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down[call.Upstream.ID] {
+		return nil, &entry.SendError{NotRun: true, Err: errors.New("connection refused")}
+	}
 	e.runs[call.ID]++
 	e.last[call.ID] = time.Now()
 	if status := e.status[call.ID]; status != 0 {
 		return &entry.Response{Status: status, Body: http.NoBody}, nil
 	}
 	after, _ := strconv.Atoi(call.ResumeAfter)
-	s := &stream{ctx: ctx, next: after + 1, id: call.ID, cutAfter: e.cutAfter[call.ID]}
+	s := &stream{ctx: ctx, next: after + 1, id: call.ID, cutAfter: e.cutAfter[call.ID], engine: e, upstream: call.Upstream.ID}
 	delete(e.cutAfter, call.ID)
+	if n := e.crashes[call.ID]; n > 0 {
+		s.cutAfter, s.crash = after+n, true
+	}
 	return &entry.Response{Status: http.StatusOK, Events: true, Body: s}, nil
 }
 
@@ -122,8 +171,10 @@
 
 	configDelay time.Duration // delay after which a started host receives its configuration
 
-	mu    sync.Mutex // guards hosts and their reachability
-	hosts map[string]*host
+	mu        sync.Mutex // guards hosts and their reachability
+	hosts     map[string]*host
+	upstreams []fleet.Upstream
+	version   int64 // of upstreams
 }
 
 type host struct {
@@ -138,7 +189,43 @@
 }
 
 func newCluster(c *qt.C) *cluster {
-	return &cluster{c: c, store: memstore.New(), engine: newEngine(), hosts: map[string]*host{}}
+	return &cluster{
+		c: c, store: memstore.New(), engine: newEngine(), hosts: map[string]*host{}, version: 1,
+		upstreams: []fleet.Upstream{{ID: "u1", Service: "lm", Address: "u1", Slots: 8}, {ID: "u2", Service: "lm", Address: "u2", Slots: 8}},
+	}
+}
+
+const (
+	restartTime   = 4 * time.Second         // of an upstream that has crashed
+	entryLifetime = 3600 * time.Millisecond // of its entry in the registry
+)
+
+// restartCrashedUpstreams starts upstreams again some time after they have crashed.
+func (w *cluster) restartCrashedUpstreams() {
+	w.engine.onCrash = func(id string) {
+		time.AfterFunc(entryLifetime, func() { w.publish(id, nil) })
+		time.AfterFunc(restartTime, func() {
+			w.engine.mu.Lock()
+			w.engine.down[id] = false
+			w.engine.mu.Unlock()
+			w.publish(id, &fleet.Upstream{ID: id, Service: "lm", Address: id, Slots: 8, Started: time.Now()})
+		})
+	}
+}
+
+// publish replaces the upstream's entry in the registry, or removes it.
+func (w *cluster) publish(id string, replacement *fleet.Upstream) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := slices.DeleteFunc(slices.Clone(w.upstreams), func(u fleet.Upstream) bool { return u.ID == id })
+	if replacement != nil {
+		list = append(list, *replacement)
+	}
+	w.upstreams = list
+	w.version++
+	for _, h := range w.hosts {
+		h.core.SetUpstreams(list, w.version)
+	}
 }
 
 func config(version int64) *fleet.Config {
@@ -161,9 +248,9 @@
 	self := entry.Identity{Name: name, Incarnation: fmt.Sprint(name, "/", time.Now().UnixNano()), DataCentre: "dc", PeerAddress: name}
 	core := entry.NewCore(self, log)
 	time.AfterFunc(w.configDelay, func() { core.SetConfig(config(1)) })
-	core.SetUpstreams([]fleet.Upstream{
-		{ID: "u1", Service: "lm", Address: "u1", Slots: 8}, {ID: "u2", Service: "lm", Address: "u2", Slots: 8},
-	}, 1)
+	core.SetUpstreams(w.upstreams, w.version)
+	core.SetStoreReachable(true)
+	core.SetConnector(w.engine)
 	h := &host{name: name, core: core, store: w.store.Client(storeLatency), cluster: w}
 	h.runner = jobs.NewRunner(self, core, h.store, w.engine, telemetry.NewMetrics(), log)
 	h.runner.SetPeers(h)
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -525,3 +525,31 @@
 		c.Assert([]string{"h1", second}, qt.Not(qt.Contains), w.ownerOf(h1, "j"))
 	})
 }
+
+// TestItemCrashesUpstreamsAgainAfterAnEventOrANewOwner guards against an item that
+// crashes each upstream that runs it and is run on, because an event of its stream or
+// the loss of its owner sets the count of its failures back to zero.
+func TestItemCrashesUpstreamsAgainAfterAnEventOrANewOwner(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		w.restartCrashedUpstreams()
+		for _, name := range []string{"h1", "h2", "h3", "h4", "h5"} {
+			w.start(name)
+		}
+		time.Sleep(time.Second)
+		s := submission("j", 4)
+		s.Items[0].Body = []byte("poison")
+		guilty := s.Items[0].ID
+		w.engine.crashes[guilty] = 1
+		c.Assert(w.hosts["h1"].runner.Submit(background, s), qt.IsNil)
+		time.Sleep(3 * time.Second)
+		w.hosts["h1"].kill()
+		time.Sleep(40 * time.Second)
+		c.Assert(w.engine.runsOf(guilty) <= 3, qt.IsTrue, qt.Commentf("ran %d times", w.engine.runsOf(guilty)))
+		_, results, err := w.hosts["h2"].read("j")
+		c.Assert(err, qt.IsNil)
+		c.Assert(results, qt.HasLen, 3)
+		for _, r := range results {
+			c.Assert(string(r.Output), qt.Equals, outputOf(r.ID))
+		}
+	})
+}
