Keep the count of crashes of a batch item through events and owners

What callers saw: an item that crashes its upstreams was run on and on; 20 runs in the test, as long as each made one event. Cause: the same as online. item.stalls counted consecutive runs without an event in the memory of one owner; an event, a restart or a new owner set it to zero. It also took a cut for a fault of the item: after four runs that ended with their upstream out of reach, the item waited for its deadline. Change: a broken run of an item is checked and counted as an online run is, in the table that all hosts share. Stalls count only at upstreams that are alive. TestItemWaitsForItsDeadlineAfterCuts fails before ('not run again after 4 cuts') and passes now. Ruled out: giving the item up at once. The users' pages allow that only after the retention, a 422 or the attempts that failed.

--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// setDown cuts the upstreams off from all hosts, or heals the cut.
+func (e *engine) setDown(down bool, upstreams ...string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, id := range upstreams {
+		e.down[id] = down
+	}
+}
+
 func (e *engine) isDown(upstream string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -102,14 +111,14 @@
 			}
 			return 0, errors.New("connection reset")
 		}
-		if s.engine.isDown(s.upstream) {
-			return 0, errors.New("connection reset")
-		}
 		select {
 		case <-s.ctx.Done():
 			return 0, s.ctx.Err()
 		case <-time.After(eventTime):
 		}
+		if s.engine.isDown(s.upstream) {
+			return 0, errors.New("connection reset")
+		}
 		s.unread = fmt.Sprintf("id: %d\ndata: %s/%d\n\n", s.next, s.id, s.next)
 		s.next++
 	}
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -16,7 +16,7 @@
 
 const (
 	itemIdleTimeout = 2 * time.Second        // maximum gap between bytes; engines pause for far less
-	maxStalls       = 4                      // consecutive runs without an event, after which the item is suspected to crash upstreams
+	maxStalls       = 4                      // consecutive runs without an event at live upstreams, after which the item isn't run again
 	rerouteDelay    = 50 * time.Millisecond  // before the item goes to another upstream
 	failureBackoff  = 500 * time.Millisecond // after a failure that is likely at other upstreams too
 )
@@ -71,6 +71,7 @@
 	}
 	slot.Release()
 	took := time.Since(started)
+	cause := r.reportToQuarantine(ctx, i, slot, outcome)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i.cancelRun = nil
@@ -80,21 +81,37 @@
 	if outcome == runDone && !resumed {
 		r.stats.observe(took, p.events)
 	}
-	r.recordOutcome(i, route, outcome, p)
+	r.recordOutcome(i, route, outcome, cause, p)
 	fields := logrus.Fields{
 		"event": "item_run_ended", "job": i.job.id, "id": i.ID, "upstream": slot.Upstream.ID, "end": outcome.String(),
 		"events": i.events, "took_ms": took.Milliseconds(), "due_in_ms": time.Until(i.job.due).Milliseconds(), "error": err,
 	}
 	if outcome.failed() {
-		fields["fingerprint"], fields["stalls"] = i.fingerprint(), i.stalls
+		fields["fingerprint"], fields["stalls"], fields["upstream_state"] = i.fingerprint(), i.stalls, cause
 	}
 	r.log.WithFields(fields).Info("item run ended")
 	signal(r.work)
 }
 
-// recordOutcome updates the item after a run and schedules its next run, if any.
-// The caller holds mu.
-func (r *Runner) recordOutcome(i *item, route *fleet.Route, outcome runOutcome, p progress) {
+// reportToQuarantine reports a broken or completed run and returns why it broke.
+func (r *Runner) reportToQuarantine(ctx context.Context, i *item, slot *entry.Slot, outcome runOutcome) entry.BreakCause {
+	completed := outcome == runDone && r.core.HasSuspects()
+	if outcome != runTruncated && !completed {
+		return entry.BreakUnknown
+	}
+	r.mu.Lock()
+	fingerprint := i.fingerprint()
+	r.mu.Unlock()
+	if completed {
+		r.core.ReportCompletedRun(fingerprint)
+		return entry.BreakUnknown
+	}
+	return slot.ReportBrokenRun(ctx, fingerprint)
+}
+
+// recordOutcome updates the item after a run and schedules its next run, if any. The
+// cause is that of a truncated run. The caller holds mu.
+func (r *Runner) recordOutcome(i *item, route *fleet.Route, outcome runOutcome, cause entry.BreakCause, p progress) {
 	progressed := p.events > i.events
 	if outcome != runMalformed {
 		i.output, i.events, i.lastID = p.output, p.events, p.lastID
@@ -122,20 +139,23 @@
 		i.notBefore = now.Add(rerouteDelay)
 	case runTruncated, runMalformed:
 		i.notBefore = now.Add(rerouteDelay)
-		r.countStall(i, progressed, now)
+		r.countStall(i, progressed, outcome == runMalformed || cause == entry.UpstreamAlive, now)
 	}
 }
 
-// countStall counts consecutive runs without progress. It postpones an item that
-// reaches maxStalls to its deadline, since an item that crashes its upstreams
-// must not reach more of them than it takes to detect.
-func (r *Runner) countStall(i *item, progressed bool, now time.Time) {
+// countStall counts consecutive runs without progress at live upstreams. It postpones
+// an item that reaches maxStalls to its deadline. A run that broke because its upstream
+// ended, left or was cut off says nothing of the item.
+func (r *Runner) countStall(i *item, progressed, alive bool, now time.Time) {
 	if progressed {
 		i.stalls = 0
 		return
 	}
-	i.stalls++
 	i.notBefore = now.Add(failureBackoff)
+	if !alive {
+		return
+	}
+	i.stalls++
 	if i.stalls < maxStalls {
 		return
 	}
@@ -147,6 +167,9 @@
 // streamItem sends the item to the upstream and reads the response's events into
 // p.
 func (r *Runner) streamItem(ctx context.Context, i *item, route *fleet.Route, slot *entry.Slot, p *progress) (runOutcome, error) {
+	if !slot.ConfirmIsolation(ctx) {
+		return runRefused, nil
+	}
 	header := http.Header{}
 	for name, value := range i.Header {
 		header.Set(name, value)
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -93,14 +93,21 @@
 	events    int
 	lastID    string
 	failures  int       // responses that count as failed attempts
-	stalls    int       // consecutive runs cut short without a new event
+	stalls    int       // consecutive runs that live upstreams cut short without a new event
 	notBefore time.Time // earliest start of the next run
 	cancelRun func()    // nil while the item isn't running
+
+	quarantined bool                    // logged
+	content     *quarantine.Fingerprint // nil until it is needed
 }
 
 // fingerprint returns the fingerprint of the item's content.
 func (i *item) fingerprint() quarantine.Fingerprint {
-	return entry.FingerprintOf(i.job.record.Team, http.MethodPost, i.job.record.Host, i.Path, i.Body)
+	if i.content == nil {
+		f := entry.FingerprintOf(i.job.record.Team, http.MethodPost, i.job.record.Host, i.Path, i.Body)
+		i.content = &f
+	}
+	return *i.content
 }
 
 // job is the in-memory state of a job that this host runs or ran. It is guarded
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -553,3 +553,24 @@
 		}
 	})
 }
+
+// TestItemWaitsForItsDeadlineAfterCuts guards against an item that isn't run again
+// because its upstreams were cut off a few times before its first event.
+func TestItemWaitsForItsDeadlineAfterCuts(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		h1 := w.start("h1")
+		s := submission("j", 1)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		for n := range 6 {
+			for waited := time.Duration(0); w.engine.runsOf(s.Items[0].ID) <= n; waited += 10 * time.Millisecond {
+				c.Assert(waited < 10*time.Second, qt.IsTrue, qt.Commentf("not run again after %d cuts", n))
+				time.Sleep(10 * time.Millisecond)
+			}
+			w.engine.setDown(true, "u1", "u2")
+			time.Sleep(300 * time.Millisecond)
+			w.engine.setDown(false, "u1", "u2")
+		}
+		time.Sleep(5 * time.Second)
+		w.checkResults(h1, s)
+	})
+}
