Let only an isolated run decide that a request is quarantined

What callers saw: nothing yet; found while the soak was being extended, whose callers send one content again and again. Such a request runs at every upstream at any time, so that another request that crashes three of them in a row had it quarantined too, for an hour. Cause: a run that was placed before its content became suspect shares the third crash with the guilty request; isolation starts with the next run. Change: the table keeps whether a crash came under an isolated run, and needs one such crash among the three. Requests keep away from an upstream with an isolated run while others have free slots. Not covered: a second request that crashes upstreams, not yet suspect, beside the isolated run of an innocent one.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -37,6 +37,7 @@
 type brokenRun struct {
 	upstream    fleet.Upstream
 	fingerprint quarantine.Fingerprint
+	isolated    bool
 	cause       chan BreakCause
 }
 
@@ -114,7 +115,7 @@
 // ended, the crash counts against the request. It waits only for a short time, so that
 // a silent upstream doesn't delay a retry elsewhere; the check goes on without it.
 func (s *Slot) ReportBrokenRun(ctx context.Context, f quarantine.Fingerprint) BreakCause {
-	run := brokenRun{upstream: s.Upstream, fingerprint: f, cause: make(chan BreakCause, 1)}
+	run := brokenRun{upstream: s.Upstream, fingerprint: f, isolated: s.run.Isolated, cause: make(chan BreakCause, 1)}
 	select {
 	case s.core.brokenRuns <- run:
 	default:
@@ -182,7 +183,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	upstream := instanceOf(run.upstream)
-	if !c.crashes.Observe(run.fingerprint, upstream, time.Now()) {
+	if !c.crashes.Observe(run.fingerprint, upstream, run.isolated, time.Now()) {
 		return
 	}
 	c.logSuspicion(run.fingerprint, upstream, "here")
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -309,6 +309,7 @@
 	runCrashFleet(t, 2, 6, func(c *qt.C, f *crashFleet) {
 		for range 4 {
 			for n := range 3 {
+				time.Sleep(2 * gossipPeriod)
 				done := make(chan error, 1)
 				go func() { done <- f.serve(n, "/once/x", longBody) }()
 				time.Sleep(longRunTime / 2)
@@ -401,3 +402,29 @@
 		c.Assert(crashes, qt.Equals, 3)
 	})
 }
+
+// TestFrequentRequestIsQuarantinedBesideACrashingOne guards against a request of one
+// content that many callers send at any time, and that therefore runs at every upstream
+// that another request crashes.
+func TestFrequentRequestIsQuarantinedBesideACrashingOne(t *testing.T) {
+	runCrashFleet(t, 3, 6, func(c *qt.C, f *crashFleet) {
+		var callers sync.WaitGroup
+		for n := range 12 {
+			callers.Go(func() {
+				for started := time.Now(); time.Since(started) < 20*time.Second; time.Sleep(runTime / 10) {
+					err := f.serve(n, "/safe/x", longBody)
+					if apierr.IsKind(err, apierr.Quarantined) {
+						c.Errorf("caller %d: %v", n, err)
+						return
+					}
+				}
+			})
+		}
+		for n := range 10 {
+			time.Sleep(longRunTime)
+			_ = f.serve(n, "/safe/x", fmt.Sprint(poisonBody, n/5)) // crashes its upstreams
+		}
+		callers.Wait()
+		c.Assert(f.serve(0, "/safe/x", longBody), qt.IsNil)
+	})
+}
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -46,11 +46,12 @@
 	crashes  map[crashKey]bool
 }
 
-// crashKey identifies a crash and its latest observation and withdrawal.
+// crashKey identifies a crash and what may change of it.
 type crashKey struct {
 	fingerprint         quarantine.Fingerprint
 	upstream            quarantine.Instance
 	observed, withdrawn int
+	isolated            bool
 }
 
 func newSentState() *sentState {
@@ -91,14 +92,14 @@
 	var encoded []*peerv1.Crash
 	current := make(map[crashKey]bool, len(crashes))
 	for _, x := range crashes {
-		key := crashKey{x.Fingerprint, x.Upstream, x.Observed, x.Withdrawn}
+		key := crashKey{x.Fingerprint, x.Upstream, x.Observed, x.Withdrawn, x.Isolated}
 		current[key] = true
 		if sent.crashes[key] {
 			continue
 		}
 		encoded = append(encoded, &peerv1.Crash{
 			Fingerprint: x.Fingerprint[:], Upstream: x.Upstream.ID, StartedMs: x.Upstream.StartedMS,
-			AgeMs: now.Sub(x.At).Milliseconds(), Observed: int32(x.Observed), Withdrawn: int32(x.Withdrawn),
+			AgeMs: now.Sub(x.At).Milliseconds(), Observed: int32(x.Observed), Withdrawn: int32(x.Withdrawn), Isolated: x.Isolated,
 		})
 	}
 	sent.crashes = current
@@ -117,6 +118,7 @@
 			At:          now.Add(-time.Duration(x.AgeMs) * time.Millisecond),
 			Observed:    int(x.Observed),
 			Withdrawn:   int(x.Withdrawn),
+			Isolated:    x.Isolated,
 		})
 	}
 	return crashes
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -2,9 +2,10 @@
 //
 // Contract: an upstream that ends counts against every request that it ran, because
 // nothing tells which of them was the cause. A request is quarantined only after
-// crashLimit upstreams have ended under it, and a crash is withdrawn once the upstream
-// turns out to be alive or the request has completed elsewhere. Hosts exchange crashes,
-// which merge in any order.
+// crashLimit upstreams have ended under it, one of them in an isolated run, which shares
+// its upstream with no other request that is as suspect. A crash is withdrawn once the
+// upstream turns out to be alive or the request has completed elsewhere. Hosts exchange
+// crashes, which merge in any order.
 //
 // The package does no I/O and reads no clock. A Table is not safe for concurrent use.
 package quarantine
@@ -22,7 +23,7 @@
 const (
 	Clear       Level = iota
 	Suspected         // an upstream ended while it ran the request, perhaps because of another request
-	Isolated          // the next crash decides: the request doesn't share an upstream with others of this level
+	Isolated          // the request doesn't share an upstream with others of this level; the crash of one more decides
 	Quarantined       // the request isn't run
 )
 
@@ -36,7 +37,7 @@
 	suspicionLifetime  = 10 * time.Minute // since the last crash
 	quarantineLifetime = time.Hour        // since the last crash
 	maxRequests        = 1024             // in a table
-	maxCrashes         = 2 * crashLimit   // kept for each request
+	maxCrashes         = 16               // kept for each request
 	maxShared          = 64               // crashes in one state to peers
 )
 
@@ -54,6 +55,7 @@
 	At          time.Time // in this host's clock
 	Observed    int       // number of the latest observation, from 1 on
 	Withdrawn   int       // number of the latest observation that doesn't count against the request
+	Isolated    bool      // the run was isolated
 }
 
 // Counts reports whether the crash counts against the request.
@@ -76,14 +78,15 @@
 // Empty reports whether the table holds no crash.
 func (t *Table) Empty() bool { return len(t.requests) == 0 }
 
-// Observe adds a crash that this host has observed. It reports whether the crash is new.
-func (t *Table) Observe(f Fingerprint, upstream Instance, now time.Time) bool {
-	x := Crash{Fingerprint: f, Upstream: upstream, At: now, Observed: 1}
+// Observe adds a crash that this host has observed under a run that was or wasn't
+// isolated. It reports whether the table has changed.
+func (t *Table) Observe(f Fingerprint, upstream Instance, isolated bool, now time.Time) bool {
+	x := Crash{Fingerprint: f, Upstream: upstream, At: now, Observed: 1, Isolated: isolated}
 	if known, ok := t.requests[f][upstream]; ok {
-		if known.Counts() {
-			return false // another host has observed it first
+		x.Observed = known.Observed
+		if !known.Counts() {
+			x.Observed++
 		}
-		x.Observed = known.Observed + 1
 	}
 	if !t.Merge(x) {
 		return false
@@ -104,7 +107,7 @@
 	}
 	c, known := crashes[x.Upstream]
 	if !known {
-		if len(crashes) >= maxCrashes && !dropWithdrawn(crashes) {
+		if len(crashes) >= maxCrashes && !makeRoom(crashes, x.Isolated) {
 			return false
 		}
 		crashes[x.Upstream] = &crash{Crash: x}
@@ -115,20 +118,27 @@
 		c.Observed, c.At = x.Observed, x.At
 	}
 	c.Withdrawn = max(c.Withdrawn, x.Withdrawn)
+	c.Isolated = c.Isolated || x.Isolated
 	return c.Crash != before
 }
 
-// dropWithdrawn removes the oldest withdrawn crash. It reports whether there was one.
-func dropWithdrawn(crashes map[Instance]*crash) bool {
-	var oldest Instance
-	found := false
-	for upstream, c := range crashes {
-		if !c.Counts() && (!found || c.At.Before(crashes[oldest].At)) {
-			oldest, found = upstream, true
+// makeRoom removes the oldest crash that doesn't count or, for an isolated one, the
+// oldest that wasn't isolated. It reports whether there was one.
+func makeRoom(crashes map[Instance]*crash, isolated bool) bool {
+	var victim *crash
+	for _, c := range crashes {
+		if c.Counts() && (!isolated || c.Isolated) {
+			continue
+		}
+		if victim == nil || c.Counts() == victim.Counts() && c.At.Before(victim.At) || !c.Counts() && victim.Counts() {
+			victim = c
 		}
 	}
-	delete(crashes, oldest)
-	return found
+	if victim == nil {
+		return false
+	}
+	delete(crashes, victim.Upstream)
+	return true
 }
 
 // evict removes the request with the fewest crashes, of these the one with the oldest.
@@ -160,7 +170,21 @@
 
 func levelOf(crashes map[Instance]*crash) Level {
 	count, _ := tally(crashes)
-	return Level(min(count, crashLimit))
+	level := Level(min(count, crashLimit))
+	if level == Quarantined && !hasIsolated(crashes) {
+		return Isolated
+	}
+	return level
+}
+
+// hasIsolated reports whether an isolated run's crash counts.
+func hasIsolated(crashes map[Instance]*crash) bool {
+	for _, c := range crashes {
+		if c.Isolated && c.Counts() {
+			return true
+		}
+	}
+	return false
 }
 
 func expiry(crashes map[Instance]*crash) time.Time {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -19,12 +19,13 @@
 		Upstream:    quarantine.Instance{ID: fmt.Sprint("u", upstream), StartedMS: 1},
 		At:          epoch,
 		Observed:    1,
+		Isolated:    true,
 	}
 }
 
 func observe(table *quarantine.Table, request byte, upstream int) bool {
 	x := crashOf(request, upstream)
-	return table.Observe(x.Fingerprint, x.Upstream, epoch)
+	return table.Observe(x.Fingerprint, x.Upstream, x.Isolated, epoch)
 }
 
 // TestLevelRisesWithEachUpstream checks that only different process lifetimes count,
@@ -41,7 +42,7 @@
 	}
 	again := crashOf(1, 0)
 	again.Upstream.StartedMS++
-	c.Assert(table.Observe(f, again.Upstream, epoch), qt.IsTrue)
+	c.Assert(table.Observe(f, again.Upstream, true, epoch), qt.IsTrue)
 	c.Assert(table.Exonerate(f), qt.IsTrue)
 	c.Assert(table.Level(f, epoch), qt.Equals, quarantine.Clear)
 	c.Assert(table.Merge(crashOf(1, 1)), qt.IsFalse) // a late message doesn't undo that
@@ -92,7 +93,7 @@
 	for n := range 10_000 {
 		x := crashOf(2, n)
 		x.Fingerprint[1], x.Fingerprint[2] = byte(n), byte(n>>8)
-		table.Observe(x.Fingerprint, x.Upstream, epoch)
+		table.Observe(x.Fingerprint, x.Upstream, x.Isolated, epoch)
 	}
 	c.Assert(table.Level(quarantine.Fingerprint{1}, epoch), qt.Equals, quarantine.Quarantined)
 	shared := table.Shared()
@@ -106,6 +107,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		crashes := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) quarantine.Crash {
 			x := crashOf(byte(rapid.IntRange(0, 2).Draw(t, "request")), rapid.IntRange(0, 4).Draw(t, "upstream"))
+			x.Isolated = rapid.Bool().Draw(t, "isolated")
 			x.Observed = rapid.IntRange(1, 3).Draw(t, "observed")
 			x.Withdrawn = rapid.IntRange(0, x.Observed).Draw(t, "withdrawn")
 			return x
@@ -123,3 +125,18 @@
 		}
 	})
 }
+
+// TestOnlyAnIsolatedRunDecides guards against a request that is quarantined because it
+// often ran beside the one that crashed the upstreams.
+func TestOnlyAnIsolatedRunDecides(t *testing.T) {
+	c := qt.New(t)
+	table := quarantine.NewTable()
+	f := quarantine.Fingerprint{1}
+	for n := range 40 {
+		x := crashOf(1, n)
+		table.Observe(f, x.Upstream, false, epoch.Add(time.Duration(n)))
+	}
+	c.Assert(table.Level(f, epoch), qt.Equals, quarantine.Isolated)
+	observe(table, 1, 100)
+	c.Assert(table.Level(f, epoch), qt.Equals, quarantine.Quarantined)
+}
--- a/internal/slots/balancer.go
+++ b/internal/slots/balancer.go
@@ -367,6 +367,7 @@
 // The parts of a placement score. Each outweighs the ones below it.
 const (
 	scoreFree           = 1000 // a slot is free
+	scoreIsolating      = -250 // keeps requests apart from an isolated run while others have free slots
 	scoreOwnBatch       = 700  // a batch item of this host can be preempted
 	scoreSpillover      = 600  // slots are free at an upstream of another cell
 	scorePeerBatch      = 500  // a batch item of another host of the cell can be preempted
@@ -395,6 +396,9 @@
 	case inCell:
 		score += scorePeerBatch
 	}
+	if u.total.Isolated > 0 {
+		score += scoreIsolating
+	}
 	if u.DataCentre == b.dataCentre {
 		score += scoreSameDataCentre
 	}
