Keep a quarantine through a restart of all hosts

What callers saw: not reported; found by looking for the same cause elsewhere. A restart of all hosts at once forgot what was quarantined, and the request crashed three more upstreams. Cause: the count was in the hosts' memory only. What must last belongs into the platform's store. Change: the hosts that saw a crash of a quarantined request store its crashes under the fingerprint, and delete them when the quarantine ends. A host reads the kind once when it starts: one call a start, none while nothing changes.

--- a/internal/dispatch/suspectstore.go
+++ b/internal/dispatch/suspectstore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"strings"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/objstore"
+	"github.com/masticscale/masticscale/internal/quarantine"
 	"github.com/masticscale/masticscale/internal/upstream"
 )
 
@@ -78,11 +78,8 @@
 	if !ok {
 		return Fingerprint{}, false
 	}
-	raw, err := hex.DecodeString(text)
-	if err != nil || len(raw) != len(Fingerprint{}) {
-		return Fingerprint{}, false
-	}
-	return Fingerprint(raw), true
+	p, err := quarantine.ParseFingerprint(text)
+	return p, err == nil
 }
 
 // writeLevel stores the level. It never lowers a stored level.
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -190,6 +190,21 @@
 	c.notifyUrgentChange()
 }
 
+// QuarantinedHere returns the crashes of the quarantined requests of which this host has
+// observed a crash.
+func (c *Core) QuarantinedHere() map[quarantine.Fingerprint][]quarantine.Crash {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashes.QuarantinedHere()
+}
+
+// RestoreCrashes adds the crashes that were stored before this host started.
+func (c *Core) RestoreCrashes(crashes []quarantine.Crash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mergeCrashes("store", crashes)
+}
+
 // mergeCrashes adds the crashes that a peer reports. The caller must hold mu.
 func (c *Core) mergeCrashes(host string, crashes []quarantine.Crash) {
 	for _, x := range crashes {
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -119,6 +119,7 @@
 	loops.Go(func() { s.listAndWatchLoop(ctx, s.decoder.UpstreamKind(), s.resetUpstreams, s.applyUpstream) })
 	loops.Go(func() { s.listAndWatchLoop(ctx, KindHost, s.resetHosts, s.applyHost) })
 	loops.Go(func() { s.registerLoop(ctx) })
+	loops.Go(func() { s.quarantineLoop(ctx) })
 	s.peerLoop(ctx)
 	loops.Wait()
 }
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -4,6 +4,8 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
+
+	"github.com/go-faster/errors"
 )
 
 // Fingerprint identifies a request by its content, so that a request that its
@@ -13,6 +15,18 @@
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// ParseFingerprint parses the result of String.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil {
+		return Fingerprint{}, errors.Wrap(err, "parse fingerprint")
+	}
+	if len(raw) != len(Fingerprint{}) {
+		return Fingerprint{}, errors.Errorf("fingerprint %q has %d bytes, not %d", text, len(raw), len(Fingerprint{}))
+	}
+	return Fingerprint(raw), nil
+}
+
 // FingerprintOf returns the truncated HMAC-SHA-256 of the fields and the body. The
 // key may be empty.
 func FingerprintOf(key, body []byte, fields ...string) Fingerprint {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -261,6 +261,30 @@
 	}
 }
 
+// QuarantinedHere returns the crashes of the quarantined requests of which this host has
+// observed a crash.
+func (t *Table) QuarantinedHere() map[Fingerprint][]Crash {
+	found := map[Fingerprint][]Crash{}
+	for f, crashes := range t.requests {
+		if levelOf(crashes) != Quarantined || !hasOwn(crashes) {
+			continue
+		}
+		for _, c := range crashes {
+			found[f] = append(found[f], c.Crash)
+		}
+	}
+	return found
+}
+
+func hasOwn(crashes map[Instance]*crash) bool {
+	for _, c := range crashes {
+		if c.own {
+			return true
+		}
+	}
+	return false
+}
+
 // Shared returns the crashes to send to peers: those that this host has observed, and
 // those of requests from the level Isolated on, so that they outlast the host that
 // observed them. Requests of a higher level and later crashes come first, up to
