Release innocent requests that were quarantined beside two guilty ones

What callers saw: nothing reported. Cause: an isolated run can share its upstream with a second guilty request that is not yet suspect. One such crash decided against an innocent content. Change: a request that has run to its end before needs three isolated crashes, not one; each host remembers the last 1,024 such contents and tells it with the crash. An isolated crash no longer decides once another request that ran there is shown guilty by an isolated run elsewhere. Ruled out: a run that is alone at its upstream: eight slots for one request, none in a peak. A shorter quarantine with a new trial at its end: each host would try at the same moment. Also: the log field is 'suspicion', as 'level' is logrus's own. The relay of responses, the placement and the isolation of runs have files of their own, moved without a change.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -48,7 +48,11 @@
 }
 
 func (r *request) fingerprint() quarantine.Fingerprint {
-	return FingerprintOf(r.team.Name, r.Method, r.Host, r.Target, r.Body)
+	if r.content == nil {
+		f := FingerprintOf(r.team.Name, r.Method, r.Host, r.Target, r.Body)
+		r.content = &f
+	}
+	return *r.content
 }
 
 // instanceOf returns the process lifetime that the upstream is registered with.
@@ -56,6 +60,16 @@
 	return quarantine.Instance{ID: u.ID, StartedMS: u.Started.UnixMilli()}
 }
 
+// maxHashedBody is the size of the longest body that is hashed while there are no
+// suspects.
+const maxHashedBody = 64 << 10
+
+// TracksCompletion reports whether the end of a run with a body of this size is to be
+// reported.
+func (c *Core) TracksCompletion(bodyBytes int) bool {
+	return bodyBytes <= maxHashedBody || c.HasSuspects()
+}
+
 // HasSuspects reports whether there are requests under which upstreams ended.
 func (c *Core) HasSuspects() bool {
 	c.mu.Lock()
@@ -99,12 +113,12 @@
 	return c.storeReachable && now.Sub(c.storeReachableSince) >= registrationTTL
 }
 
-// ReportCompletedRun records that an upstream ran the request to its end, so that the
-// crashes under it must have had another cause.
+// ReportCompletedRun records that an upstream ran the request to its end, so that crashes
+// under it have probably had another cause.
 func (c *Core) ReportCompletedRun(f quarantine.Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.crashes.Exonerate(f) {
+	if !c.crashes.Complete(f) {
 		return
 	}
 	c.log.WithFields(logrus.Fields{"event": "request_exonerated", "fingerprint": f}).Info("a suspected request ran to its end; crashes no longer count against it")
@@ -224,7 +238,7 @@
 // caller must hold mu.
 func (c *Core) logSuspicion(f quarantine.Fingerprint, upstream quarantine.Instance, from string) {
 	level := c.crashes.Level(f, time.Now())
-	line := c.log.WithFields(logrus.Fields{"fingerprint": f, "upstream": upstream.ID, "from": from, "crashes": c.crashes.Crashes(f), "level": level})
+	line := c.log.WithFields(logrus.Fields{"fingerprint": f, "upstream": upstream.ID, "from": from, "crashes": c.crashes.Crashes(f), "suspicion": level})
 	if level == quarantine.Quarantined {
 		line.WithField("event", "request_quarantined").Error("request quarantined: upstreams ended each time they ran it; it is refused from now on")
 		return
@@ -235,7 +249,7 @@
 // logWithdrawal logs a crash that no longer counts. The caller must hold mu.
 func (c *Core) logWithdrawal(x quarantine.Crash, from string) {
 	c.log.WithFields(logrus.Fields{
-		"event": "crash_withdrawn", "fingerprint": x.Fingerprint, "upstream": x.Upstream.ID, "from": from, "level": c.crashes.Level(x.Fingerprint, time.Now()),
+		"event": "crash_withdrawn", "fingerprint": x.Fingerprint, "upstream": x.Upstream.ID, "from": from, "suspicion": c.crashes.Level(x.Fingerprint, time.Now()),
 	}).Info("a crash no longer counts against a request")
 }
 
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -307,7 +307,7 @@
 // registration, so the suspicion ends soon after.
 func TestCutUpstreamIsTakenForACrash(t *testing.T) {
 	runCrashFleet(t, 2, 6, func(c *qt.C, f *crashFleet) {
-		for range 4 {
+		for round := range 4 {
 			for n := range 3 {
 				time.Sleep(2 * gossipPeriod)
 				done := make(chan error, 1)
@@ -318,9 +318,11 @@
 				c.Assert(apierr.IsKind(err, apierr.Unknown), qt.IsTrue, qt.Commentf("%v", err))
 				f.wg.Go(func() { f.sleep(2 * time.Second); f.heal(e) })
 			}
-			err := f.serve(0, "/once/x", longBody)
-			c.Assert(apierr.IsKind(err, apierr.Quarantined), qt.IsTrue, qt.Commentf("%v", err))
-			c.Assert(apierr.From(err).RetryAfter <= 6*time.Second, qt.IsTrue)
+			if round == 0 { // later it is known to have run to its end
+				err := f.serve(0, "/once/x", longBody)
+				c.Assert(apierr.IsKind(err, apierr.Quarantined), qt.IsTrue, qt.Commentf("%v", err))
+				c.Assert(apierr.From(err).RetryAfter <= 6*time.Second, qt.IsTrue)
+			}
 			time.Sleep(8 * time.Second)
 			c.Assert(f.serve(0, "/once/x", longBody), qt.IsNil)
 		}
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/eventstream"
+)
+
+// relayEvents relays an event stream event by event. If the upstream truncates the
+// stream, the request is resumed at another upstream where the route allows it.
+func (h *Handler) relayEvents(ctx context.Context, r *request, slot *Slot, resp *Response, w http.ResponseWriter) (bool, error) {
+	events := eventstream.NewReader(resp.Body)
+	for {
+		batch, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			r.sendHeader(w, resp)
+			return false, nil
+		}
+		if err != nil {
+			return h.handleTruncation(ctx, r, slot, err)
+		}
+		r.sendHeader(w, resp)
+		for _, e := range batch {
+			if !IsNextEventID(r.lastEventID, e.ID) {
+				return h.handleTruncation(ctx, r, slot, errors.Errorf("event %q does not follow event %q", e.ID, r.lastEventID))
+			}
+			if _, err := w.Write(e.Raw); err != nil {
+				return false, ErrResponseTruncated // the caller disconnected
+			}
+			if e.ID != "" {
+				r.lastEventID = e.ID
+			}
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return false, ErrResponseTruncated
+		}
+	}
+}
+
+// IsNextEventID reports whether eventID directly follows lastID. IDs that aren't
+// numbers are not checked.
+func IsNextEventID(lastID, eventID string) bool {
+	last, err := strconv.ParseInt(lastID, 10, 64)
+	if err != nil {
+		return true // the first event, or a non-numeric ID
+	}
+	id, err := strconv.ParseInt(eventID, 10, 64)
+	return err != nil || id == last+1
+}
+
+// sendHeader sends the response header unless an earlier attempt has sent one. A
+// resumed stream keeps the header of the first upstream.
+func (r *request) sendHeader(w http.ResponseWriter, resp *Response) {
+	if r.headersSent {
+		return
+	}
+	r.headersSent = true
+	r.firstByte = time.Since(r.started)
+	header := w.Header()
+	for name, values := range resp.Header {
+		header[name] = values
+	}
+	w.WriteHeader(resp.Status)
+}
+
+// recordTruncation records that the upstream truncated a response.
+func (h *Handler) recordTruncation(ctx context.Context, r *request, slot *Slot, err error) {
+	if ctx.Err() == nil {
+		slot.ReportFailure()
+		slot.ReportRunResult(true)
+		slot.ReportBrokenRun(ctx, r.fingerprint())
+	}
+	h.metrics.Attempts.WithLabelValues("broken_off").Inc()
+	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "after_event": r.lastEventID, "error": err}).Info("upstream truncated a response")
+}
+
+// handleTruncation records a truncated response. It reports whether the request may be
+// retried at another upstream.
+func (h *Handler) handleTruncation(ctx context.Context, r *request, slot *Slot, err error) (bool, error) {
+	h.recordTruncation(ctx, r, slot, err)
+	if r.mayRetry() && ctx.Err() == nil {
+		return true, ErrResponseTruncated
+	}
+	if r.headersSent {
+		return false, ErrResponseTruncated
+	}
+	return false, apierr.New(apierr.Unknown, "the upstream broke off its answer", "send the request again only if it may run twice").MayHaveRun().WithCause(err)
+}
+
+// relayBody relays a response that isn't a stream. The body is buffered up to
+// responseBufferBytes before the first write, so that the request can be retried if
+// the upstream truncates the response.
+func (h *Handler) relayBody(ctx context.Context, r *request, slot *Slot, resp *Response, w http.ResponseWriter) (bool, error) {
+	var head bytes.Buffer
+	_, err := io.CopyN(&head, resp.Body, responseBufferBytes)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return h.handleTruncation(ctx, r, slot, err)
+	}
+	r.sendHeader(w, resp)
+	if _, werr := w.Write(head.Bytes()); werr != nil {
+		return false, ErrResponseTruncated
+	}
+	if err != nil { // the body has ended
+		return false, nil
+	}
+	rest := &errorRecorder{Reader: resp.Body}
+	if _, err = io.Copy(w, rest); err == nil {
+		return false, nil
+	}
+	if rest.err != nil {
+		h.recordTruncation(ctx, r, slot, rest.err)
+	}
+	return false, ErrResponseTruncated
+}
+
+// errorRecorder keeps the error of a Reader apart from those of the writer it is
+// copied to.
+type errorRecorder struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (e *errorRecorder) Read(p []byte) (int, error) {
+	n, err := e.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		e.err = err
+	}
+	return n, err
+}
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -95,7 +95,7 @@
 
 // reportToQuarantine reports a broken or completed run and returns why it broke.
 func (r *Runner) reportToQuarantine(ctx context.Context, i *item, slot *entry.Slot, outcome runOutcome) entry.BreakCause {
-	completed := outcome == runDone && r.core.HasSuspects()
+	completed := outcome == runDone && r.core.TracksCompletion(len(i.Body))
 	if outcome != runTruncated && !completed {
 		return entry.BreakUnknown
 	}
--- a/internal/knowledge/quarantine.go
+++ b/internal/knowledge/quarantine.go
@@ -33,6 +33,7 @@
 	Observed  int    `json:"observed"`
 	Withdrawn int    `json:"withdrawn"`
 	Isolated  bool   `json:"isolated"`
+	Completed bool   `json:"completed"`
 }
 
 func newQuarantineEntry(crashes []quarantine.Crash) quarantineEntry {
@@ -40,7 +41,7 @@
 	for _, x := range crashes {
 		e.Crashes = append(e.Crashes, crashEntry{
 			Upstream: x.Upstream.ID, StartedMS: x.Upstream.StartedMS, AtMS: x.At.UnixMilli(),
-			Observed: x.Observed, Withdrawn: x.Withdrawn, Isolated: x.Isolated,
+			Observed: x.Observed, Withdrawn: x.Withdrawn, Isolated: x.Isolated, Completed: x.Completed,
 		})
 	}
 	return e
@@ -51,7 +52,7 @@
 	for _, x := range e.Crashes {
 		crashes = append(crashes, quarantine.Crash{
 			Fingerprint: f, Upstream: quarantine.Instance{ID: x.Upstream, StartedMS: x.StartedMS}, At: time.UnixMilli(x.AtMS),
-			Observed: x.Observed, Withdrawn: x.Withdrawn, Isolated: x.Isolated,
+			Observed: x.Observed, Withdrawn: x.Withdrawn, Isolated: x.Isolated, Completed: x.Completed,
 		})
 	}
 	return crashes
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -51,7 +51,7 @@
 	fingerprint         quarantine.Fingerprint
 	upstream            quarantine.Instance
 	observed, withdrawn int
-	isolated            bool
+	isolated, completed bool
 }
 
 func newSentState() *sentState {
@@ -92,14 +92,14 @@
 	var encoded []*peerv1.Crash
 	current := make(map[crashKey]bool, len(crashes))
 	for _, x := range crashes {
-		key := crashKey{x.Fingerprint, x.Upstream, x.Observed, x.Withdrawn, x.Isolated}
+		key := crashKey{x.Fingerprint, x.Upstream, x.Observed, x.Withdrawn, x.Isolated, x.Completed}
 		current[key] = true
 		if sent.crashes[key] {
 			continue
 		}
 		encoded = append(encoded, &peerv1.Crash{
 			Fingerprint: x.Fingerprint[:], Upstream: x.Upstream.ID, StartedMs: x.Upstream.StartedMS,
-			AgeMs: now.Sub(x.At).Milliseconds(), Observed: int32(x.Observed), Withdrawn: int32(x.Withdrawn), Isolated: x.Isolated,
+			AgeMs: now.Sub(x.At).Milliseconds(), Observed: int32(x.Observed), Withdrawn: int32(x.Withdrawn), Isolated: x.Isolated, Completed: x.Completed,
 		})
 	}
 	sent.crashes = current
@@ -119,6 +119,7 @@
 			Observed:    int(x.Observed),
 			Withdrawn:   int(x.Withdrawn),
 			Isolated:    x.Isolated,
+			Completed:   x.Completed,
 		})
 	}
 	return crashes
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -3,9 +3,10 @@
 // Contract: an upstream that ends counts against every request that it ran, because
 // nothing tells which of them was the cause. A request is quarantined only after
 // crashLimit upstreams have ended under it, one of them in an isolated run, which shares
-// its upstream with no other request that is as suspect. A crash is withdrawn once the
-// upstream turns out to be alive or the request has completed elsewhere. Hosts exchange
-// crashes, which merge in any order.
+// its upstream with no other request that is as suspect. If the request has ever run to
+// its end, all of them must have been isolated. A crash is withdrawn once the upstream
+// turns out to be alive or the request has completed elsewhere, and decides nothing if
+// another request explains it. Hosts exchange crashes, which merge in any order.
 //
 // The package does no I/O and reads no clock. A Table is not safe for concurrent use.
 package quarantine
@@ -39,6 +40,7 @@
 	maxRequests        = 1024             // in a table
 	maxCrashes         = 16               // kept for each request
 	maxShared          = 64               // crashes in one state to peers
+	maxCompleted       = 1024             // requests of which a table remembers that they ran to their end
 )
 
 // Instance is one process lifetime of an upstream.
@@ -56,6 +58,7 @@
 	Observed    int       // number of the latest observation, from 1 on
 	Withdrawn   int       // number of the latest observation that doesn't count against the request
 	Isolated    bool      // the run was isolated
+	Completed   bool      // the request has run to its end at some upstream
 }
 
 // Counts reports whether the crash counts against the request.
@@ -69,11 +72,14 @@
 
 // Table holds the crashes by request.
 type Table struct {
-	requests map[Fingerprint]map[Instance]*crash
+	requests  map[Fingerprint]map[Instance]*crash
+	completed recentSet // requests that have lately run to their end on this host
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{requests: map[Fingerprint]map[Instance]*crash{}} }
+func NewTable() *Table {
+	return &Table{requests: map[Fingerprint]map[Instance]*crash{}, completed: newRecentSet(maxCompleted)}
+}
 
 // Empty reports whether the table holds no crash.
 func (t *Table) Empty() bool { return len(t.requests) == 0 }
@@ -81,7 +87,7 @@
 // Observe adds a crash that this host has observed under a run that was or wasn't
 // isolated. It reports whether the table has changed.
 func (t *Table) Observe(f Fingerprint, upstream Instance, isolated bool, now time.Time) bool {
-	x := Crash{Fingerprint: f, Upstream: upstream, At: now, Observed: 1, Isolated: isolated}
+	x := Crash{Fingerprint: f, Upstream: upstream, At: now, Observed: 1, Isolated: isolated, Completed: t.completed.has(f)}
 	if known, ok := t.requests[f][upstream]; ok {
 		x.Observed = known.Observed
 		if !known.Counts() {
@@ -119,6 +125,7 @@
 	}
 	c.Withdrawn = max(c.Withdrawn, x.Withdrawn)
 	c.Isolated = c.Isolated || x.Isolated
+	c.Completed = c.Completed || x.Completed
 	return c.Crash != before
 }
 
@@ -168,25 +175,67 @@
 	return count, last
 }
 
+// levelOf returns the level of a request with these crashes, whatever other requests
+// explain of them.
 func levelOf(crashes map[Instance]*crash) Level {
+	return levelWith(crashes, func(Instance) bool { return true })
+}
+
+// levelWith is like levelOf, but only those isolated crashes decide for which decides
+// returns true.
+func levelWith(crashes map[Instance]*crash, decides func(Instance) bool) Level {
 	count, _ := tally(crashes)
 	level := Level(min(count, crashLimit))
-	if level == Quarantined && !hasIsolated(crashes) {
+	if level < Quarantined {
+		return level
+	}
+	isolated, needed := 0, 1
+	for upstream, c := range crashes {
+		if c.Isolated && c.Counts() && decides(upstream) {
+			isolated++
+		}
+		if c.Completed {
+			needed = crashLimit
+		}
+	}
+	if isolated < needed {
 		return Isolated
 	}
-	return level
+	return Quarantined
 }
 
-// hasIsolated reports whether an isolated run's crash counts.
-func hasIsolated(crashes map[Instance]*crash) bool {
-	for _, c := range crashes {
-		if c.Isolated && c.Counts() {
-			return true
+// level returns the request's level. A crash doesn't decide if another request that ran
+// there is shown to crash upstreams by an isolated run elsewhere.
+func (t *Table) level(f Fingerprint) Level {
+	return levelWith(t.requests[f], func(upstream Instance) bool {
+		return !t.isExplained(upstream, f, func(other Fingerprint, elsewhere Instance) bool {
+			return !t.isExplained(elsewhere, other, func(third Fingerprint, _ Instance) bool { return third != f })
+		})
+	})
+}
+
+// isExplained reports whether another request than f explains the upstream's crash: it
+// ran there, and one of its isolated runs crashed an upstream elsewhere, where f did not
+// run. Such a run must satisfy accept.
+func (t *Table) isExplained(upstream Instance, f Fingerprint, accept func(Fingerprint, Instance) bool) bool {
+	for other, crashes := range t.requests {
+		if other == f || !counts(crashes, upstream) || levelOf(crashes) != Quarantined {
+			continue
+		}
+		for elsewhere, c := range crashes {
+			if c.Isolated && c.Counts() && !counts(t.requests[f], elsewhere) && accept(other, elsewhere) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
+func counts(crashes map[Instance]*crash, upstream Instance) bool {
+	c, known := crashes[upstream]
+	return known && c.Counts()
+}
+
 func expiry(crashes map[Instance]*crash) time.Time {
 	_, last := tally(crashes)
 	if levelOf(crashes) == Quarantined {
@@ -201,7 +250,7 @@
 	if !known || now.After(expiry(crashes)) {
 		return Clear
 	}
-	return levelOf(crashes)
+	return t.level(f)
 }
 
 // Crashes returns how many crashes count against the request.
@@ -225,13 +274,14 @@
 	return max(expiry(crashes).Sub(now), 0)
 }
 
-// Exonerate withdraws all crashes of a request that an upstream has run to its end. It
-// reports whether there were any.
-func (t *Table) Exonerate(f Fingerprint) bool {
+// Complete records that an upstream has run the request to its end, and withdraws its
+// crashes. It reports whether there were any.
+func (t *Table) Complete(f Fingerprint) bool {
+	t.completed.add(f)
 	changed := false
 	for _, c := range t.requests[f] {
-		changed = changed || c.Counts()
-		c.Withdrawn = c.Observed
+		changed = changed || c.Counts() || !c.Completed
+		c.Withdrawn, c.Completed = c.Observed, true
 	}
 	return changed
 }
@@ -266,7 +316,7 @@
 func (t *Table) QuarantinedHere() map[Fingerprint][]Crash {
 	found := map[Fingerprint][]Crash{}
 	for f, crashes := range t.requests {
-		if levelOf(crashes) != Quarantined || !hasOwn(crashes) {
+		if !hasOwn(crashes) || t.level(f) != Quarantined {
 			continue
 		}
 		for _, c := range crashes {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -43,7 +43,7 @@
 	again := crashOf(1, 0)
 	again.Upstream.StartedMS++
 	c.Assert(table.Observe(f, again.Upstream, true, epoch), qt.IsTrue)
-	c.Assert(table.Exonerate(f), qt.IsTrue)
+	c.Assert(table.Complete(f), qt.IsTrue)
 	c.Assert(table.Level(f, epoch), qt.Equals, quarantine.Clear)
 	c.Assert(table.Merge(crashOf(1, 1)), qt.IsFalse) // a late message doesn't undo that
 	c.Assert(table.Level(f, epoch), qt.Equals, quarantine.Clear)
@@ -59,7 +59,7 @@
 	f := quarantine.Fingerprint{1}
 	for n := range 50 {
 		observe(table, 1, n)
-		table.Exonerate(f)
+		table.Complete(f)
 	}
 	for n := range 3 {
 		observe(table, 1, 100+n)
@@ -108,6 +108,7 @@
 		crashes := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) quarantine.Crash {
 			x := crashOf(byte(rapid.IntRange(0, 2).Draw(t, "request")), rapid.IntRange(0, 4).Draw(t, "upstream"))
 			x.Isolated = rapid.Bool().Draw(t, "isolated")
+			x.Completed = rapid.Bool().Draw(t, "completed")
 			x.Observed = rapid.IntRange(1, 3).Draw(t, "observed")
 			x.Withdrawn = rapid.IntRange(0, x.Observed).Draw(t, "withdrawn")
 			return x
@@ -140,3 +141,53 @@
 	observe(table, 1, 100)
 	c.Assert(table.Level(f, epoch), qt.Equals, quarantine.Quarantined)
 }
+
+// TestCompletedRequestNeedsIsolatedCrashesOnly checks that a request that has run to its
+// end, here or at another host, is quarantined only after isolated runs.
+func TestCompletedRequestNeedsIsolatedCrashesOnly(t *testing.T) {
+	c := qt.New(t)
+	here, peer := quarantine.NewTable(), quarantine.NewTable()
+	f := quarantine.Fingerprint{1}
+	here.Complete(f)
+	for n := range 4 {
+		here.Observe(f, crashOf(1, n).Upstream, n < 2, epoch)
+	}
+	for _, x := range here.Shared() {
+		peer.Merge(x)
+	}
+	for _, table := range []*quarantine.Table{here, peer} {
+		c.Assert(table.Level(f, epoch), qt.Equals, quarantine.Isolated)
+		observe(table, 1, 5)
+		c.Assert(table.Level(f, epoch), qt.Equals, quarantine.Quarantined)
+	}
+	for n := range 2000 {
+		here.Complete(quarantine.Fingerprint{2, byte(n), byte(n >> 8)})
+	}
+	c.Assert(here.Complete(f), qt.IsTrue)
+}
+
+// TestInnocentIsReleasedOnceTheGuiltyIsFound guards against a request that stays
+// quarantined because a second request, not yet suspect, crashed the upstream of its
+// isolated run.
+func TestInnocentIsReleasedOnceTheGuiltyIsFound(t *testing.T) {
+	c := qt.New(t)
+	table := quarantine.NewTable()
+	first, second, innocent := quarantine.Fingerprint{1}, quarantine.Fingerprint{2}, quarantine.Fingerprint{3}
+	crash := func(upstream int, isolated quarantine.Fingerprint, running ...quarantine.Fingerprint) {
+		for _, f := range running {
+			table.Observe(f, crashOf(0, upstream).Upstream, f == isolated, epoch)
+		}
+	}
+	none := quarantine.Fingerprint{}
+	crash(0, none, first, innocent)
+	crash(1, none, first, innocent)
+	crash(2, first, first)
+	crash(3, innocent, innocent, second)
+	c.Assert(table.Level(first, epoch), qt.Equals, quarantine.Quarantined)
+	c.Assert(table.Level(innocent, epoch), qt.Equals, quarantine.Quarantined)
+	crash(4, none, second)
+	crash(5, second, second)
+	c.Assert(table.Level(second, epoch), qt.Equals, quarantine.Quarantined)
+	c.Assert(table.Level(innocent, epoch), qt.Equals, quarantine.Isolated)
+	c.Assert(table.Level(first, epoch), qt.Equals, quarantine.Quarantined)
+}
--- /dev/null
+++ b/internal/slots/placement.go
@@ -0,0 +1,107 @@
+package slots
+
+import "time"
+
+// PlaceOnline picks the upstream for an online request, other than the excluded
+// ones. Load can rise faster than batch items complete, so where no slot is free,
+// PlaceOnline picks an upstream that runs a batch item, and the host of the item
+// preempts it. Items of this host are preferred, because other hosts must first
+// receive a message about the request. The second result is false when online
+// requests hold all slots.
+func (b *Balancer) PlaceOnline(service string, excluded map[string]bool, now time.Time) (string, bool) {
+	var best *upstream
+	var bestScore float64
+	for id, u := range b.upstreams {
+		if excluded[id] || !u.isAvailable(service, now) || !b.mayUse(id) || u.total.Online+u.unaccountedAt(now) >= u.Slots {
+			continue
+		}
+		if score := b.scoreOnline(u, now); best == nil || score > bestScore {
+			best, bestScore = u, score
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.ID, true
+}
+
+// The parts of a placement score. Each outweighs the ones below it.
+const (
+	scoreFree           = 1000 // a slot is free
+	scoreIsolating      = -250 // keeps requests apart from an isolated run while others have free slots
+	scoreOwnBatch       = 700  // a batch item of this host can be preempted
+	scoreSpillover      = 600  // slots are free at an upstream of another cell
+	scorePeerBatch      = 500  // a batch item of another host of the cell can be preempted
+	scorePerFreeSlot    = 1    // an engine with fewer requests is faster
+	scoreSameDataCentre = 0.9  // saves traffic between data centres
+	scoreJitter         = 1.0  // keeps hosts from picking the same upstream at once
+)
+
+// minSpilloverFree is the number of free slots that an upstream of another cell
+// must show: hosts of that cell may have taken slots that they haven't reported yet.
+const minSpilloverFree = 2
+
+func (b *Balancer) scoreOnline(u *upstream, now time.Time) float64 {
+	score := b.random.Float64() * scoreJitter
+	if u.outlier.isEjected(now) {
+		return score // below all others
+	}
+	free := u.freeSlots(now)
+	switch inCell := b.inCell(u.ID); {
+	case inCell && free > 0:
+		score += scoreFree
+	case u.own.Batch > 0:
+		score += scoreOwnBatch
+	case !inCell && free >= minSpilloverFree:
+		score += scoreSpillover
+	case inCell:
+		score += scorePeerBatch
+	}
+	if u.total.Isolated > 0 {
+		score += scoreIsolating
+	}
+	if u.DataCentre == b.dataCentre {
+		score += scoreSameDataCentre
+	}
+	return score + float64(free)*scorePerFreeSlot
+}
+
+// PlaceBatch picks the upstream for a batch item, other than the excluded ones. Batch items fill the slots that
+// online load leaves free, except for a reserve: online load swings from second
+// to second, and the next online requests take the reserve without preempting an
+// item. Items that are nearly due may use the reserve.
+func (b *Balancer) PlaceBatch(service string, nearlyDue bool, excluded map[string]bool, now time.Time) (string, bool) {
+	capacity := b.Capacity(service, now)
+	reserve := onlineReserve(capacity.Slots)
+	if nearlyDue {
+		reserve = 0
+	}
+	if capacity.Free <= reserve {
+		return "", false
+	}
+	var best *upstream
+	var bestScore float64
+	for id, u := range b.upstreams {
+		if excluded[id] || !u.isAvailable(service, now) || u.freeSlots(now) <= 0 || !b.inCell(u.ID) || u.outlier.isEjected(now) {
+			continue
+		}
+		score := float64(u.freeSlots(now))*scorePerFreeSlot + b.random.Float64()*scoreJitter
+		if u.DataCentre == b.dataCentre {
+			score += scoreSameDataCentre
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = u, score
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.ID, true
+}
+
+// reserveFraction is the part of a service's slots that batch items leave free.
+// At the request rates of the users' load sheets, online requests fill the reserve
+// in about 50 ms, by which time other hosts have received the new counts.
+const reserveFraction = 0.04
+
+func onlineReserve(slots int) int { return int(float64(slots)*reserveFraction + 0.5) }
