Don't promise that a cancellation has no effect when it may have one

What callers saw: a DELETE of a job answered 503, which promises that nothing was done, and the job was cancelled seconds later. Cause: the error of a call to the owner was dropped, and a host that could not store a cancellation stops the job at once and stores it later, but both answered as 'not run'. Change: such answers say that the call may have had an effect (502). A 503 stays where nobody was told. The dropped error is logged. Evidence: TestFailedCancellationIsReportedAsNotRun fails for two of its three cases before, and passes now.

--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -195,6 +195,7 @@
 	cancel      context.CancelFunc
 	partitioned bool // from all other hosts, but not from the store
 	killed      bool
+	hung        bool // calls to the host are carried out, but their responses don't arrive
 }
 
 func newCluster(c *qt.C) *cluster {
@@ -368,7 +369,11 @@
 	if err != nil {
 		return err
 	}
-	return other.runner.CancelLocal(ctx, job, team)
+	err = other.runner.CancelLocal(ctx, job, team)
+	if other.hung {
+		return errUnreachable
+	}
+	return err
 }
 
 // Adopt implements jobs.Peers.
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -574,3 +574,32 @@
 		w.checkResults(h1, s)
 	})
 }
+
+// TestFailedCancellationIsReportedAsNotRun guards against a response that promises that a
+// cancellation has no effect, though this host or the owner carries it out later.
+func TestFailedCancellationIsReportedAsNotRun(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault func(owner, other *host)
+		at    func(owner, other *host) *host
+		want  apierr.Execution
+	}{
+		{"the owner can't store it", func(owner, _ *host) { owner.store.SetPartitioned(true) }, func(owner, _ *host) *host { return owner }, apierr.MayHaveRun},
+		{"the owner doesn't respond", func(owner, other *host) { owner.hung = true; other.store.SetPartitioned(true) }, func(_, other *host) *host { return other }, apierr.MayHaveRun},
+		{"nobody was told", func(owner, other *host) { owner.setPartitioned(true); other.store.SetPartitioned(true) }, func(_, other *host) *host { return other }, apierr.NotRun},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runCluster(t, func(c *qt.C, w *cluster) {
+				owner, other := w.start("h1"), w.start("h2")
+				time.Sleep(time.Second)
+				c.Assert(owner.runner.Submit(background, submission("j", 60)), qt.IsNil)
+				time.Sleep(time.Second)
+				tc.fault(owner, other)
+				time.Sleep(time.Second)
+				err := tc.at(owner, other).runner.Cancel(background, "j", "cafe")
+				c.Assert(err, qt.Not(qt.IsNil))
+				c.Assert(apierr.From(err).Execution, qt.Equals, tc.want, qt.Commentf("%v", err))
+			})
+		})
+	}
+}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -187,20 +187,45 @@
 	if !errors.Is(err, mesh.ErrUnknownJob) {
 		return err
 	}
-	if address, announced := r.core.JobOwner(id); announced && r.peers.EndJob(ctx, address, id, team) == nil {
-		return nil
+	told := false // the owner was asked and may carry it out, though its response didn't arrive
+	if address, announced := r.core.JobOwner(id); announced {
+		if err = r.cancelAt(ctx, address, id, team); err == nil {
+			return nil
+		}
+		told = !errors.Is(err, mesh.ErrUnknownJob)
 	}
 	m, err := r.findRemote(ctx, id)
 	if err != nil {
-		return r.readError(id, err)
+		return withoutPromise(r.readError(id, err), told)
 	}
 	if m.record.Team != team {
 		return jobNotFound(id)
 	}
-	if address, live := r.peerAddress(m.owner); live && r.peers.EndJob(ctx, address, id, team) == nil {
-		return nil
+	if address, live := r.peerAddress(m.owner); live {
+		if err = r.cancelAt(ctx, address, id, team); err == nil {
+			return nil
+		}
+		told = told || !errors.Is(err, mesh.ErrUnknownJob)
+	}
+	return withoutPromise(r.storeCancellation(ctx, id, m.record), told)
+}
+
+// cancelAt asks the host at the address to cancel the job.
+func (r *Runner) cancelAt(ctx context.Context, address, id, team string) error {
+	err := r.peers.EndJob(ctx, address, id, team)
+	if err != nil {
+		r.log.WithFields(logrus.Fields{"event": "job_end_not_relayed", "job": id, "address": address, "error": err}).Info("the owner of a job didn't confirm its cancellation")
+	}
+	return err
+}
+
+// withoutPromise returns err without its promise that the call has no effect, if the call
+// may have one.
+func withoutPromise(err error, mayHaveEffect bool) error {
+	if err == nil || !mayHaveEffect {
+		return err
 	}
-	return r.storeCancellation(ctx, id, m.record)
+	return apierr.From(err).MayHaveRun()
 }
 
 // cancellationAnnounceTime is how long a cancellation is announced to peers. It
@@ -221,7 +246,9 @@
 			j.unverified = true // another host may take over the job
 			r.announceJobs()
 		}
-		return unavailable("the end of the job can't be noted at the moment", err)
+		// A job of this host is stopped, and its cancellation stored later. Another write
+		// may take effect unless the store has rejected it.
+		return withoutPromise(unavailable("the end of the job can't be noted at the moment", err), known || !errors.Is(err, objstore.ErrUnavailable))
 	}
 	if known {
 		r.stopJob(j) // this host may have claimed the job meanwhile
