Accept a job that is sent again while another host runs it

What callers saw: nothing reported; found by looking for promises that are proved for requests and not for jobs. A job whose 202 was lost and that came again through another host was answered 429, because its own tokens filled the team's limit, or 503, because the store was down: both promise that no part of it runs, and it ran. Cause: the limit was checked before the job was known, and a failed read of a job that is known to exist was answered like a failed create. Change: a job that a peer announces is taken as a repeat before the limit is checked; a repeat that can't be compared is answered 504, which promises nothing. Evidence: TestAcceptedJobIsRefusedWhenItIsSentAgain fails before ('600 tokens of the team wait already') and passes now. Not covered: a repeat during an outage of the store, at a host that no peer tells of the job.

--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -603,3 +603,22 @@
 		})
 	}
 }
+
+// TestAcceptedJobIsRefusedWhenItIsSentAgain guards against a response that promises that
+// no part of a job runs, although another host has accepted and runs it.
+func TestAcceptedJobIsRefusedWhenItIsSentAgain(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		h1, h2 := w.start("h1"), w.start("h2")
+		time.Sleep(time.Second)
+		s := submission("j", 60)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		time.Sleep(300 * time.Millisecond)
+		c.Assert(h2.runner.Submit(background, s), qt.IsNil, qt.Commentf("its own tokens fill its team's limit"))
+		s = submission("k", 2)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		time.Sleep(300 * time.Millisecond)
+		h2.store.SetPartitioned(true)
+		err := h2.runner.Submit(background, s)
+		c.Assert(apierr.From(err).Execution, qt.Equals, apierr.MayHaveRun, qt.Commentf("%v", err))
+	})
+}
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -26,6 +26,9 @@
 	if known, err := r.checkResubmission(s, team.Name); known {
 		return err
 	}
+	if _, announced := r.core.JobOwner(s.ID); announced {
+		return r.acceptDuplicate(ctx, s, team.Name)
+	}
 	if err := r.checkBacklog(s, route, team.Name); err != nil {
 		return err
 	}
@@ -87,7 +90,7 @@
 func (r *Runner) acceptDuplicate(ctx context.Context, s Submission, team string) error {
 	m, err := r.findRemote(ctx, s.ID)
 	if err != nil {
-		return acceptError(err)
+		return withoutPromise(acceptError(err), true)
 	}
 	if err := checkSameJob(m.record, s, team); err != nil {
 		return err
