--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -232,11 +232,12 @@
 	for team, n := range c.limiter.AdmissionCounts() {
 		admitted[team] = n
 	}
+	crashes, crashesVersion := c.crashes.Shared()
 	return mesh.State{
 		Host: c.self.Name, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
 		Address: c.self.PeerAddress, Leaving: c.leaving, Running: c.balancer.OwnCounts(), Outcomes: c.outcomes, Admitted: admitted,
 		Waiting: c.waitingTokens, EndedJobs: c.cancelledJobs, Jobs: c.jobs, Watching: c.watching, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams,
-		Crashes:        c.crashes.Shared(),
+		Crashes: crashes, CrashesVersion: crashesVersion,
 		StoreReachable: c.storeReachable && (c.watching || !c.storeCallFailed),
 	}
 }
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -260,7 +260,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.crashes.Expire(now)
-	if !c.isRegistryCurrent(now) {
+	if c.crashes.Empty() || !c.isRegistryCurrent(now) {
 		return
 	}
 	registered := map[quarantine.Instance]bool{}
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -35,6 +35,7 @@
 	Jobs             []string                  // owned by the host
 	Watching         bool                      // the host watches the store
 	Crashes          []quarantine.Crash        // those already sent may be omitted
+	CrashesVersion   int64                     // of Crashes, on this host only
 	ConfigVersion    int64
 	UpstreamsVersion int64
 	StoreReachable   bool
@@ -42,8 +43,9 @@
 
 // sentState is what the receiver of a stream knows from earlier states on it.
 type sentState struct {
-	admitted map[string]int64 // by team
-	crashes  map[crashKey]bool
+	admitted       map[string]int64 // by team
+	crashes        map[crashKey]bool
+	crashesVersion int64
 }
 
 // crashKey identifies a crash and what may change of it.
@@ -76,7 +78,10 @@
 	for id, c := range s.Running {
 		m.Running = append(m.Running, &peerv1.Running{Upstream: id, Online: int32(c.Online), Batch: int32(c.Batch), Isolated: int32(c.Isolated)})
 	}
-	m.Crashes = encodeCrashes(s.Crashes, sent, now)
+	if s.CrashesVersion != sent.crashesVersion {
+		m.Crashes = encodeCrashes(s.Crashes, sent, now)
+		sent.crashesVersion = s.CrashesVersion
+	}
 	for id, o := range s.Outcomes {
 		m.Outcomes = append(m.Outcomes, &peerv1.Outcomes{Upstream: id, Failed: int32(o.Failed), Ended: int32(o.Ended)})
 	}
--- a/internal/mesh/state_test.go
+++ b/internal/mesh/state_test.go
@@ -19,12 +19,15 @@
 		Fingerprint: quarantine.Fingerprint{7}, Upstream: quarantine.Instance{ID: "u1", StartedMS: 5},
 		At: sender.Add(-3 * time.Second), Observed: 1, Isolated: true, Completed: true,
 	}
-	s := State{Host: "h1", Crashes: []quarantine.Crash{crash}}
+	s := State{Host: "h1", Crashes: []quarantine.Crash{crash}, CrashesVersion: 1}
 	received := decodeState(encodeState(s, sent, sender), receiver).Crashes
 	crash.At = receiver.Add(-3 * time.Second)
 	c.Assert(received, qt.DeepEquals, []quarantine.Crash{crash})
 	c.Assert(decodeState(encodeState(s, sent, sender), receiver).Crashes, qt.HasLen, 0)
+	s.CrashesVersion++
+	c.Assert(decodeState(encodeState(s, sent, sender), receiver).Crashes, qt.HasLen, 0)
 	s.Crashes[0].Withdrawn = 1
+	s.CrashesVersion++
 	c.Assert(decodeState(encodeState(s, sent, sender), receiver).Crashes, qt.HasLen, 1)
 	c.Assert(decodeState(encodeState(s, newSentState(), sender), receiver).Crashes, qt.HasLen, 1) // after a new connection
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -74,6 +74,9 @@
 type Table struct {
 	requests  map[Fingerprint]map[Instance]*crash
 	completed recentSet // requests that have lately run to their end on this host
+	version   int64     // rises with each change
+	shared    []Crash   // as of sharedAt
+	sharedAt  int64     // version
 }
 
 // NewTable returns an empty table.
@@ -98,6 +101,7 @@
 		return false
 	}
 	t.requests[f][upstream].own = true
+	t.version++
 	return true
 }
 
@@ -117,6 +121,7 @@
 			return false
 		}
 		crashes[x.Upstream] = &crash{Crash: x}
+		t.version++
 		return true
 	}
 	before := c.Crash
@@ -126,7 +131,11 @@
 	c.Withdrawn = max(c.Withdrawn, x.Withdrawn)
 	c.Isolated = c.Isolated || x.Isolated
 	c.Completed = c.Completed || x.Completed
-	return c.Crash != before
+	if c.Crash == before {
+		return false
+	}
+	t.version++
+	return true
 }
 
 // makeRoom removes the oldest crash that doesn't count or, for an isolated one, the
@@ -283,6 +292,9 @@
 		changed = changed || c.Counts() || !c.Completed
 		c.Withdrawn, c.Completed = c.Observed, true
 	}
+	if changed {
+		t.version++
+	}
 	return changed
 }
 
@@ -296,6 +308,7 @@
 				continue
 			}
 			c.Withdrawn = c.Observed
+			t.version++
 			withdrawn = append(withdrawn, c.Crash)
 		}
 	}
@@ -307,6 +320,7 @@
 	for f, crashes := range t.requests {
 		if now.After(expiry(crashes)) {
 			delete(t.requests, f)
+			t.version++
 		}
 	}
 }
@@ -338,8 +352,15 @@
 // Shared returns the crashes to send to peers: those that this host has observed, and
 // those of requests from the level Isolated on, so that they outlast the host that
 // observed them. Requests of a higher level and later crashes come first, up to
-// maxShared.
-func (t *Table) Shared() []Crash {
+// maxShared. It also returns the version of the table, which rises with each change.
+func (t *Table) Shared() ([]Crash, int64) {
+	if t.sharedAt != t.version {
+		t.shared, t.sharedAt = t.selectShared(), t.version
+	}
+	return t.shared, t.version
+}
+
+func (t *Table) selectShared() []Crash {
 	type ranked struct {
 		Crash
 		level Level
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -96,7 +96,7 @@
 		table.Observe(x.Fingerprint, x.Upstream, x.Isolated, epoch)
 	}
 	c.Assert(table.Level(quarantine.Fingerprint{1}, epoch), qt.Equals, quarantine.Quarantined)
-	shared := table.Shared()
+	shared, _ := table.Shared()
 	c.Assert(shared, qt.HasLen, 64)
 	c.Assert(shared[0].Fingerprint, qt.Equals, quarantine.Fingerprint{1})
 }
@@ -152,7 +152,10 @@
 	for n := range 4 {
 		here.Observe(f, crashOf(1, n).Upstream, n < 2, epoch)
 	}
-	for _, x := range here.Shared() {
+	shared, version := here.Shared()
+	_, again := here.Shared()
+	c.Assert(again, qt.Equals, version)
+	for _, x := range shared {
 		peer.Merge(x)
 	}
 	for _, table := range []*quarantine.Table{here, peer} {
@@ -164,6 +167,8 @@
 		here.Complete(quarantine.Fingerprint{2, byte(n), byte(n >> 8)})
 	}
 	c.Assert(here.Complete(f), qt.IsTrue)
+	_, again = here.Shared()
+	c.Assert(again > version, qt.IsTrue)
 }
 
 // TestInnocentIsReleasedOnceTheGuiltyIsFound guards against a request that stays
