Let an isolated item wait without holding up others

An item that must not share an upstream with other suspects ended the search for items to start, so that all other items waited with it. Cause: 'no slot is free' and 'no upstream that this item may use' were the same answer. Also: a check after a break waits 10 ms, because a process that ends closes its connections and its listener one after the other; a check that the host's own shutdown ends finds no crash.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -13,6 +13,7 @@
 
 const (
 	breakQueueSize  = 64                     // broken runs that wait for their check
+	crashSettleTime = 10 * time.Millisecond  // an ending process closes its connections and its listener one after the other
 	maxBreakWait    = 100 * time.Millisecond // a crashed upstream refuses connections within milliseconds; a silent one is found later
 	registrationTTL = 6 * time.Second        // a crashed upstream has lost its registration by then
 )
@@ -182,11 +183,18 @@
 
 // probedCause returns the cause of a break as a new connection to the upstream shows it.
 func (c *Core) probedCause(ctx context.Context, u fleet.Upstream) (BreakCause, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	select {
+	case <-ctx.Done():
+	case <-time.After(crashSettleTime):
+	}
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	err := c.connector.Connect(ctx, u)
-	if err == nil {
+	err := c.connector.Connect(bounded, u)
+	switch {
+	case err == nil:
 		return UpstreamAlive, nil
+	case ctx.Err() != nil: // this host is shutting down
+		return BreakUnknown, err
 	}
 	c.reportUnreachable(u)
 	return UpstreamEnded, err
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -158,7 +158,11 @@
 	})
 	if !ok {
 		cancel()
-		return false
+		if suspicion != quarantine.Isolated {
+			return false
+		}
+		i.notBefore = now.Add(rescanPeriod) // other items may use the upstreams that it must not
+		return true
 	}
 	i.state = itemRunning
 	i.cancelRun = cancel
