Count a crash less where the request is unlikely to be its cause

Cause, from the log: a cut reset the item's stream after 3.2 s. It was sent again on two idle connections that the cut had left open and that were reset with the first bytes, 0 and 31 ms later. All three upstreams restarted beyond the cut, so their registration came back with another start time and nothing was withdrawn. Three crashes in 0.6 s, the last one isolated: quarantined. Ruled out: the isolation and the withdrawal; both did as designed. Change: a run on an old connection that got no byte of a response is unproven; of these one counts and none decides. A crash later than a second after the start of the run counts half. A suspected request gets new connections, so that a refused connection shows an upstream that had ended before.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -15,6 +15,7 @@
 	breakQueueSize  = 64                     // broken runs that wait for their check
 	crashSettleTime = 10 * time.Millisecond  // an ending process closes its connections and its listener one after the other
 	maxBreakWait    = 100 * time.Millisecond // a crashed upstream refuses connections within milliseconds; a silent one is found later
+	earlyCrashTime  = time.Second            // after the start of a run; later crashes are less likely due to the request
 	registrationTTL = 6 * time.Second        // a crashed upstream has lost its registration by then
 )
 
@@ -34,12 +35,18 @@
 	return [...]string{"unknown", "alive", "leaving", "ended"}[b]
 }
 
+// RunBreak describes a run whose connection broke.
+type RunBreak struct {
+	Fingerprint quarantine.Fingerprint
+	Started     time.Time
+	WasAlive    bool // the upstream accepted a connection or sent bytes after the start
+}
+
 // brokenRun is a run whose connection broke, until its cause is known.
 type brokenRun struct {
-	upstream    fleet.Upstream
-	fingerprint quarantine.Fingerprint
-	isolated    bool
-	cause       chan BreakCause
+	upstream fleet.Upstream
+	run      quarantine.BrokenRun
+	cause    chan BreakCause
 }
 
 // FingerprintOf returns the fingerprint of a request's content. A request that is sent
@@ -56,6 +63,11 @@
 	return *r.content
 }
 
+// brokenRun describes the last attempt, whose connection broke.
+func (r *request) brokenRun(wasAlive bool) RunBreak {
+	return RunBreak{Fingerprint: r.fingerprint(), Started: r.attemptAt, WasAlive: wasAlive}
+}
+
 // instanceOf returns the process lifetime that the upstream is registered with.
 func instanceOf(u fleet.Upstream) quarantine.Instance {
 	return quarantine.Instance{ID: u.ID, StartedMS: u.Started.UnixMilli()}
@@ -129,12 +141,15 @@
 // ReportBrokenRun finds out why the connection of a run broke. If the upstream has
 // ended, the crash counts against the request. It waits only for a short time, so that
 // a silent upstream doesn't delay a retry elsewhere; the check goes on without it.
-func (s *Slot) ReportBrokenRun(ctx context.Context, f quarantine.Fingerprint) BreakCause {
-	run := brokenRun{upstream: s.Upstream, fingerprint: f, isolated: s.run.Isolated, cause: make(chan BreakCause, 1)}
+func (s *Slot) ReportBrokenRun(ctx context.Context, b RunBreak) BreakCause {
+	run := brokenRun{upstream: s.Upstream, cause: make(chan BreakCause, 1), run: quarantine.BrokenRun{
+		Fingerprint: b.Fingerprint, Upstream: instanceOf(s.Upstream),
+		Isolated: s.run.Isolated, Unproven: !b.WasAlive, Late: time.Since(b.Started) > earlyCrashTime,
+	}}
 	select {
 	case s.core.brokenRuns <- run:
 	default:
-		s.core.log.WithFields(logrus.Fields{"event": "break_not_checked", "fingerprint": f, "upstream": s.Upstream.ID}).
+		s.core.log.WithFields(logrus.Fields{"event": "break_not_checked", "fingerprint": b.Fingerprint, "upstream": s.Upstream.ID}).
 			Warn("too many connections broke at once; a crash of this upstream isn't counted")
 		return BreakUnknown
 	}
@@ -156,13 +171,16 @@
 	if cause == BreakUnknown {
 		cause, err = c.probedCause(ctx, run.upstream)
 	}
-	fields := logrus.Fields{"event": "break_checked", "fingerprint": run.fingerprint, "upstream": run.upstream.ID, "cause": cause}
+	fields := logrus.Fields{
+		"event": "break_checked", "fingerprint": run.run.Fingerprint, "upstream": run.upstream.ID, "cause": cause,
+		"isolated": run.run.Isolated, "unproven": run.run.Unproven, "late": run.run.Late,
+	}
 	if err != nil {
 		fields["error"] = err
 	}
 	c.log.WithFields(fields).Info("checked an upstream after the connection of a run broke")
 	if cause == UpstreamEnded {
-		c.countCrash(run)
+		c.countCrash(run.run)
 	}
 	run.cause <- cause
 }
@@ -201,14 +219,13 @@
 }
 
 // countCrash counts the end of the run's upstream against the request and tells peers.
-func (c *Core) countCrash(run brokenRun) {
+func (c *Core) countCrash(run quarantine.BrokenRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	upstream := instanceOf(run.upstream)
-	if !c.crashes.Observe(run.fingerprint, upstream, run.isolated, time.Now()) {
+	if !c.crashes.Observe(run, time.Now()) {
 		return
 	}
-	c.logSuspicion(run.fingerprint, upstream, "here")
+	c.logSuspicion(run.Fingerprint, run.Upstream, "here")
 	c.notifyUrgentChange()
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -92,7 +92,9 @@
 	runs        int             // attempts that may have been run
 	waited      time.Duration   // total time in the slot queue
 	upstream    string          // ID of the last upstream
-	headersSent bool            // the response header was sent to the caller
+	attemptAt   time.Time       // start of the last attempt
+	suspicion   quarantine.Level
+	headersSent bool // the response header was sent to the caller
 	lastEventID string
 	firstByte   time.Duration // from the start until the response header was sent
 
@@ -155,7 +157,7 @@
 	if r.service == "" {
 		return r, apierr.Newf(apierr.Unavailable, "ask the operator to add one", "route %q has no service", route.Name)
 	}
-	if _, err := h.checkQuarantine(r); err != nil {
+	if err := h.checkQuarantine(r); err != nil {
 		return r, err
 	}
 	return r, h.core.Admit(team)
@@ -221,41 +223,40 @@
 
 // acquireOnce waits for a slot, unless the request is quarantined.
 func (h *Handler) acquireOnce(ctx context.Context, r *request) (*Slot, error) {
-	level, err := h.checkQuarantine(r)
-	if err != nil {
+	if err := h.checkQuarantine(r); err != nil {
 		return nil, err
 	}
 	slot, err := h.core.Acquire(ctx, SlotRequest{
-		Service: r.service, Priority: r.priority, Excluded: r.excluded, Isolated: level == quarantine.Isolated,
+		Service: r.service, Priority: r.priority, Excluded: r.excluded, Isolated: r.suspicion == quarantine.Isolated,
 		WaitBudget: slots.WaitBudget{LatencyTarget: r.route.LatencyTarget, TimeLeft: time.Until(r.deadline), IsRetry: r.isRetry || r.sends > 0},
 	})
 	if err != nil {
 		return nil, err
 	}
 	r.waited += slot.Waited
-	if _, err := h.checkQuarantine(r); err != nil { // upstreams may have ended under it elsewhere meanwhile
+	if err := h.checkQuarantine(r); err != nil { // upstreams may have ended under it elsewhere meanwhile
 		slot.Release()
 		return nil, err
 	}
 	return slot, nil
 }
 
-// checkQuarantine returns the request's level of suspicion, and an error if the request
-// is quarantined.
-func (h *Handler) checkQuarantine(r *request) (quarantine.Level, error) {
+// checkQuarantine updates the request's level of suspicion. It returns an error if the
+// request is quarantined.
+func (h *Handler) checkQuarantine(r *request) error {
 	if !h.core.HasSuspects() {
-		return quarantine.Clear, nil
+		return nil
 	}
 	f := r.fingerprint()
-	level := h.core.Suspicion(f)
-	if level != quarantine.Quarantined {
-		return level, nil
+	r.suspicion = h.core.Suspicion(f)
+	if r.suspicion != quarantine.Quarantined {
+		return nil
 	}
 	err := h.core.quarantinedError(f)
 	if r.runs > 0 {
-		err = err.MayHaveRun()
+		return err.MayHaveRun()
 	}
-	return level, err
+	return err
 }
 
 // idleTimeout returns how long an upstream may send nothing before the request is
@@ -272,10 +273,11 @@
 func (h *Handler) attempt(ctx context.Context, r *request, slot *Slot, w http.ResponseWriter) (bool, error) {
 	ctx, span := telemetry.Tracer().Start(ctx, "upstream")
 	defer span.End()
+	r.attemptAt = time.Now()
 	resp, err := h.upstreams.Do(ctx, Call{
 		Upstream: slot.Upstream, ID: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Team: r.team.Name,
 		Header: r.Header, Body: r.Body, TimeLeft: time.Until(r.deadline) - replyMargin,
-		ResumeAfter: r.lastEventID, IdleTimeout: r.idleTimeout(),
+		ResumeAfter: r.lastEventID, IdleTimeout: r.idleTimeout(), NewConnection: r.suspicion > quarantine.Clear,
 	})
 	if err != nil {
 		return h.handleSendError(ctx, r, slot, err)
@@ -353,7 +355,7 @@
 	r.runs++
 	if ctx.Err() == nil {
 		slot.ReportRunResult(true)
-		slot.ReportBrokenRun(ctx, r.fingerprint())
+		slot.ReportBrokenRun(ctx, r.brokenRun(send != nil && send.NewConnection))
 	}
 	return r.route.Repeatable(), apierr.New(apierr.Unknown, "the upstream did not answer, and the request may have run", "send it again only if it may run twice").
 		MayHaveRun().WithCause(err)
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -24,6 +24,10 @@
 	TimeLeft    time.Duration // time until the deadline
 	ResumeAfter string        // ID of the last received event; "" starts the stream
 	IdleTimeout time.Duration // time without a byte after which the attempt fails; 0 is unlimited
+
+	// NewConnection asks for a connection that no other request has used. It shows that
+	// the upstream is alive when the attempt starts.
+	NewConnection bool
 }
 
 // Response is an upstream's response with an unread body. The caller must close
@@ -56,8 +60,9 @@
 
 // SendError is the error of an attempt that got no response.
 type SendError struct {
-	NotRun bool // no byte was sent, so the request can't have run
-	Err    error
+	NotRun        bool // no byte was sent, so the request can't have run
+	NewConnection bool // the connection was made for this attempt
+	Err           error
 }
 
 // Error implements error.
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -12,6 +12,7 @@
 	"github.com/masticscale/masticscale/internal/entry"
 	"github.com/masticscale/masticscale/internal/eventstream"
 	"github.com/masticscale/masticscale/internal/fleet"
+	"github.com/masticscale/masticscale/internal/quarantine"
 )
 
 const (
@@ -53,13 +54,13 @@
 }
 
 // runItem runs the item once in the slot and records the outcome.
-func (r *Runner) runItem(ctx context.Context, i *item, route *fleet.Route, slot *entry.Slot) {
+func (r *Runner) runItem(ctx context.Context, i *item, route *fleet.Route, slot *entry.Slot, suspicion quarantine.Level) {
 	r.mu.Lock()
 	p := progress{output: i.output, events: i.events, lastID: i.lastID}
 	resumed := i.lastID != ""
 	r.mu.Unlock()
 	started := time.Now()
-	outcome, err := r.streamItem(ctx, i, route, slot, &p)
+	outcome, err := r.streamItem(ctx, i, slot, suspicion, &p)
 	if ctx.Err() != nil && outcome != runDone {
 		outcome = runPreempted
 	}
@@ -71,7 +72,7 @@
 	}
 	slot.Release()
 	took := time.Since(started)
-	cause := r.reportToQuarantine(ctx, i, slot, outcome)
+	cause := r.reportToQuarantine(ctx, i, slot, outcome, entry.RunBreak{Started: started, WasAlive: wasAlive(err)})
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i.cancelRun = nil
@@ -94,7 +95,7 @@
 }
 
 // reportToQuarantine reports a broken or completed run and returns why it broke.
-func (r *Runner) reportToQuarantine(ctx context.Context, i *item, slot *entry.Slot, outcome runOutcome) entry.BreakCause {
+func (r *Runner) reportToQuarantine(ctx context.Context, i *item, slot *entry.Slot, outcome runOutcome, b entry.RunBreak) entry.BreakCause {
 	completed := outcome == runDone && r.core.TracksCompletion(len(i.Body))
 	if outcome != runTruncated && !completed {
 		return entry.BreakUnknown
@@ -106,7 +107,15 @@
 		r.core.ReportCompletedRun(fingerprint)
 		return entry.BreakUnknown
 	}
-	return slot.ReportBrokenRun(ctx, fingerprint)
+	b.Fingerprint = fingerprint
+	return slot.ReportBrokenRun(ctx, b)
+}
+
+// wasAlive reports whether the upstream of a run that ended in err was alive after the
+// start of the run: it had sent its header, or accepted a new connection.
+func wasAlive(err error) bool {
+	var sendErr *entry.SendError
+	return !errors.As(err, &sendErr) || sendErr.NewConnection
 }
 
 // recordOutcome updates the item after a run and schedules its next run, if any. The
@@ -166,7 +175,7 @@
 
 // streamItem sends the item to the upstream and reads the response's events into
 // p.
-func (r *Runner) streamItem(ctx context.Context, i *item, route *fleet.Route, slot *entry.Slot, p *progress) (runOutcome, error) {
+func (r *Runner) streamItem(ctx context.Context, i *item, slot *entry.Slot, suspicion quarantine.Level, p *progress) (runOutcome, error) {
 	if !slot.ConfirmIsolation(ctx) {
 		return runRefused, nil
 	}
@@ -177,6 +186,7 @@
 	response, err := r.upstreams.Do(ctx, entry.Call{
 		Upstream: slot.Upstream, ID: i.ID, Method: http.MethodPost, Target: i.Path, Host: i.job.record.Host, Team: i.job.record.Team,
 		Header: header, Body: i.Body, TimeLeft: r.remainingTime(i), ResumeAfter: p.lastID, IdleTimeout: itemIdleTimeout,
+		NewConnection: suspicion > quarantine.Clear,
 	})
 	if err != nil {
 		return sendOutcome(ctx, slot, err), err
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -168,7 +168,7 @@
 	i.cancelRun = cancel
 	r.runs.Go(func() {
 		defer cancel()
-		r.runItem(runCtx, i, route, slot)
+		r.runItem(runCtx, i, route, slot, suspicion)
 	})
 	return true
 }
--- a/internal/knowledge/quarantine.go
+++ b/internal/knowledge/quarantine.go
@@ -34,6 +34,8 @@
 	Withdrawn int    `json:"withdrawn"`
 	Isolated  bool   `json:"isolated"`
 	Completed bool   `json:"completed"`
+	Unproven  bool   `json:"unproven"`
+	Late      bool   `json:"late"`
 }
 
 func newQuarantineEntry(crashes []quarantine.Crash) quarantineEntry {
@@ -41,7 +43,7 @@
 	for _, x := range crashes {
 		e.Crashes = append(e.Crashes, crashEntry{
 			Upstream: x.Upstream.ID, StartedMS: x.Upstream.StartedMS, AtMS: x.At.UnixMilli(),
-			Observed: x.Observed, Withdrawn: x.Withdrawn, Isolated: x.Isolated, Completed: x.Completed,
+			Observed: x.Observed, Withdrawn: x.Withdrawn, Isolated: x.Isolated, Completed: x.Completed, Unproven: x.Unproven, Late: x.Late,
 		})
 	}
 	return e
@@ -52,7 +54,7 @@
 	for _, x := range e.Crashes {
 		crashes = append(crashes, quarantine.Crash{
 			Fingerprint: f, Upstream: quarantine.Instance{ID: x.Upstream, StartedMS: x.StartedMS}, At: time.UnixMilli(x.AtMS),
-			Observed: x.Observed, Withdrawn: x.Withdrawn, Isolated: x.Isolated, Completed: x.Completed,
+			Observed: x.Observed, Withdrawn: x.Withdrawn, Isolated: x.Isolated, Completed: x.Completed, Unproven: x.Unproven, Late: x.Late,
 		})
 	}
 	return crashes
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -54,6 +54,7 @@
 	upstream            quarantine.Instance
 	observed, withdrawn int
 	isolated, completed bool
+	unproven, late      bool
 }
 
 func newSentState() *sentState {
@@ -97,14 +98,14 @@
 	var encoded []*peerv1.Crash
 	current := make(map[crashKey]bool, len(crashes))
 	for _, x := range crashes {
-		key := crashKey{x.Fingerprint, x.Upstream, x.Observed, x.Withdrawn, x.Isolated, x.Completed}
+		key := crashKey{x.Fingerprint, x.Upstream, x.Observed, x.Withdrawn, x.Isolated, x.Completed, x.Unproven, x.Late}
 		current[key] = true
 		if sent.crashes[key] {
 			continue
 		}
 		encoded = append(encoded, &peerv1.Crash{
 			Fingerprint: x.Fingerprint[:], Upstream: x.Upstream.ID, StartedMs: x.Upstream.StartedMS,
-			AgeMs: now.Sub(x.At).Milliseconds(), Observed: int32(x.Observed), Withdrawn: int32(x.Withdrawn), Isolated: x.Isolated, Completed: x.Completed,
+			AgeMs: now.Sub(x.At).Milliseconds(), Observed: int32(x.Observed), Withdrawn: int32(x.Withdrawn), Isolated: x.Isolated, Completed: x.Completed, Unproven: x.Unproven, Late: x.Late,
 		})
 	}
 	sent.crashes = current
@@ -125,6 +126,8 @@
 			Withdrawn:   int(x.Withdrawn),
 			Isolated:    x.Isolated,
 			Completed:   x.Completed,
+			Unproven:    x.Unproven,
+			Late:        x.Late,
 		})
 	}
 	return crashes
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,7 +6,8 @@
 // its upstream with no other request that is as suspect. If the request has ever run to
 // its end, all of them must have been isolated. A crash is withdrawn once the upstream
 // turns out to be alive or the request has completed elsewhere, and decides nothing if
-// another request explains it. Hosts exchange crashes, which merge in any order.
+// another request explains it. One that came long after the start of the run weighs half.
+// Hosts exchange crashes, which merge in any order.
 //
 // The package does no I/O and reads no clock. A Table is not safe for concurrent use.
 package quarantine
@@ -20,7 +21,7 @@
 // Level is the level of suspicion that a request crashes upstreams.
 type Level int
 
-// The levels of suspicion, each from one more crash on.
+// The levels of suspicion.
 const (
 	Clear       Level = iota
 	Suspected         // an upstream ended while it ran the request, perhaps because of another request
@@ -34,7 +35,11 @@
 }
 
 const (
-	crashLimit         = int(Quarantined)
+	crashLimit         = 3
+	crashWeight        = 2
+	lateCrashWeight    = 1
+	isolationWeight    = (crashLimit - 1) * crashWeight
+	quarantineWeight   = crashLimit * crashWeight
 	suspicionLifetime  = 10 * time.Minute // since the last crash
 	quarantineLifetime = time.Hour        // since the last crash
 	maxRequests        = 1024             // in a table
@@ -59,6 +64,17 @@
 	Withdrawn   int       // number of the latest observation that doesn't count against the request
 	Isolated    bool      // the run was isolated
 	Completed   bool      // the request has run to its end at some upstream
+	Unproven    bool      // the upstream may have ended before the run
+	Late        bool      // the upstream ended long after the start of the run
+}
+
+// BrokenRun describes a run during which an upstream ended.
+type BrokenRun struct {
+	Fingerprint Fingerprint
+	Upstream    Instance
+	Isolated    bool // as in Crash
+	Unproven    bool
+	Late        bool
 }
 
 // Counts reports whether the crash counts against the request.
@@ -87,10 +103,14 @@
 // Empty reports whether the table holds no crash.
 func (t *Table) Empty() bool { return len(t.requests) == 0 }
 
-// Observe adds a crash that this host has observed under a run that was or wasn't
-// isolated. It reports whether the table has changed.
-func (t *Table) Observe(f Fingerprint, upstream Instance, isolated bool, now time.Time) bool {
-	x := Crash{Fingerprint: f, Upstream: upstream, At: now, Observed: 1, Isolated: isolated, Completed: t.completed.has(f)}
+// Observe adds a crash that this host has observed. It reports whether the table has
+// changed.
+func (t *Table) Observe(run BrokenRun, now time.Time) bool {
+	f, upstream := run.Fingerprint, run.Upstream
+	x := Crash{
+		Fingerprint: f, Upstream: upstream, At: now, Observed: 1, Completed: t.completed.has(f),
+		Isolated: run.Isolated, Unproven: run.Unproven, Late: run.Late,
+	}
 	if known, ok := t.requests[f][upstream]; ok {
 		x.Observed = known.Observed
 		if !known.Counts() {
@@ -131,6 +151,8 @@
 	c.Withdrawn = max(c.Withdrawn, x.Withdrawn)
 	c.Isolated = c.Isolated || x.Isolated
 	c.Completed = c.Completed || x.Completed
+	c.Unproven = c.Unproven && x.Unproven
+	c.Late = c.Late && x.Late
 	if c.Crash == before {
 		return false
 	}
@@ -157,31 +179,39 @@
 	return true
 }
 
-// evict removes the request with the fewest crashes, of these the one with the oldest.
+// evict removes the request of the least weight, of these the one with the oldest crash.
 func (t *Table) evict() {
 	var victim Fingerprint
-	fewest, oldest := 0, time.Time{}
+	least, oldest := 0, time.Time{}
 	for f, crashes := range t.requests {
-		count, last := tally(crashes)
-		if oldest.IsZero() || count < fewest || count == fewest && last.Before(oldest) {
-			victim, fewest, oldest = f, count, last
+		weight, last := tally(crashes)
+		if oldest.IsZero() || weight < least || weight == least && last.Before(oldest) {
+			victim, least, oldest = f, weight, last
 		}
 	}
 	delete(t.requests, victim)
 }
 
-// tally returns the number of crashes that count and the time of the last crash.
+// tally returns the weight of the crashes that count and the time of the last crash. Of
+// the crashes that are unproven only one has a weight: a cut leaves many connections on
+// which requests are sent in vain.
 func tally(crashes map[Instance]*crash) (int, time.Time) {
-	count, last := 0, time.Time{}
+	weight, unproven, last := 0, 0, time.Time{}
 	for _, c := range crashes {
-		if c.Counts() {
-			count++
+		switch {
+		case !c.Counts():
+		case c.Late:
+			weight += lateCrashWeight
+		case c.Unproven:
+			unproven = crashWeight
+		default:
+			weight += crashWeight
 		}
 		if c.At.After(last) {
 			last = c.At
 		}
 	}
-	return count, last
+	return weight + unproven, last
 }
 
 // levelOf returns the level of a request with these crashes, whatever other requests
@@ -193,14 +223,18 @@
 // levelWith is like levelOf, but only those isolated crashes decide for which decides
 // returns true.
 func levelWith(crashes map[Instance]*crash, decides func(Instance) bool) Level {
-	count, _ := tally(crashes)
-	level := Level(min(count, crashLimit))
-	if level < Quarantined {
-		return level
+	weight, _ := tally(crashes)
+	switch {
+	case weight == 0:
+		return Clear
+	case weight < isolationWeight:
+		return Suspected
+	case weight < quarantineWeight:
+		return Isolated
 	}
 	isolated, needed := 0, 1
 	for upstream, c := range crashes {
-		if c.Isolated && c.Counts() && decides(upstream) {
+		if c.Isolated && c.Counts() && !c.Unproven && decides(upstream) {
 			isolated++
 		}
 		if c.Completed {
@@ -264,8 +298,13 @@
 
 // Crashes returns how many crashes count against the request.
 func (t *Table) Crashes(f Fingerprint) int {
-	count, _ := tally(t.requests[f])
-	return count
+	n := 0
+	for _, c := range t.requests[f] {
+		if c.Counts() {
+			n++
+		}
+	}
+	return n
 }
 
 // LastCrash returns the time of the last crash under the request.
--- a/internal/upstream/connpool/connpool.go
+++ b/internal/upstream/connpool/connpool.go
@@ -36,6 +36,7 @@
 type Conn struct {
 	net.Conn
 	Reader    *bufio.Reader
+	Reused    bool // it was idle in the pool before
 	address   string
 	idleUntil time.Time
 }
@@ -62,16 +63,18 @@
 	for {
 		c := p.popIdle(address)
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.Dial(ctx, address)
 		}
 		if time.Now().Before(c.idleUntil) && c.isReusable() {
+			c.Reused = true
 			return c, nil
 		}
 		_ = c.Close() // expired or unusable; no request is in flight
 	}
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+// Dial returns a new connection.
+func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to upstream")
@@ -81,7 +84,7 @@
 
 // Connect dials a new connection and adds it to the pool.
 func (p *Pool) Connect(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
+	c, err := p.Dial(ctx, address)
 	if err != nil {
 		return err
 	}
