--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -230,3 +230,32 @@
 	c.Assert(level(late, 6), qt.Equals, quarantine.Quarantined)
 	c.Assert(level(firstUnproven, 3), qt.Equals, quarantine.Quarantined)
 }
+
+// BenchmarkCompletedRun measures what the quarantine adds to a request of 1.5 KB that
+// runs to its end.
+func BenchmarkCompletedRun(b *testing.B) {
+	table := quarantine.NewTable()
+	body := make([]byte, 1500)
+	for b.Loop() {
+		table.Complete(quarantine.FingerprintOf(nil, body, "team", "POST", "fleet.example", "/a/b"))
+	}
+}
+
+// BenchmarkLevelOfAQuarantinedRequest measures the check of a request that is refused,
+// beside as many suspects as a table holds.
+func BenchmarkLevelOfAQuarantinedRequest(b *testing.B) {
+	table := quarantine.NewTable()
+	for n := range 2000 {
+		x := crashOf(2, n)
+		x.Fingerprint[1], x.Fingerprint[2] = byte(n), byte(n>>8)
+		table.Observe(runOf(x), epoch)
+	}
+	for n := range 3 {
+		observe(table, 1, n)
+	}
+	for b.Loop() {
+		if table.Level(quarantine.Fingerprint{1}, epoch) != quarantine.Quarantined {
+			b.Fatal("not quarantined")
+		}
+	}
+}
