--- a/internal/knowledge/quarantine.go
+++ b/internal/knowledge/quarantine.go
@@ -60,11 +60,14 @@
 	return crashes
 }
 
-// quarantineLoop reads the stored quarantine once, and then stores the changes that this
-// host has decided. Hosts tell each other of changes; the store is for a restart of all.
+// quarantineLoop reads the stored quarantine once, and stores the changes that this host
+// has decided. Hosts tell each other of changes; the store is for a restart of all.
 func (s *Syncer) quarantineLoop(ctx context.Context) {
-	stored, err := s.restoreQuarantine(ctx)
-	for wait := quarantineInterval; ctx.Err() == nil; {
+	var stored map[quarantine.Fingerprint]int64
+	for {
+		var err error
+		stored, err = s.syncQuarantine(ctx, stored)
+		wait := quarantineInterval
 		if err != nil {
 			wait = quarantineRetry
 			s.log.WithFields(logrus.Fields{"event": "quarantine_not_synced", "error": err}).Warn("quarantined requests can't be read from or written to the store; retrying")
@@ -74,17 +77,24 @@
 			return
 		case <-time.After(wait):
 		}
-		wait = quarantineInterval
-		if stored == nil {
-			stored, err = s.restoreQuarantine(ctx)
-			continue
+	}
+}
+
+// syncQuarantine reads the stored quarantine if stored is nil, and then stores the
+// changes. It returns the versions of the stored objects.
+func (s *Syncer) syncQuarantine(ctx context.Context, stored map[quarantine.Fingerprint]int64) (map[quarantine.Fingerprint]int64, error) {
+	if stored == nil {
+		restored, err := s.restoreQuarantine(ctx)
+		if err != nil {
+			return nil, err
 		}
-		err = s.storeQuarantine(ctx, stored)
+		stored = restored
 	}
+	return stored, s.storeQuarantine(ctx, stored)
 }
 
 // restoreQuarantine passes the stored crashes to the core and returns the versions of the
-// objects. It deletes the objects whose quarantine has expired.
+// objects.
 func (s *Syncer) restoreQuarantine(ctx context.Context) (map[quarantine.Fingerprint]int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -106,7 +116,7 @@
 		s.core.RestoreCrashes(e.crashes(f))
 		stored[f] = o.Version
 	}
-	return stored, s.storeQuarantine(ctx, stored)
+	return stored, nil
 }
 
 // storeQuarantine creates the objects of requests that this host has quarantined, and
