Don't answer 'not run' after an attempt that may have run

Cause: the error of the last attempt was the error of the request. If the first attempt broke after it was sent and the next ones were turned away or could not connect, the caller got 503, which promises that nothing has run. Change: the error of an attempt that has not run no longer replaces one of an attempt that may have.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -183,7 +183,9 @@
 		if !retry {
 			return err
 		}
-		lastErr = err
+		if r.runs == 0 || apierr.From(err).Execution != apierr.NotRun {
+			lastErr = err // an attempt that has not run doesn't undo one that may have
+		}
 		r.excluded[slot.Upstream.ID] = true
 		if r.runs >= max(r.route.MaxAttempts, 1) || ctx.Err() != nil {
 			break
