--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -439,7 +439,7 @@
 
 // TestRequestSentIntoACutIsQuarantined guards against a request that is quarantined
 // because it was sent on connections that a cut had left open, to upstreams that then
-// restart beyond the cut. Seen on the bench, with an item of a job.
+// restart beyond the cut.
 func TestRequestSentIntoACutIsQuarantined(t *testing.T) {
 	runCrashFleet(t, 2, 6, func(c *qt.C, f *crashFleet) {
 		for range 3 {
