Log the status and the kind of a request's last response

Seen: request_ended of a truncated stream says outcome=answered and last_event=2, but not whether an event stream of the next upstream or another response ended the answer.

Change: the fields upstream_status and event_stream of request_ended.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -46,6 +46,7 @@
 func (h *Handler) handleResponse(ctx context.Context, r *request, slot *Slot, resp *Response, w http.ResponseWriter) (bool, error) {
 	defer func() { _ = resp.Body.Close() }()
 	slot.ReportLoad(resp.Load)
+	r.status, r.eventStream = resp.Status, resp.Events
 	if resp.NotRun {
 		h.reportRejection(slot, resp)
 		h.metrics.Attempts.WithLabelValues("turned_away").Inc()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -119,6 +119,8 @@
 	runs        int             // attempts that may have been run
 	waited      time.Duration   // total time in the slot queue
 	upstream    string          // ID of the last upstream
+	status      int             // of the last response of an upstream; zero if there was none
+	eventStream bool            // whether that response was an event stream
 	attemptAt   time.Time       // start of the last attempt
 	suspicion   quarantine.Level
 	headersSent bool // the response header was sent to the caller
@@ -243,6 +245,7 @@
 		fields["upstream"], fields["sends"], fields["runs"] = r.upstream, r.sends, r.runs
 		fields["waited_ms"], fields["first_ms"], fields["took_ms"] = r.waited.Milliseconds(), r.firstByte.Milliseconds(), took.Milliseconds()
 		fields["left_ms"], fields["last_event"] = in.TimeLeft.Milliseconds(), r.lastEventID
+		fields["upstream_status"], fields["event_stream"] = r.status, r.eventStream
 		if err != nil && r.runs > 0 {
 			fields["fingerprint"] = r.fingerprint()
 		}
