entry: continue a stream only with an event stream, and complete answers in one place

Cause: handleResponse and relayBody never ask whether the header was sent. After a truncated stream the next upstream's response is relayed like a first one: sendHeader does nothing, the body stands behind the events, and its end ends the answer. A 5xx goes on to another upstream only while attempts are left, other statuses never do. Class: the response of a later attempt is judged as if it were the first one, and each relay function decides for itself that the answer is complete.

Ruled out by the log fields upstream_status and event_stream: a truncated stream that is taken for ended, and an abort that doesn't reach the caller (outcome=answered in all six traces).

Change: type answer holds what the caller has received. checkContinues admits only a 200 event stream after the header was sent; any other response is a failed run, after which the request is resumed elsewhere while attempts and time are left, and then visibly truncated. Only endAnswer completes an answer, and Serve returns an error for any answer that wasn't completed. The order of events is checked by eventstream.Sequence, for requests and items alike.

Before: TestTruncatedStreamEndedByAnotherAnswer failed in 8 of 8 cases, TestStreamContinuesAfterAnswerThatDoesNot in 6 of 8.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -33,7 +33,7 @@
 	resp, err := h.upstreams.Do(attemptCtx, Call{
 		Upstream: slot.Upstream, ID: r.ID, Method: r.Method, Target: r.Target, Host: r.Host, Team: r.team.Name,
 		Header: r.Header, Body: r.Body, TimeLeft: time.Until(r.deadline) - replyMargin,
-		ResumeAfter: r.lastEventID, NewConnection: newConnection,
+		ResumeAfter: r.answer.events.LastID(), NewConnection: newConnection,
 	})
 	r.watch.endWait(err == nil)
 	if err != nil {
@@ -55,6 +55,9 @@
 	}
 	r.runs++
 	slot.ReportSuccess()
+	if err := r.answer.checkContinues(resp); err != nil {
+		return h.handleDiscontinuity(r, slot, err)
+	}
 	failed := resp.Status >= http.StatusInternalServerError
 	if failed {
 		slot.ReportRunResult(true)
@@ -68,7 +71,7 @@
 	}
 	resp.Body = &watchedBody{ReadCloser: resp.Body, watch: r.watch, onBytes: r.judgeSilentRun}
 	relay := h.relayBody
-	if resp.Events && resp.Status == http.StatusOK {
+	if resp.isEventStream() {
 		relay = h.relayEvents
 	}
 	retry, err := relay(ctx, r, slot, resp, w)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,14 +27,14 @@
 	for {
 		batch, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return false, r.sendHeader(w, resp)
+			return false, r.endAnswer(w, resp)
 		}
 		if err != nil {
 			return h.handleTruncation(ctx, r, slot, err)
 		}
 		for _, e := range batch {
-			if !IsNextEventID(r.lastEventID, e.ID) {
-				return h.handleTruncation(ctx, r, slot, errors.Errorf("event %q does not follow event %q", e.ID, r.lastEventID))
+			if err := r.answer.events.Add(e); err != nil {
+				return h.handleTruncation(ctx, r, slot, err)
 			}
 			if err := r.sendHeader(w, resp); err != nil {
 				return false, err
@@ -43,9 +42,6 @@
 			if _, err := w.Write(e.Raw); err != nil {
 				return false, callerGoneError(err)
 			}
-			if e.ID != "" {
-				r.lastEventID = e.ID
-			}
 		}
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return false, callerGoneError(err)
@@ -63,39 +59,6 @@
 	return apierr.New(apierr.Unknown, "the upstream broke off its answer", "send the request again only if it may run twice").MayHaveRun().WithCause(err)
 }
 
-// IsNextEventID reports whether eventID directly follows lastID. IDs that aren't
-// numbers are not checked.
-func IsNextEventID(lastID, eventID string) bool {
-	last, err := strconv.ParseInt(lastID, 10, 64)
-	if err != nil {
-		return true // the first event, or a non-numeric ID
-	}
-	id, err := strconv.ParseInt(eventID, 10, 64)
-	return err != nil || id == last+1
-}
-
-// sendHeader sends the response header unless an earlier attempt has sent one. A
-// resumed stream keeps the header of the first upstream. From then on the caller must read
-// the response until shortly after the deadline: a caller that doesn't would hold the slot
-// for good. net/http ends this limit with the response.
-func (r *request) sendHeader(w http.ResponseWriter, resp *Response) error {
-	if r.headersSent {
-		return nil
-	}
-	err := http.NewResponseController(w).SetWriteDeadline(r.deadline.Add(writeMargin))
-	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return callerGoneError(err)
-	}
-	r.headersSent = true
-	r.firstByte = time.Since(r.started)
-	header := w.Header()
-	for name, values := range resp.Header {
-		header[name] = values
-	}
-	w.WriteHeader(resp.Status)
-	return nil
-}
-
 // recordTruncation records that the upstream truncated a response.
 func (h *Handler) recordTruncation(ctx context.Context, r *request, slot *Slot, err error) {
 	if ctx.Err() == nil {
@@ -104,7 +67,7 @@
 		slot.ReportBrokenRun(ctx, r.brokenRun(true))
 	}
 	h.metrics.Attempts.WithLabelValues("broken_off").Inc()
-	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "after_event": r.lastEventID, "error": err}).Info("upstream truncated a response")
+	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "after_event": r.answer.events.LastID(), "error": err}).Info("upstream truncated a response")
 }
 
 // handleTruncation records a truncated response. It reports whether the request may be
@@ -136,11 +99,11 @@
 		return false, callerGoneError(err)
 	}
 	if head.Complete {
-		return false, nil
+		return false, r.endAnswer(w, resp)
 	}
 	rest := &errorRecorder{Reader: resp.Body}
 	if _, err = io.Copy(w, rest); err == nil {
-		return false, nil
+		return false, r.endAnswer(w, resp)
 	}
 	if rest.err == nil {
 		return false, callerGoneError(err)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/eventstream"
 	"github.com/masticscale/masticscale/internal/fleet"
 	"github.com/masticscale/masticscale/internal/quarantine"
 	"github.com/masticscale/masticscale/internal/readlimit"
@@ -123,9 +124,7 @@
 	eventStream bool            // whether that response was an event stream
 	attemptAt   time.Time       // start of the last attempt
 	suspicion   quarantine.Level
-	headersSent bool // the response header was sent to the caller
-	lastEventID string
-	firstByte   time.Duration // from the start until the response header was sent
+	answer      answer
 	watch       *silenceWatch // of the last attempt
 	next        *Slot         // held for the next attempt, because the last one moves
 	silentRun   *silentRun    // that the request left; nil if there is none to be judged
@@ -148,7 +147,10 @@
 		if err != nil && ctx.Err() != nil {
 			err = r.timeoutError(ctx, err)
 		}
-		if err != nil && r.headersSent { // an error body must not follow a partial response
+		if err == nil && !r.answer.complete {
+			err = apierr.New(apierr.Internal, "the answer ended before it was complete", "send the request again only if it may run twice").MayHaveRun()
+		}
+		if err != nil && r.answer.begun { // an error body must not follow a partial response
 			err = fmt.Errorf("%w: %w", ErrResponseTruncated, err)
 		}
 	}
@@ -175,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &request{Request: in, route: route, team: team, started: in.Received, excluded: map[string]bool{}, lastEventID: in.ResumeAfter}
+	r := &request{Request: in, route: route, team: team, started: in.Received, excluded: map[string]bool{}, answer: answer{events: eventstream.NewSequence(in.ResumeAfter)}}
 	if r.started.IsZero() {
 		r.started = time.Now()
 	}
@@ -243,15 +245,15 @@
 		took := time.Since(r.started)
 		fields["route"], fields["team"], fields["service"] = r.route.Name, r.team.Name, r.service
 		fields["upstream"], fields["sends"], fields["runs"] = r.upstream, r.sends, r.runs
-		fields["waited_ms"], fields["first_ms"], fields["took_ms"] = r.waited.Milliseconds(), r.firstByte.Milliseconds(), took.Milliseconds()
-		fields["left_ms"], fields["last_event"] = in.TimeLeft.Milliseconds(), r.lastEventID
+		fields["waited_ms"], fields["first_ms"], fields["took_ms"] = r.waited.Milliseconds(), r.answer.firstByte.Milliseconds(), took.Milliseconds()
+		fields["left_ms"], fields["last_event"] = in.TimeLeft.Milliseconds(), r.answer.events.LastID()
 		fields["upstream_status"], fields["event_stream"] = r.status, r.eventStream
 		if err != nil && r.runs > 0 {
 			fields["fingerprint"] = r.fingerprint()
 		}
 		h.metrics.Duration.WithLabelValues(class).Observe(took.Seconds())
-		if r.firstByte > 0 {
-			h.metrics.FirstByte.WithLabelValues(class).Observe(r.firstByte.Seconds())
+		if r.answer.firstByte > 0 {
+			h.metrics.FirstByte.WithLabelValues(class).Observe(r.answer.firstByte.Seconds())
 		}
 	}
 	h.metrics.Requests.WithLabelValues(class, outcome).Inc()
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -320,6 +320,7 @@
 // readEvents appends the events of the stream to p until the stream ends. After an
 // output beyond a limit, p is empty: the item starts again.
 func readEvents(body io.Reader, p *progress, maxEvents int64) (runOutcome, error) {
+	sequence := eventstream.NewSequence(p.lastID)
 	events := eventstream.NewReader(body)
 	for {
 		batch, err := events.Next()
@@ -334,8 +335,8 @@
 			return runTruncated, err
 		}
 		for _, e := range batch {
-			if !entry.IsNextEventID(p.lastID, e.ID) {
-				return runMalformed, errors.Errorf("event %q follows event %q", e.ID, p.lastID)
+			if err := sequence.Add(e); err != nil {
+				return runMalformed, err
 			}
 			p.add(e)
 			if err := p.checkLimits(maxEvents); err != nil {
