knowledge: keep upstreams that a newly started host can't know

Seen: a host that starts after an outage of the store lists only the entries that have not expired in it. Hosts that the store doesn't reach adopt its newer list and drop the others at once, though live upstreams renew their entries within two seconds.

Ruled out: that the adopting host defers every removal it learns from a peer. Upstreams that left while it was cut off would get requests again (TestRemovedUpstreamReturnsFromPeer).

A host whose own watches of the store fail keeps such entries for that time; one that reaches the store goes by the store's list.

Left: a host that reaches the store but leaves its watch to others can't tell an expiry from a removal and still drops such upstreams for up to 2 s.

--- a/internal/knowledge/removal_test.go
+++ b/internal/knowledge/removal_test.go
@@ -227,5 +227,8 @@
 		}
 		c.Assert(b.lists("u1"), qt.IsTrue)
 		c.Assert(a.lists("u1"), qt.IsTrue)
+		time.Sleep(3 * time.Second) // an entry that isn't renewed by then is that of a removed upstream
+		c.Assert(b.lists("u1"), qt.IsFalse)
+		c.Assert(a.lists("u1"), qt.IsFalse)
 	})
 }
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -75,21 +75,22 @@
 	log            logrus.FieldLogger
 	startedAt      time.Time
 
-	mu               sync.Mutex
-	config           json.RawMessage
-	configVersion    int64
-	upstreams        *upstreamTable
-	upstreamsVersion int64
-	upstreamsKnown   bool
-	pendingRemovals  map[string]time.Time // deferred removals of upstreams, and when they take effect
-	hosts            map[string]hostEntry
-	hostsVersion     int64
-	hostVersions     map[string]int64
-	hostsKnown       bool
-	failedWatches    map[objstore.Kind]bool
-	storeRegainedAt  time.Time // end of the latest outage
-	behindChecks     int       // consecutive checks in which a peer had newer data
-	registerRequests chan struct{}
+	mu                sync.Mutex
+	config            json.RawMessage
+	configVersion     int64
+	upstreams         *upstreamTable
+	upstreamsVersion  int64
+	upstreamsKnown    bool
+	upstreamsListedAt time.Time            // when the store first listed the upstreams to this process
+	pendingRemovals   map[string]time.Time // deferred removals of upstreams, and when they take effect
+	hosts             map[string]hostEntry
+	hostsVersion      int64
+	hostVersions      map[string]int64
+	hostsKnown        bool
+	failedWatches     map[objstore.Kind]bool
+	storeRegainedAt   time.Time // end of the latest outage
+	behindChecks      int       // consecutive checks in which a peer had newer data
+	registerRequests  chan struct{}
 
 	// Whether a peer's list was adopted that differs from this host's, since the latest list
 	// of the store was begun. That list and the events after it may be older.
@@ -340,8 +341,9 @@
 func (s *Syncer) Snapshot() mesh.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	snapshot := mesh.Snapshot{
-		Versions: s.versions(), Config: s.config, PendingRemovals: s.remainingTimes(time.Now()),
+		Versions: s.versions(), Config: s.config, PendingRemovals: s.remainingTimes(now), UnknownExpiries: s.unknownExpiries(now),
 		Upstreams: map[string][]byte{}, Hosts: map[string]mesh.HostAddress{},
 	}
 	for id, e := range s.upstreams.entries {
--- a/internal/knowledge/upstreams.go
+++ b/internal/knowledge/upstreams.go
@@ -32,6 +32,9 @@
 	}
 	s.upstreamsVersion = max(s.upstreamsVersion, version)
 	s.upstreamsKnown = true
+	if s.upstreamsListedAt.IsZero() {
+		s.upstreamsListedAt = time.Now()
+	}
 	s.replaceUpstreams("store")
 }
 
@@ -136,6 +139,7 @@
 		}
 		s.upstreams.put(id, s.decodeUpstream(id, raw, before))
 	}
+	s.keepUnknownExpiries(before, snapshot.UnknownExpiries)
 	s.upstreamsVersion = snapshot.Versions.Upstreams
 	s.upstreamsKnown = true
 	changed := before.differing(s.upstreams)
@@ -143,6 +147,30 @@
 	s.updateUpstreams(from, changed...)
 }
 
+// keepUnknownExpiries keeps the entries that the adopted list lacks for the given time, in
+// which live upstreams renew them. A host that reaches the store goes by the store's list
+// instead. The caller holds mu.
+func (s *Syncer) keepUnknownExpiries(before *upstreamTable, grace time.Duration) {
+	if grace <= 0 || len(s.failedWatches) == 0 {
+		return
+	}
+	for id, e := range before.entries {
+		if _, listed := s.upstreams.entries[id]; !listed {
+			s.upstreams.put(id, e)
+			s.pendingRemovals[id] = time.Now().Add(grace)
+		}
+	}
+}
+
+// unknownExpiries returns for how long entries may be missing from this host's list that
+// expired in an outage before it started. The caller holds mu.
+func (s *Syncer) unknownExpiries(now time.Time) time.Duration {
+	if s.upstreamsListedAt.IsZero() {
+		return 0
+	}
+	return max(expiryGracePeriod-now.Sub(s.upstreamsListedAt), 0)
+}
+
 // adoptPendingRemoval keeps an entry whose removal the peer defers for the remaining
 // time. An entry that this host knows to be removed doesn't return. The caller holds mu.
 func (s *Syncer) adoptPendingRemoval(id string, raw json.RawMessage, before *upstreamTable, remaining time.Duration) {
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -50,7 +50,10 @@
 	Config          []byte
 	Upstreams       map[string][]byte        // by id
 	PendingRemovals map[string]time.Duration // upstreams that the store has removed, and the time for which they stay listed
-	Hosts           map[string]HostAddress   // by name
+	// UnknownExpiries is the time for which an upstream may be missing though it is live: its
+	// entry expired in an outage before the host started, and may still be renewed.
+	UnknownExpiries time.Duration
+	Hosts           map[string]HostAddress // by name
 }
 
 // HostAddress is the address and the data centre of a host.
@@ -74,6 +77,7 @@
 	if d.Versions.Upstreams > r.Msg.UpstreamsVersion {
 		response.UpstreamsVersion, response.Upstreams = d.Versions.Upstreams, d.Upstreams
 		response.PendingRemovals = encodePendingRemovals(d.PendingRemovals)
+		response.UnknownExpiriesMs = d.UnknownExpiries.Milliseconds()
 	}
 	if d.Versions.Hosts > r.Msg.HostsVersion {
 		response.HostsVersion, response.Hosts = d.Versions.Hosts, encodeHosts(d.Hosts)
@@ -127,7 +131,8 @@
 		Versions:  Versions{Config: r.Msg.ConfigVersion, Upstreams: r.Msg.UpstreamsVersion, Hosts: r.Msg.HostsVersion},
 		Config:    r.Msg.Config,
 		Upstreams: r.Msg.Upstreams, PendingRemovals: decodePendingRemovals(r.Msg.PendingRemovals),
-		Hosts: decodeHosts(r.Msg.Hosts),
+		UnknownExpiries: time.Duration(r.Msg.UnknownExpiriesMs) * time.Millisecond,
+		Hosts:           decodeHosts(r.Msg.Hosts),
 	}, nil
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -97,7 +97,7 @@
 		t.Fatal(err)
 	}
 	h := &testHost{received: map[string]mesh.State{}, state: mesh.State{Host: name, Incarnation: name + "/1", Address: socket.Addr().String()}}
-	h.snapshot = mesh.Snapshot{Versions: mesh.Versions{Config: 4, Upstreams: 9, Hosts: 7}, Config: []byte("c"), Upstreams: map[string][]byte{"u": []byte("e")}, PendingRemovals: map[string]time.Duration{"u": 1500 * time.Millisecond}, Hosts: map[string]mesh.HostAddress{"h": {Address: "a", DataCentre: "d"}}}
+	h.snapshot = mesh.Snapshot{Versions: mesh.Versions{Config: 4, Upstreams: 9, Hosts: 7}, Config: []byte("c"), Upstreams: map[string][]byte{"u": []byte("e")}, PendingRemovals: map[string]time.Duration{"u": 1500 * time.Millisecond}, UnknownExpiries: 700 * time.Millisecond, Hosts: map[string]mesh.HostAddress{"h": {Address: "a", DataCentre: "d"}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.mesh = mesh.New(ctx, h.state.Address, h, h, h, log)
 	h.server = &http.Server{Handler: h.mesh.Handler(), Protocols: link.Protocols()}
