batch: chunks whose items all wait make place for others

Seen: eight jobs whose only item has no result (its runs break off, or its model has no upstream) keep a host from taking any other chunk. The sound item of a ninth job ends as batch_expired.

Cause: a chunk counts against maxConcurrentChunks until all its items have results, which may be at its job's deadline.

Ruled out: giving the chunk back, since its finished items would run again; and running waiting chunks without a limit, since each holds its items and results in memory.

Items that run, however slowly, keep their chunk's place (TestLateClaimSeesCancel has eight such chunks).

--- a/internal/batch/deferred.go
+++ b/internal/batch/deferred.go
@@ -16,6 +16,7 @@
 // runDeferred runs the deferred items alone and in turns until each has a result. The
 // results of all others are stored before, since this owner may be lost too.
 func (u *chunkRun) runDeferred(ctx context.Context, items []job.Item, lines []job.ResultLine, tries []attempts) error {
+	u.untried.Store(0)
 	for deferred := u.deferredItems(); len(deferred) > 0 && ctx.Err() == nil; deferred = u.deferredItems() {
 		if !time.Now().Before(u.job.Deadline) {
 			for _, i := range deferred {
--- a/internal/batch/item.go
+++ b/internal/batch/item.go
@@ -27,6 +27,8 @@
 	busy     int
 	failedAt upstream.ID // the last upstream that failed a run; zero if none did
 	last     error       // of the last run that may have executed or was rejected
+	tried    bool        // the item was run once
+	retrying bool        // its last run had no result
 }
 
 // recordFailure records a run without a result. It returns the item's error
@@ -131,9 +133,34 @@
 	}
 }
 
-// runOnce runs an item once. Permission to dispatch is checked immediately before. It
-// returns the item's result, or the delay before the next run.
+// runOnce runs an item once. It returns the item's result, or the delay before the next run.
 func (u *chunkRun) runOnce(ctx context.Context, item job.Item, attempts *attempts) (*job.ResultLine, time.Duration) {
+	result, wait := u.execute(ctx, item, attempts)
+	u.recordRun(attempts, result != nil)
+	return result, wait
+}
+
+// recordRun records that a run of an item has ended. Once all items without a result wait
+// for another run, the chunk makes place for others.
+func (u *chunkRun) recordRun(attempts *attempts, hasResult bool) {
+	if !attempts.tried {
+		attempts.tried = true
+		u.untried.Add(-1)
+	}
+	switch {
+	case hasResult && attempts.retrying:
+		u.retrying.Add(-1)
+	case !hasResult && !attempts.retrying:
+		u.retrying.Add(1)
+	}
+	attempts.retrying = !hasResult
+	if u.untried.Load() <= 0 && u.retrying.Load() > 0 && u.place.yield() {
+		u.runner.notifyScheduler()
+	}
+}
+
+// execute runs an item once. Permission to dispatch is checked immediately before.
+func (u *chunkRun) execute(ctx context.Context, item job.Item, attempts *attempts) (*job.ResultLine, time.Duration) {
 	cancelled := job.CancelledLine(item.CustomID)
 	if u.awaitPermission(ctx) != nil {
 		return &cancelled, 0
--- a/internal/batch/run.go
+++ b/internal/batch/run.go
@@ -38,6 +38,10 @@
 	runner *Runner
 	job    job.Job
 	index  int
+	place  *chunkPlace
+
+	untried  atomic.Int64 // items that have not been run yet, without the deferred ones
+	retrying atomic.Int64 // items that have been run and have no result
 
 	claimedTrial    *job.Trial    // at the time of the claim
 	claimedPartial  []string      // at the time of the claim
@@ -288,6 +292,7 @@
 // have no result yet.
 func (u *chunkRun) runAll(ctx context.Context, items []job.Item, lines []job.ResultLine) error {
 	tries := u.newAttempts(len(items))
+	u.untried.Store(int64(len(items)))
 	if u.loadPartial(ctx, lines) {
 		return u.runDeferred(ctx, items, lines, tries)
 	}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	scheduleInterval    = 500 * time.Millisecond
-	maxConcurrentChunks = 8
-	maxConcurrentItems  = 32 // per chunk
+	scheduleInterval   = 500 * time.Millisecond
+	maxConcurrentItems = 32 // per chunk
 )
 
 // Executor runs one item. An error means that the item has no result yet.
@@ -66,11 +65,11 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { objstore.ListAndWatch(ctx, r.store, objstore.KindJob, r.reset, r.apply) })
 	wg.Go(func() { r.sweepFiles(ctx) })
-	slots := make(chan struct{}, maxConcurrentChunks)
+	places := newChunkPlaces()
 	ticker := time.NewTicker(scheduleInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		r.schedule(ctx, slots, &wg)
+		r.schedule(ctx, places, &wg)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -176,8 +175,8 @@
 	return membership.Owner{Host: self.Name, Epoch: self.Epoch}
 }
 
-// schedule refreshes outdated jobs and starts chunks in the free slots.
-func (r *Runner) schedule(ctx context.Context, slots chan struct{}, wg *sync.WaitGroup) {
+// schedule refreshes outdated jobs and starts chunks in the free places.
+func (r *Runner) schedule(ctx context.Context, places *chunkPlaces, wg *sync.WaitGroup) {
 	if _, held := r.leaseTerm.check(); !held || r.members.Self().State != membership.Live {
 		return
 	}
@@ -191,22 +190,22 @@
 		}
 	}
 	for ctx.Err() == nil {
-		select {
-		case slots <- struct{}{}:
-		default:
+		place := places.tryAcquire()
+		if place == nil {
 			return
 		}
 		u, ok := r.nextRun(ctx)
 		if !ok {
-			<-slots
+			place.release()
 			return
 		}
+		u.place = place
 		wg.Go(func() {
 			u.process(ctx)
 			r.mu.Lock()
 			r.work.removeRun(u)
 			r.mu.Unlock()
-			<-slots
+			place.release()
 			r.notifyScheduler()
 		})
 	}
