dispatch: let the test of a returning item give the failed upstream the most room

Seen: TestItemReturnsToTheUpstreamThatFailedIt passes in some runs without the mechanism that it tests: its online request lands on either upstream, and in half of the cases the one that failed the item has less room anyway.

Change: the online request is placed at the other upstream. The checks are the same.

--- a/internal/dispatch/item_test.go
+++ b/internal/dispatch/item_test.go
@@ -85,7 +85,8 @@
 	bubbletest.Run(t, func(t *testing.T) {
 		c := qt.New(t)
 		h := newHosts(newFleet(), 1, "e1", "e2")[0]
-		reserve(t, h.pool, Online, 1)
+		_, ok := h.pool.Reserve(SlotRequest{Service: testService, Class: Online, Avoid: map[upstream.ID]bool{idOf("e1"): true}})
+		c.Assert(ok, qt.IsTrue) // so that e1 has the most room
 		run := func(slot *Slot) upstream.ID {
 			req := Request{Team: "t", Service: testService, Class: Batch, FailedAt: idOf("e1"), Call: upstream.Call{Repeatable: true}}
 			response, err := h.dispatcher.Do(t.Context(), req, slot)
