eventstream: keep the empty first data line of an event

Seen by callers: the output of an item whose event begins with an empty data line lacks that line. An event of empty data can't be told from a comment.

Cause: parse takes the nil slice for "no data line yet", and appending an empty value to it leaves it nil.

Change: the first data line makes Data non-nil.

Before: TestFirstDataLineIsEmpty read "b" for "\nb", and nil for empty data.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -32,7 +32,7 @@
 type Event struct {
 	Raw  []byte // including the terminating blank line
 	ID   string // empty if the event has none
-	Data []byte // the data lines, joined by line feeds
+	Data []byte // the data lines, joined by line feeds; nil if there are none
 }
 
 // Reader reads events from a byte stream.
@@ -149,7 +149,9 @@
 		case "id":
 			e.ID = string(value)
 		case "data":
-			if e.Data != nil {
+			if e.Data == nil {
+				e.Data = []byte{}
+			} else {
 				e.Data = append(e.Data, '\n')
 			}
 			e.Data = append(e.Data, value...)
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -97,6 +97,17 @@
 	c.Assert(string(events[0].Data), qt.Equals, "a\nb\n")
 }
 
+// TestFirstDataLineIsEmpty guards against an empty first line that is lost from an event's
+// data, and an event of empty data that passes for a comment.
+func TestFirstDataLineIsEmpty(t *testing.T) {
+	c := qt.New(t)
+	events, _, _ := readAll(bytes.NewBufferString("data:\ndata: b\n\ndata:\n\n: comment\n\n"))
+	c.Assert(events, qt.HasLen, 3)
+	c.Check(string(events[0].Data), qt.Equals, "\nb")
+	c.Check(events[1].Data, qt.DeepEquals, []byte{})
+	c.Check(events[2].Data, qt.IsNil)
+}
+
 func TestOversizedEventIsAnError(t *testing.T) {
 	c := qt.New(t)
 	_, _, err := readAll(io.LimitReader(endless{}, 16<<20))
