eventstream: a resumable stream must begin with its first event

Seen by callers: a resumable stream whose first events are missing reaches its caller as complete.

Cause: the id of a stream's first event isn't checked unless the caller names the event before it.

Change: in a resumable sequence numeric ids count the events, so the first id may not exceed the number of the events before it by more than one. Such a run is a failed one, like one with a gap: the request goes to another upstream. Routes that can't be resumed keep any start. Events without an id and without data, such as comments, don't count.

Why it works: a run that is asked with Last-Event-Id n goes on with n+1, so an id is the position of its event, and the positions below the first one were never received.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/eventstream"
+	"github.com/masticscale/masticscale/internal/fleet"
 )
 
 // answer is what the caller of a request has received. It consists of the response of one
@@ -23,6 +24,15 @@
 	events    eventstream.Sequence
 }
 
+// newAnswer returns the answer to a request on the route. The caller may have the events up
+// to the one with the id.
+func newAnswer(route *fleet.Route, afterID string) answer {
+	if route.Resumable {
+		return answer{events: eventstream.NewResumableSequence(afterID)}
+	}
+	return answer{events: eventstream.NewSequence(afterID)}
+}
+
 // checkContinues returns an error if an answer has begun and the response can't continue
 // it: only an event stream can.
 func (a *answer) checkContinues(resp *Response) error {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/apierr"
-	"github.com/masticscale/masticscale/internal/eventstream"
 	"github.com/masticscale/masticscale/internal/fleet"
 	"github.com/masticscale/masticscale/internal/quarantine"
 	"github.com/masticscale/masticscale/internal/readlimit"
@@ -177,7 +176,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &request{Request: in, route: route, team: team, started: in.Received, excluded: map[string]bool{}, answer: answer{events: eventstream.NewSequence(in.ResumeAfter)}}
+	r := &request{Request: in, route: route, team: team, started: in.Received, excluded: map[string]bool{}, answer: newAnswer(route, in.ResumeAfter)}
 	if r.started.IsZero() {
 		r.started = time.Now()
 	}
--- a/internal/eventstream/sequence.go
+++ b/internal/eventstream/sequence.go
@@ -10,34 +10,56 @@
 // several runs, each of which continues after the last event of the run before.
 //
 // Events with numeric ids must be numbered without gaps. The order of other ids isn't
-// checked.
-type Sequence struct{ lastID string }
+// checked. Events without an id and without data, such as comments, don't count.
+type Sequence struct {
+	resumable bool
+	lastID    string
+	events    int64 // of all runs
+}
 
 // NewSequence returns the sequence of an answer that begins after the event with the id, or
-// with the first event if the id is empty.
+// with the first event if the id is empty. Its ids may begin with any number.
 func NewSequence(afterID string) Sequence { return Sequence{lastID: afterID} }
 
+// NewResumableSequence is like NewSequence for an answer that may be resumed: its numeric
+// ids count the events from the first one on.
+func NewResumableSequence(afterID string) Sequence {
+	return Sequence{lastID: afterID, resumable: true}
+}
+
 // LastID returns the id after which the next run must continue. It is empty if that run
 // must begin with the first event.
 func (s *Sequence) LastID() string { return s.lastID }
 
 // Add appends the event, unless it doesn't follow the last one.
 func (s *Sequence) Add(e Event) error {
-	if !follows(s.lastID, e.ID) {
-		return errors.Errorf("event %q does not follow event %q", e.ID, s.lastID)
+	if e.ID == "" && e.Data == nil {
+		return nil
 	}
+	if err := s.checkID(e.ID); err != nil {
+		return err
+	}
+	s.events++
 	if e.ID != "" {
 		s.lastID = e.ID
 	}
 	return nil
 }
 
-// follows reports whether the event id directly follows lastID.
-func follows(lastID, id string) bool {
-	last, err := strconv.ParseInt(lastID, 10, 64)
+// checkID returns an error if events are missing before the one with the id.
+func (s *Sequence) checkID(id string) error {
+	number, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
-		return true // the first event, or a non-numeric id
+		return nil
 	}
-	number, err := strconv.ParseInt(id, 10, 64)
-	return err != nil || number == last+1
+	if s.lastID == "" {
+		if s.resumable && number > s.events+1 {
+			return errors.Errorf("the stream begins with event %q; events before it are missing", id)
+		}
+		return nil
+	}
+	if last, err := strconv.ParseInt(s.lastID, 10, 64); err == nil && number != last+1 {
+		return errors.Errorf("event %q does not follow event %q", id, s.lastID)
+	}
+	return nil
 }
