entry: an empty run that ends with its connection doesn't complete a stream

Seen by callers: an upstream that answers 200 and closes its connection before the first event gives them an empty stream as complete, or completes the truncated stream of the upstream before.

Cause: a body without a length and without chunks ends with its connection. Its end is taken for that of the answer, though nothing shows that the upstream had begun.

Change: Response.Delimited tells whether a length or a last chunk marks the end of a body, and checkEnd completes a stream only with such an end or after an event of the run. A delimited run without events still does: the upstream before may have broken off after the last event.

Before: TestStreamEndedByAConnectionWithoutEvents failed in 6 of 6 cases, and TestConnectionClosedBeforeTheFirstEvent, with sockets, got 200 for 502. With the check and without the new field's value, TestEndOfABodyThatIsNotDelimited failed in 3 of 4 cases.

Why it works: with an event of its own a run ends between two events, which the protocol defines as the end of such a body. Without one there is only a closed connection, which a crash leaves behind as well.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,11 +23,14 @@
 	if r.route.Repeatable() {
 		resp.Header.Del("Content-Length") // of one run; the stream may be resumed
 	}
+	before := r.answer.events.Len()
 	events := eventstream.NewReader(resp.Body)
 	for {
 		batch, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return false, r.endAnswer(w, resp)
+			if err = r.answer.checkEnd(resp, before); err == nil {
+				return false, r.endAnswer(w, resp)
+			}
 		}
 		if err != nil {
 			return h.handleTruncation(ctx, r, slot, err)
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -40,6 +40,10 @@
 	NotRun bool // the upstream states that it did not run the request
 	Moved  bool // another instance responded at the address
 	Load   *Load
+
+	// Delimited states that a length or a last chunk marks the end of Body. Any other body
+	// ends with its connection.
+	Delimited bool
 }
 
 // Load is the load that an upstream reports with a response.
--- a/internal/eventstream/sequence.go
+++ b/internal/eventstream/sequence.go
@@ -31,6 +31,9 @@
 // must begin with the first event.
 func (s *Sequence) LastID() string { return s.lastID }
 
+// Len returns the number of events that were added.
+func (s *Sequence) Len() int64 { return s.events }
+
 // Add appends the event, unless it doesn't follow the last one.
 func (s *Sequence) Add(e Event) error {
 	if e.ID == "" && e.Data == nil {
