entry: break off a stream that can't be resumed after its last event

Seen by callers: a resumable stream whose events have data and no ids, or end with such an event, is begun anew behind the events already sent when its upstream breaks off or falls silent. The same holds for an event stream of a route that may be repeated, but not resumed.

Cause: another run is asked for the events after the last id, or for all of them if there is none. Whether that is where the sent events end isn't asked.

Change: Sequence.CanResume tells it. The loop over the attempts ends after a run that leaves the stream in between, whatever the run's error, so that the caller sees the truncation. A silent run isn't moved from then on. Comments, which have no data, keep no stream from being resumed.

Why it works: each further attempt passes the one loop, and its check reads what the caller was sent.

--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -1,17 +1,23 @@
 package entry_test
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/bubbletest"
 	"github.com/masticscale/masticscale/internal/entry"
+	"github.com/masticscale/masticscale/internal/telemetry"
 )
 
 // TestStreamWithoutItsFirstEventIsTakenForWhole guards against a resumable stream whose
@@ -108,3 +114,119 @@
 		})
 	}
 }
+
+// streamOf responds with an event stream of the given text. If truncated, the body then
+// ends in an error.
+func streamOf(text string, truncated bool) func(entry.Call) (*entry.Response, error) {
+	return func(entry.Call) (*entry.Response, error) {
+		body := io.Reader(strings.NewReader(text))
+		if truncated {
+			body = io.MultiReader(body, &failingReader{})
+		}
+		return &entry.Response{Status: 200, Header: http.Header{}, Events: true, Body: io.NopCloser(body)}, nil
+	}
+}
+
+const textWithoutIDs = "data: a\n\ndata: b\n\n"
+
+// TestStreamIsBegunAnewBehindEventsThatWereSent guards against a stream that can't be
+// resumed after its last event, and whose next run is joined to it all the same.
+func TestStreamIsBegunAnewBehindEventsThatWereSent(t *testing.T) {
+	for _, tc := range []struct{ name, path, sent, next string }{
+		{"no ids", "/stream/x", textWithoutIDs, textWithoutIDs + "data: c\n\n"},
+		{"empty data", "/stream/x", "data:\n\n", "data:\n\ndata: b\n\n"},
+		{"last event without an id", "/stream/x", "id: 1\ndata: a\n\ndata: b\n\n", "id: 2\ndata: c\n\n"},
+		{"route that may be repeated and not resumed", "/safe/x", "id: a\ndata: a\n\n", "id: a\ndata: a\n\nid: b\ndata: b\n\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := &script{steps: steps(streamOf(tc.sent, true), streamOf(tc.next, false))}
+				w, err := serve(newCore(4), s, tc.path, "k")
+				c.Check(w.Body.String(), qt.Equals, tc.sent)
+				c.Check(errors.Is(err, entry.ErrResponseTruncated), qt.IsTrue, qt.Commentf("%v", err))
+				c.Check(s.calls, qt.HasLen, 1)
+			})
+		})
+	}
+}
+
+// TestStreamIsResumedBesideEventsWithoutIDs checks that events without ids before the last
+// id, and comments after it, don't keep a stream from being resumed.
+func TestStreamIsResumedBesideEventsWithoutIDs(t *testing.T) {
+	for _, tc := range []struct{ name, sent, next string }{
+		{"comment before the first event", ": ping\n\n", "id: 1\ndata: a\n\n"},
+		{"comment after the last id", "id: 1\ndata: a\n\n: ping\n\n", "id: 2\ndata: b\n\n"},
+		{"event without an id before the last one", "data: a\n\nid: 1\ndata: b\n\n", "id: 2\ndata: c\n\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				c := qt.New(t)
+				w, err := serve(newCore(4), &script{steps: steps(streamOf(tc.sent, true), streamOf(tc.next, false))}, "/stream/x", "k")
+				c.Check(err, qt.IsNil)
+				c.Check(w.Body.String(), qt.Equals, tc.sent+tc.next)
+			})
+		})
+	}
+}
+
+// silentBody is a body that has bytes at first, and then none until the call ends. The last
+// bytes come with the end of the call.
+type silentBody struct {
+	ctx         context.Context
+	first, last string
+}
+
+// Read implements io.Reader.
+func (b *silentBody) Read(p []byte) (int, error) {
+	if b.first != "" {
+		n := copy(p, b.first)
+		b.first = b.first[n:]
+		return n, nil
+	}
+	<-b.ctx.Done()
+	n := copy(p, b.last)
+	b.last = b.last[n:]
+	if n > 0 {
+		return n, nil
+	}
+	return 0, b.ctx.Err()
+}
+
+// Close implements io.Closer.
+func (b *silentBody) Close() error { return nil }
+
+// TestSilentStreamMovesThoughItCannotBeResumed guards against a stream that is begun anew at
+// another upstream, behind the events already sent, because its upstream fell silent.
+func TestSilentStreamMovesThoughItCannotBeResumed(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		body silentBody
+	}{
+		{"silent after an event without an id", silentBody{first: "data: a\n\n"}},
+		{"event without an id while the request moves", silentBody{last: "data: a\n\n"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				c := qt.New(t)
+				var calls atomic.Int32
+				client := callFunc(func(ctx context.Context, call entry.Call) (*entry.Response, error) {
+					if calls.Add(1) > 1 {
+						return streamOf("data: a\n\ndata: b\n\n", false)(call)
+					}
+					body := tc.body
+					body.ctx = ctx
+					return &entry.Response{Status: 200, Header: http.Header{}, Events: true, Body: &body}, nil
+				})
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				h := entry.NewHandler(newCore(4), client, telemetry.NewMetrics(), log)
+				w := httptest.NewRecorder()
+				err := h.Serve(context.Background(), entry.Request{ID: "r", Method: "POST", Target: "/stream/x", Path: "/stream/x", Host: hostName, Key: "k", TimeLeft: 5 * time.Second}, w)
+				c.Check(w.Body.String(), qt.Equals, "data: a\n\n")
+				c.Check(errors.Is(err, entry.ErrResponseTruncated), qt.IsTrue, qt.Commentf("%v", err))
+				c.Check(calls.Load(), qt.Equals, int32(1))
+			})
+		})
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -46,6 +46,9 @@
 				return false, callerGoneError(err)
 			}
 		}
+		if !r.answer.events.CanResume() {
+			r.watch.forbidMove()
+		}
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return false, callerGoneError(err)
 		}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -211,7 +211,7 @@
 		r.sends++
 		r.upstream = slot.Upstream.ID
 		retry, err := h.attemptAndRelease(ctx, r, slot, w)
-		if !retry {
+		if !retry || !r.answer.events.CanResume() {
 			return err
 		}
 		if r.runs == 0 || apierr.From(err).Execution != apierr.NotRun {
--- a/internal/eventstream/sequence.go
+++ b/internal/eventstream/sequence.go
@@ -15,10 +15,12 @@
 	resumable bool
 	lastID    string
 	events    int64 // of all runs
+	lastHasID bool  // the last event has an id
 }
 
 // NewSequence returns the sequence of an answer that begins after the event with the id, or
-// with the first event if the id is empty. Its ids may begin with any number.
+// with the first event if the id is empty. Its ids may begin with any number, and no other
+// run can go on after its events.
 func NewSequence(afterID string) Sequence { return Sequence{lastID: afterID} }
 
 // NewResumableSequence is like NewSequence for an answer that may be resumed: its numeric
@@ -31,6 +33,10 @@
 // must begin with the first event.
 func (s *Sequence) LastID() string { return s.lastID }
 
+// CanResume reports whether another run can go on with the next event. After an event
+// without an id there is nothing by which to ask for the one that follows.
+func (s *Sequence) CanResume() bool { return s.events == 0 || s.resumable && s.lastHasID }
+
 // Len returns the number of events that were added.
 func (s *Sequence) Len() int64 { return s.events }
 
@@ -43,7 +49,8 @@
 		return err
 	}
 	s.events++
-	if e.ID != "" {
+	s.lastHasID = e.ID != ""
+	if s.lastHasID {
 		s.lastID = e.ID
 	}
 	return nil
