platform: reset the connection of an HTTP/1.0 caller whose answer isn't complete

Seen by callers that speak HTTP/1.0: a truncated stream ends like a whole one.

Cause: they have no chunks, so that an answer without a length ends with its connection. The abort of a truncated response, a panic in a handler and a server that is closed all close the connection in the same way as the end of an answer does.

The connection comes from ConnContext, which the listener for callers sets. HTTP/1.1 keeps its normal close, which loses no event already sent.

Why it works: the setting belongs to the socket. The kernel resets the connection also if the process ends; that case wasn't run.

--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -177,11 +177,12 @@
 		name, address string
 		handler       http.Handler
 		protocols     *http.Protocols
+		connContext   func(context.Context, net.Conn) context.Context
 	}{
-		{"peers", h.Settings.Listen.Peers, peers.Handler(), link.Protocols()},
-		{"metrics", h.Settings.Listen.Metrics, metrics, nil},
-		{"readiness", h.Settings.Listen.Readiness, readiness, nil},
-		{"callers", h.Settings.Listen.Callers, callers.Handler(), nil},
+		{"peers", h.Settings.Listen.Peers, peers.Handler(), link.Protocols(), nil},
+		{"metrics", h.Settings.Listen.Metrics, metrics, nil, nil},
+		{"readiness", h.Settings.Listen.Readiness, readiness, nil, nil},
+		{"callers", h.Settings.Listen.Callers, callers.Handler(), nil, callers.ConnContext},
 	} {
 		if l.address == "" {
 			continue
@@ -192,7 +193,7 @@
 		}
 		s := server{l.name, &http.Server{
 			Handler: l.handler, Protocols: l.protocols, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: listenerLog,
+			ErrorLog: listenerLog, ConnContext: l.connContext,
 		}}
 		servers = append(servers, s)
 		go func() {
