entry: relay the blank lines after a stream's last event

Seen by callers: a whole stream reaches them as truncated if its upstream states a length and sends a blank line after the last event. Without a length they get another body.

Cause: the reader of events drops blank lines at the end of the body, while the length of a stream that can't be repeated is relayed.

Change: endAnswer sends the rest of the response before it completes the answer.

Before: TestStreamIsShorterThanItsLength failed in 2 of 5 cases: "unexpected EOF". The three others, an exact length and two truncated bodies, passed.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -78,11 +78,14 @@
 	return nil
 }
 
-// endAnswer completes the answer with the end of the response, all of which was relayed.
-func (r *request) endAnswer(w http.ResponseWriter, resp *Response) error {
+// endAnswer completes the answer with the rest of the response, whose end was read.
+func (r *request) endAnswer(w http.ResponseWriter, resp *Response, rest []byte) error {
 	if err := r.sendHeader(w, resp); err != nil {
 		return err
 	}
+	if _, err := w.Write(rest); err != nil {
+		return callerGoneError(err)
+	}
 	r.answer.complete = true
 	return nil
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -29,7 +29,7 @@
 		batch, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if err = r.answer.checkEnd(resp, before); err == nil {
-				return false, r.endAnswer(w, resp)
+				return false, r.endAnswer(w, resp, events.Rest())
 			}
 		}
 		if err != nil {
@@ -105,11 +105,11 @@
 		return false, callerGoneError(err)
 	}
 	if head.Complete {
-		return false, r.endAnswer(w, resp)
+		return false, r.endAnswer(w, resp, nil)
 	}
 	rest := &errorRecorder{Reader: resp.Body}
 	if _, err = io.Copy(w, rest); err == nil {
-		return false, r.endAnswer(w, resp)
+		return false, r.endAnswer(w, resp, nil)
 	}
 	if rest.err == nil {
 		return false, callerGoneError(err)
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -75,6 +75,9 @@
 	}
 }
 
+// Rest returns the blank lines after the last event, once Next has returned io.EOF.
+func (r *Reader) Rest() []byte { return r.pending }
+
 func (r *Reader) read() {
 	buffer := make([]byte, readBytes)
 	started := time.Now()
