--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/eventstream"
+	"github.com/masticscale/masticscale/internal/fleet"
 )
 
 // answer is what the caller of a request has received. It consists of the response of one
@@ -23,6 +24,15 @@
 	events    eventstream.Sequence
 }
 
+// newAnswer returns the answer to a request on the route. The caller may have the events up
+// to the one with the id.
+func newAnswer(route *fleet.Route, afterID string) answer {
+	if route.Resumable {
+		return answer{events: eventstream.NewResumableSequence(afterID)}
+	}
+	return answer{events: eventstream.NewSequence(afterID)}
+}
+
 // checkContinues returns an error if an answer has begun and the response can't continue
 // it: only an event stream can.
 func (a *answer) checkContinues(resp *Response) error {
@@ -32,6 +42,16 @@
 	return errors.Errorf("status %d (event stream: %t) does not continue the stream after event %q", resp.Status, resp.Events, a.events.LastID())
 }
 
+// checkEnd returns an error unless the end of an event stream's body completes the answer,
+// which had the given number of events before. A connection that closes before the first
+// event doesn't show that the upstream has finished.
+func (a *answer) checkEnd(resp *Response, before int64) error {
+	if resp.Delimited || a.events.Len() > before {
+		return nil
+	}
+	return errors.New("the upstream closed the connection before the first event")
+}
+
 // isEventStream reports whether the response is relayed event by event. An error that is
 // sent as an event stream isn't.
 func (r *Response) isEventStream() bool { return r.Events && r.Status == http.StatusOK }
@@ -58,11 +78,14 @@
 	return nil
 }
 
-// endAnswer completes the answer with the end of the response, all of which was relayed.
-func (r *request) endAnswer(w http.ResponseWriter, resp *Response) error {
+// endAnswer completes the answer with the rest of the response, whose end was read.
+func (r *request) endAnswer(w http.ResponseWriter, resp *Response, rest []byte) error {
 	if err := r.sendHeader(w, resp); err != nil {
 		return err
 	}
+	if _, err := w.Write(rest); err != nil {
+		return callerGoneError(err)
+	}
 	r.answer.complete = true
 	return nil
 }
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -32,7 +32,7 @@
 type Event struct {
 	Raw  []byte // including the terminating blank line
 	ID   string // empty if the event has none
-	Data []byte // the data lines, joined by line feeds
+	Data []byte // the data lines, joined by line feeds; nil if there are none
 }
 
 // Reader reads events from a byte stream.
@@ -75,6 +75,9 @@
 	}
 }
 
+// Rest returns the blank lines after the last event, once Next has returned io.EOF.
+func (r *Reader) Rest() []byte { return r.pending }
+
 func (r *Reader) read() {
 	buffer := make([]byte, readBytes)
 	started := time.Now()
@@ -149,7 +152,9 @@
 		case "id":
 			e.ID = string(value)
 		case "data":
-			if e.Data != nil {
+			if e.Data == nil {
+				e.Data = []byte{}
+			} else {
 				e.Data = append(e.Data, '\n')
 			}
 			e.Data = append(e.Data, value...)
