jobs: take no stream without events for an item's output

Cause: readEvents takes the end of any 200 event stream for the end of the output.

Change: an output without an event is an unexpected response. The item is run again with the back-off of such responses, until its job's deadline.

Before: TestStreamWithoutEventsIsAnItemsOutput failed (the item ran once and was completed), TestItemWithoutEventsOutlivesItsDeadline too (completed, not given up). After: both pass.

Why it works: an output consists of the data of events; one without any is none of an item that declares tokens to generate.

--- /dev/null
+++ b/internal/jobs/ends_test.go
@@ -0,0 +1,41 @@
+package jobs_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestStreamWithoutEventsIsAnItemsOutput guards against an item that is listed as completed
+// without an output, because an upstream ended a run before its first event.
+func TestStreamWithoutEventsIsAnItemsOutput(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		h1 := w.start("h1")
+		s, item := submitBreaking(w, h1, breakPlan{how: ends, runs: 5})
+		w.waitForRuns(item, 5)
+		time.Sleep(maxRetryGap + 2*time.Second)
+		w.checkResults(h1, s)
+		c.Assert(w.engine.runsOf(item), qt.Equals, 6)
+		w.checkGaps(item, maxRetryGap)
+	})
+}
+
+// TestItemWithoutEventsOutlivesItsDeadline guards against an item that is run without end,
+// because none of its runs has an event.
+func TestItemWithoutEventsOutlivesItsDeadline(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		h1 := w.start("h1")
+		s, item := submitBreaking(w, h1, breakPlan{how: ends})
+		time.Sleep(config(1).Routes[0].Batch.Retention + 2*time.Second)
+		runs := w.engine.runsOf(item)
+		time.Sleep(5 * time.Second)
+		c.Assert(w.engine.runsOf(item), qt.Equals, runs)
+		_, results, err := h1.read(s.ID)
+		c.Assert(err, qt.IsNil)
+		c.Assert(results, qt.HasLen, len(s.Items))
+		for _, r := range results {
+			c.Assert(r.Failed, qt.Equals, r.ID == item)
+		}
+	})
+}
--- a/internal/jobs/engine_test.go
+++ b/internal/jobs/engine_test.go
@@ -46,9 +46,12 @@
 	resets                   // the connection is reset
 	pauses                   // no byte comes until the connection is closed
 	garbles                  // an event is missing
+	ends                     // the stream ends early
 )
 
-func (b breakKind) String() string { return [...]string{"crashes", "resets", "pauses", "garbles"}[b] }
+func (b breakKind) String() string {
+	return [...]string{"crashes", "resets", "pauses", "garbles", "ends"}[b]
+}
 
 func newEngine() *engine {
 	return &engine{
@@ -159,6 +162,8 @@
 	case pauses:
 		time.Sleep(idleTimeout)
 		return os.ErrDeadlineExceeded
+	case ends:
+		return io.EOF
 	}
 	return errors.New("connection reset")
 }
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -51,7 +51,7 @@
 	runPreempted                       // this host cancelled the run
 	runMalformed                       // events are missing or out of order
 	runUnbounded                       // the upstream sent more than an answer can have, or never completed an event
-	runUnexpected                      // the response is neither an event stream nor one of those above
+	runUnexpected                      // the response is neither a stream of events nor one of those above
 	runUnresumable                     // the upstream refused to go on after the item's last event
 )
 
@@ -325,6 +325,8 @@
 	for {
 		batch, err := events.Next()
 		switch {
+		case errors.Is(err, io.EOF) && p.events == 0:
+			return runUnexpected, errors.New("the stream ended without an event")
 		case errors.Is(err, io.EOF):
 			return runDone, nil
 		case readlimit.IsExceeded(err):
