gateway: reset the connection of an HTTP/1.0 caller whose response is truncated

Cause: an aborted handler only closes the connection. Without chunks and without a length, that is the regular end of a response.

Change: httpabort.Abort resets the connection of such a caller. The routes of plain services and the contents of files use it.

Before: TestTruncatedResponseIsWholeInHTTP10 failed, the caller read 10,485,760 bytes and a regular end. After: it reads a reset. An encrypted connection was not tried.

--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -10,6 +10,7 @@
 
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/batch"
+	"github.com/masticscale/masticscale/internal/httpabort"
 	"github.com/masticscale/masticscale/internal/job"
 )
 
@@ -206,7 +207,7 @@
 	err = content.WriteTo(r.Context(), out)
 	if err != nil && out.started {
 		requestInfoFrom(r.Context()).log.WithError(err).WithField("event", "content_cut").Warn("file transfer to the caller was cut off")
-		panic(http.ErrAbortHandler)
+		httpabort.Abort(w, r)
 	}
 	if err == nil && !out.started {
 		w.Header().Set("Content-Type", jsonLinesContentType)
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -221,6 +222,32 @@
 	}
 }
 
+// readHTTP10 makes a request as a caller that speaks HTTP/1.0, and returns the response, its
+// body and the error that ended the body, if any.
+func (f *fleet) readHTTP10(method, url, path, body string) (*http.Response, string, error) {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	f.c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.0\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", method, path, f.secret, len(body), body)
+	f.c.Assert(err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	f.c.Assert(err, qt.IsNil)
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+// TestTruncatedResponseIsWholeInHTTP10 guards against a truncated response that a caller
+// without chunks takes for whole: the end of its connection is the end of the response.
+func TestTruncatedResponseIsWholeInHTTP10(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(strings.Repeat("y", 10<<20))
+	f.service("cards", service.Plain, newScriptedUpstream(c, -1, always(text)).url())
+	f.parts.Routes["cards"] = route.Spec{Path: "/export", Service: "cards"}
+	_, body, err := f.readHTTP10(http.MethodGet, f.host("h1"), "/export", "")
+	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET, qt.Commentf("%d bytes", len(body)))
+}
+
 // TestResponseIsCompleteWhenCallerPauses lets a caller stop reading for three
 // times the idle timeout of upstreams. The pause must not count as idle time of
 // the upstream.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -12,6 +12,7 @@
 	"github.com/masticscale/masticscale/internal/claim"
 	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/dispatch"
+	"github.com/masticscale/masticscale/internal/httpabort"
 	"github.com/masticscale/masticscale/internal/outcome"
 	"github.com/masticscale/masticscale/internal/route"
 	"github.com/masticscale/masticscale/internal/serving"
@@ -48,7 +49,7 @@
 	o := g.runPlain(w, r, snapshot, p)
 	g.recordOutcome(r, class, p.who.team, o)
 	if o.State == outcome.Truncated {
-		panic(http.ErrAbortHandler) // aborts the connection, so that the caller notices the truncation
+		httpabort.Abort(w, r)
 	}
 }
 
