jobs: an output must begin with its first event

Cause: readEvents accepts any number as the id of a run's first event.

Change: an output is a resumable sequence. A run that begins later is malformed, like one with a gap: its events are dropped and the item is run again with the back-off of such runs.

Before: TestOutputWithoutItsFirstEventsIsListed failed: the item was completed by a run that began with event 3. After: it passes.

Why it works: a run that resumes after event n begins with n+1, so a run from the start begins with 1.

--- a/internal/jobs/ends_test.go
+++ b/internal/jobs/ends_test.go
@@ -39,3 +39,17 @@
 		}
 	})
 }
+
+// TestOutputWithoutItsFirstEventsIsListed guards against an item that is listed as completed
+// though the first events of its run are missing.
+func TestOutputWithoutItsFirstEventsIsListed(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		w.engine.skips = 2
+		h1 := w.start("h1")
+		s, item := submitBreaking(w, h1, breakPlan{how: ends, afterEvents: eventsPerItem, runs: 3})
+		w.waitForRuns(item, 3)
+		time.Sleep(maxRetryGap + 2*time.Second)
+		w.checkResults(h1, s)
+		c.Assert(w.engine.runsOf(item), qt.Equals, 4)
+	})
+}
--- a/internal/jobs/engine_test.go
+++ b/internal/jobs/engine_test.go
@@ -30,6 +30,10 @@
 	onCrash func(upstream string)
 
 	refusesResume bool // runs that resume a stream are answered with status 400
+	unnumbered    bool // the events have no ids after the first numbered ones
+	numbered      int  // events that have ids if unnumbered
+	skips         int  // events missing at the begin of each run that breaks
+	comments      bool // a comment precedes each event
 }
 
 // breakPlan is how the runs of an item break.
@@ -147,7 +151,13 @@
 		if s.endless {
 			return copy(p, ":\n\n"), nil
 		}
-		s.unread = fmt.Sprintf("id: %d\ndata: %s/%d%s\n\n", s.next, s.id, s.next, s.padding)
+		s.unread = fmt.Sprintf("data: %s/%d%s\n\n", s.id, s.next, s.padding)
+		if !s.engine.unnumbered || s.next <= s.engine.numbered {
+			s.unread = fmt.Sprintf("id: %d\n", s.next) + s.unread
+		}
+		if s.engine.comments {
+			s.unread = ": waiting\n\n" + s.unread
+		}
 		s.next++
 	}
 	n := copy(p, s.unread)
@@ -188,6 +198,7 @@
 	s := &stream{ctx: ctx, next: after + 1, id: call.ID, engine: e, upstream: call.Upstream.ID, endless: e.endless[call.ID], padding: e.padding[call.ID]}
 	if plan, ok := e.breaks[call.ID]; ok && (plan.runs == 0 || len(e.starts[call.ID]) <= plan.runs) {
 		s.breaks, s.how, s.lastSent = true, plan.how, after+plan.afterEvents
+		s.next += e.skips
 	}
 	return &entry.Response{Status: http.StatusOK, Events: true, Body: s}, nil
 }
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -320,7 +320,7 @@
 // readEvents appends the events of the stream to p until the stream ends. After an
 // output beyond a limit, p is empty: the item starts again.
 func readEvents(body io.Reader, p *progress, maxEvents int64) (runOutcome, error) {
-	sequence := eventstream.NewSequence(p.lastID)
+	sequence := eventstream.NewResumableSequence(p.lastID)
 	events := eventstream.NewReader(body)
 	for {
 		batch, err := events.Next()
