jobs: leave comments out of an item's output

Seen by callers: an output with empty lines where the upstream had sent comments between the events, and an item whose runs break off before an event run again without a back-off.

Change: such blocks are no events of the output, as in eventstream.Sequence. They still count for the limit on the events of a run.

Before: TestCommentsAreLinesOfAnOutput failed with an empty line before each event but the first. After: it passes. The back-off was not tried.

Why it works: the output is the data of all events, and a block without data is none.

--- a/internal/jobs/ends_test.go
+++ b/internal/jobs/ends_test.go
@@ -53,3 +53,16 @@
 		c.Assert(w.engine.runsOf(item), qt.Equals, 4)
 	})
 }
+
+// TestCommentsAreLinesOfAnOutput guards against an output with empty lines, because its
+// upstream sent comments between the events.
+func TestCommentsAreLinesOfAnOutput(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		w.engine.comments = true
+		h1 := w.start("h1")
+		s := submission("j", 3)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		time.Sleep(5 * time.Second)
+		w.checkResults(h1, s)
+	})
+}
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -78,9 +78,10 @@
 
 // progress is the output of an item so far.
 type progress struct {
-	output []byte
-	events int
-	lastID string
+	output   []byte
+	events   int
+	comments int // events of the current run that have neither an id nor data
+	lastID   string
 }
 
 // runItem runs the item once in the slot and records the outcome.
@@ -353,13 +354,19 @@
 	switch {
 	case len(p.output) > maxOutputBytes:
 		return &readlimit.SizeError{What: "the output of an item", Limit: maxOutputBytes}
-	case int64(p.events) > maxEvents:
+	case int64(p.events+p.comments) > maxEvents:
 		return &readlimit.CountError{What: "events of an item", Limit: maxEvents}
 	}
 	return nil
 }
 
+// add appends the event's data to the output. Comments, which upstreams send while they have
+// no event, are no part of it.
 func (p *progress) add(e eventstream.Event) {
+	if e.ID == "" && e.Data == nil {
+		p.comments++
+		return
+	}
 	if p.events > 0 {
 		p.output = append(p.output, '\n')
 	}
