jobs: start an item again if its events have no ids to resume after

Cause: after a run that broke off its events are kept, whether or not the last one has an id. Without one the next run begins with the first event, or with the one after the last id, and its events are appended.

Change: if the last event of a run that didn't end has no id, the output so far is dropped.

Before: TestRunsWithoutEventIDsAreJoined failed in 6 of 6 cases, for instance with events 1 to 5 twice before events 1 to 20. After: they pass.

Why it works: what is kept ends with the event after which the next run is asked to go on.

--- a/internal/jobs/ends_test.go
+++ b/internal/jobs/ends_test.go
@@ -1,6 +1,7 @@
 package jobs_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -54,6 +55,26 @@
 	})
 }
 
+// TestRunsWithoutEventIDsAreJoined guards against an output that holds events twice: a run
+// can't go on after an event that has no id.
+func TestRunsWithoutEventIDsAreJoined(t *testing.T) {
+	for name, numbered := range map[string]int{"no event has an id": 0, "the first events have ids": 3} {
+		for _, how := range []breakKind{resets, pauses, crashes} {
+			t.Run(fmt.Sprint(name, ", ", how), func(t *testing.T) {
+				runCluster(t, func(c *qt.C, w *cluster) {
+					w.engine.unnumbered, w.engine.numbered = true, numbered
+					w.restartCrashedUpstreams()
+					h1 := w.start("h1")
+					s, item := submitBreaking(w, h1, breakPlan{how: how, afterEvents: 5, runs: 2})
+					w.waitForRuns(item, 3)
+					time.Sleep(5 * time.Second)
+					w.checkResults(h1, s)
+				})
+			})
+		}
+	}
+}
+
 // TestCommentsAreLinesOfAnOutput guards against an output with empty lines, because its
 // upstream sent comments between the events.
 func TestCommentsAreLinesOfAnOutput(t *testing.T) {
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -78,10 +78,11 @@
 
 // progress is the output of an item so far.
 type progress struct {
-	output   []byte
-	events   int
-	comments int // events of the current run that have neither an id nor data
-	lastID   string
+	output     []byte
+	events     int
+	comments   int // events of the current run that have neither an id nor data
+	lastID     string
+	unnumbered bool // the last event has no id, so that no run can go on after it
 }
 
 // runItem runs the item once in the slot and records the outcome.
@@ -264,7 +265,11 @@
 		return runUnexpected, errors.New("upstream responded without an event stream")
 	}
 	slot.ReportSuccess()
-	return readEvents(response.Body, p, maxEvents(i.Tokens))
+	outcome, err := readEvents(response.Body, p, maxEvents(i.Tokens))
+	if outcome != runDone && p.unnumbered {
+		*p = progress{} // the item starts again
+	}
+	return outcome, err
 }
 
 // refusesResume reports whether the status says that the id of the last event, or the state
@@ -372,7 +377,8 @@
 	}
 	p.output = append(p.output, e.Data...)
 	p.events++
-	if e.ID != "" {
+	p.unnumbered = e.ID == ""
+	if !p.unnumbered {
 		p.lastID = e.ID
 	}
 }
