gateway: send buffered responses with their length

Cause: a response of more than 2,048 bytes is sent without a length, though all of it is known. HTTP/1.1 callers get chunks, others only the end of the connection.

Change: bufferedResponse.write states the length of the body. Responses longer than the buffer keep that of their upstream, if it gave any.

Before: TestBufferedResponseHasNoLength failed, no length in the response of a plain service. After: it passes, for plain services and completions.

Why it works: with a length, an early end is an error to every caller.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -51,10 +52,11 @@
 	return json.Valid(b.body)
 }
 
-// write sends the buffered response.
+// write sends the buffered response. The length lets a caller without chunks notice that
+// its connection broke off.
 func (b bufferedResponse) write(w http.ResponseWriter, method string) {
 	copyResponseHeader(w, b.header)
-	if length := b.header.Get("Content-Length"); length != "" && method == http.MethodHead {
+	if length := b.length(method); length != "" {
 		w.Header().Set("Content-Length", length)
 	}
 	extendWriteDeadline(w)
@@ -64,6 +66,17 @@
 	}
 }
 
+// length returns the value of the Content-Length header, or "" if it has none.
+func (b bufferedResponse) length(method string) string {
+	switch {
+	case b.partial || method == http.MethodHead:
+		return b.header.Get("Content-Length")
+	case bodyAllowed(method, b.status):
+		return strconv.Itoa(len(b.body))
+	}
+	return ""
+}
+
 func bodyAllowed(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
@@ -113,9 +126,6 @@
 		buffered.write(w, r.Method)
 		return outcome.Outcome{State: outcome.Answered, Status: buffered.status}
 	}
-	if length := buffered.header.Get("Content-Length"); length != "" {
-		w.Header().Set("Content-Length", length)
-	}
 	buffered.write(w, r.Method)
 	err = writeRemainder(w, response, idleTimeout)
 	response.End(dispatch.ReadResult{Failed: err != nil})
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -248,6 +248,25 @@
 	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET, qt.Commentf("%d bytes", len(body)))
 }
 
+// TestBufferedResponseHasNoLength guards against a response whose end a caller without
+// chunks can't tell from the loss of its connection.
+func TestBufferedResponseHasNoLength(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	text := `{"x":"` + strings.Repeat("y", 100<<10) + `"}`
+	u := newScriptedUpstream(c, -1, always(okHeader+"Transfer-Encoding: chunked\r\n\r\n"+chunk(text)+"0\r\n\r\n"))
+	f.service("m", service.Engine, u.url())
+	f.service("cards", service.Plain, u.url())
+	f.parts.Routes["cards"] = route.Spec{Path: "/disputes", Service: "cards"}
+	at := f.host("h1")
+	for _, path := range []string{"/disputes", "/v1/chat/completions"} {
+		resp, body, err := f.readHTTP10(http.MethodPost, at, path, chat("m", "hello", false))
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, text)
+		c.Assert(resp.ContentLength, qt.Equals, int64(len(text)), qt.Commentf("%s", path))
+	}
+}
+
 // TestResponseIsCompleteWhenCallerPauses lets a caller stop reading for three
 // times the idle timeout of upstreams. The pause must not count as idle time of
 // the upstream.
