gateway: abort a long response that its caller doesn't take in time

Cause: after a failed write the rest of the upstream's response is read, and its regular end ends the request as answered.

Change: writeRemainder also returns the error of the caller's connection. The claim of its key stays answered, since the upstream's response is whole.

Why it works: a response is answered only if all of it was written.

--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -54,16 +54,18 @@
 
 // write sends the buffered response. The length lets a caller without chunks notice that
 // its connection broke off.
-func (b bufferedResponse) write(w http.ResponseWriter, method string) {
+func (b bufferedResponse) write(w http.ResponseWriter, method string) error {
 	copyResponseHeader(w, b.header)
 	if length := b.length(method); length != "" {
 		w.Header().Set("Content-Length", length)
 	}
 	extendWriteDeadline(w)
 	w.WriteHeader(b.status)
-	if bodyAllowed(method, b.status) {
-		_, _ = w.Write(b.body)
+	if !bodyAllowed(method, b.status) {
+		return nil
 	}
+	_, err := w.Write(b.body)
+	return err
 }
 
 // length returns the value of the Content-Length header, or "" if it has none.
@@ -85,26 +87,25 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 }
 
-// writeRemainder streams what was not buffered. It returns an error if the
-// upstream's response breaks off; the caller's connection must then be aborted,
-// so that the response cannot be mistaken for complete.
-func writeRemainder(w http.ResponseWriter, response *dispatch.Response, idleTimeout time.Duration) error {
+// writeRemainder streams what was not buffered. It returns the errors with which the
+// upstream's response or the caller's connection broke off. The caller's connection must
+// then be aborted, so that the response cannot be mistaken for complete. The upstream's
+// response is read to its end even if the caller is gone.
+func writeRemainder(w http.ResponseWriter, response *dispatch.Response, idleTimeout time.Duration) (upstreamErr, callerErr error) {
 	body := newIdleTimeoutReader(response.Body, idleTimeout)
 	defer body.stop()
 	buf := make([]byte, copyBufferBytes)
-	disconnected := false
 	for {
 		n, err := body.Read(buf)
-		if n > 0 && !disconnected {
+		if n > 0 && callerErr == nil {
 			extendWriteDeadline(w)
-			_, werr := w.Write(buf[:n])
-			disconnected = werr != nil
+			_, callerErr = w.Write(buf[:n])
 		}
 		if err == io.EOF {
-			return nil
+			return nil, callerErr
 		}
 		if err != nil {
-			return err
+			return err, callerErr
 		}
 	}
 }
@@ -123,17 +124,20 @@
 	if !buffered.partial {
 		response.End(dispatch.ReadResult{})
 		finishClaim(claim.Answered, buffered.claimResponse())
-		buffered.write(w, r.Method)
+		_ = buffered.write(w, r.Method) // its length shows that it is incomplete
 		return outcome.Outcome{State: outcome.Answered, Status: buffered.status}
 	}
-	buffered.write(w, r.Method)
-	err = writeRemainder(w, response, idleTimeout)
-	response.End(dispatch.ReadResult{Failed: err != nil})
-	if err != nil {
+	writeErr := buffered.write(w, r.Method)
+	upstreamErr, callerErr := writeRemainder(w, response, idleTimeout)
+	response.End(dispatch.ReadResult{Failed: upstreamErr != nil})
+	if upstreamErr != nil {
 		finishClaim(claim.Unknown, nil)
-		return outcome.Outcome{State: outcome.Truncated, Status: buffered.status, Err: truncatedResponseError(err)}
+		return outcome.Outcome{State: outcome.Truncated, Status: buffered.status, Err: truncatedResponseError(upstreamErr)}
 	}
 	finishClaim(claim.Answered, &claim.Response{Status: buffered.status, Omitted: true})
+	if err := firstError(writeErr, callerErr); err != nil {
+		return clientDisconnected(err)
+	}
 	return outcome.Outcome{State: outcome.Answered, Status: buffered.status}
 }
 
@@ -151,7 +155,7 @@
 // replayResponse sends the stored response of an earlier request.
 func replayResponse(w http.ResponseWriter, r *http.Request, stored *claim.Response) outcome.Outcome {
 	w.Header().Set(replayedHeader, "true")
-	bufferedResponse{status: stored.Status, header: stored.Header, body: stored.Body}.write(w, r.Method)
+	_ = bufferedResponse{status: stored.Status, header: stored.Header, body: stored.Body}.write(w, r.Method)
 	return outcome.Outcome{State: outcome.Answered, Status: stored.Status}
 }
 
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -180,7 +180,7 @@
 	usage := outcome.ReadUsage(buffered.body)
 	response.End(dispatch.ReadResult{Usage: usage})
 	markComplete(w, true)
-	buffered.write(w, http.MethodPost)
+	_ = buffered.write(w, http.MethodPost)
 	return outcome.Outcome{State: outcome.Answered, Status: buffered.status, Tokens: usage}, true
 }
 
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -85,10 +85,12 @@
 }
 
 // runInVirtualTime runs a test against a gateway whose upstreams are the engine.
-func runInVirtualTime(t *testing.T, e *endlessEngine, test func(c *qt.C, g *gateway.Gateway, p *pipeListener)) {
+func runInVirtualTime(t *testing.T, e upstream.Engine, test func(c *qt.C, g *gateway.Gateway, p *pipeListener)) {
 	bubbletest.Run(t, func(t *testing.T) {
 		c := qt.New(t)
-		e.closed = make(chan time.Time, 1)
+		if endless, ok := e.(*endlessEngine); ok {
+			endless.closed = make(chan time.Time, 1)
+		}
 		cat := catalog.New()
 		cat.ApplyConfig(1, config.Fleet{Limits: config.Limits{MaxBodyBytes: 1000, RequestTimeoutSeconds: 600}})
 		cat.UpdateObjects(func(p *catalog.ObjectSpecs) {
