gateway: abort a stream that is given up because its caller seems to be gone

Seen by callers: a stream without its terminal event that ends like a whole one, last chunk included.

Cause: the server takes the closed side for a caller that is gone and cancels the request. The handler then writes no error event and returns, which ends the response.

Change: a completion that ends as truncated because of its caller aborts the connection.

Before: TestStreamOfAHalfClosedConnectionLooksWhole failed for HTTP/1.0 and 1.1: a regular end after the first event. After: both callers read an error.

Why it works: of the truncated streams, those with an error event are visible by it, and these are the others.

--- a/internal/gateway/abort_test.go
+++ b/internal/gateway/abort_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/masticscale/masticscale/internal/gateway"
+	"github.com/masticscale/masticscale/internal/service"
 	"github.com/masticscale/masticscale/internal/upstream"
 )
 
@@ -63,3 +65,37 @@
 		})
 	}
 }
+
+// TestStreamOfAHalfClosedConnectionLooksWhole guards against a stream that the host gives up
+// for a caller that seems to be gone, and that ends without an error: a caller may have
+// closed its side of the connection only.
+func TestStreamOfAHalfClosedConnectionLooksWhole(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		t.Run(version, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(c)
+			f.limits.ResponseIdleTimeoutSeconds = 20
+			f.service("m", service.Engine, newHTTP(c, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/health" {
+					return
+				}
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, "data: {}\n\n")
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			})))
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.host("h1"), "http://"))
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			body := chat("m", "hello", true)
+			_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/%s\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", version, f.secret, len(body), body)
+			c.Assert(err, qt.IsNil)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+			text, err := io.ReadAll(resp.Body)
+			c.Assert(string(text), qt.Equals, "data: {}\n\n")
+			c.Assert(err, qt.IsNotNil)
+		})
+	}
+}
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -14,6 +14,7 @@
 	"github.com/masticscale/masticscale/internal/catalog"
 	"github.com/masticscale/masticscale/internal/claim"
 	"github.com/masticscale/masticscale/internal/dispatch"
+	"github.com/masticscale/masticscale/internal/httpabort"
 	"github.com/masticscale/masticscale/internal/outcome"
 	"github.com/masticscale/masticscale/internal/serving"
 	"github.com/masticscale/masticscale/internal/upstream"
@@ -61,11 +62,16 @@
 		g.fail(w, r, class, c.who.team, err)
 		return
 	}
+	var o outcome.Outcome
 	if c.key == "" {
-		g.recordOutcome(r, class, c.who.team, g.runCompletion(r.Context(), w, snapshot, c))
-		return
+		o = g.runCompletion(r.Context(), w, snapshot, c)
+	} else {
+		o = g.runKeyedCompletion(w, r, snapshot, c)
+	}
+	g.recordOutcome(r, class, c.who.team, o)
+	if o.State == outcome.Truncated && o.Err.Kind == apierr.Cancelled {
+		httpabort.Abort(w, r) // a caller that has closed only its side still reads
 	}
-	g.recordOutcome(r, class, c.who.team, g.runKeyedCompletion(w, r, snapshot, c))
 }
 
 // acceptCompletion validates a request and charges the team's rate limit.
