jobs: a closed connection without events doesn't complete a resumed output

Cause: a body without a length and without chunks ends with its connection, and the end of a run's body is taken for the end of the output.

Change: a run without an event completes an output only if its body is delimited, as in entry. Otherwise it is one that broke off. The sequence of the run, rather than the progress of the item, tells whether a run can go on after its last event.

Before: TestResumedRunWithoutEventsCompletesAnOutput failed with events 1 to 5 of 20. After: it passes. TestDelimitedRunWithoutEventsCompletesAnOutput passed before, too.

Why it works: a length or a last chunk is sent by an upstream that has ended its response; a closed connection is also left behind by one that has ended itself.

--- a/internal/jobs/ends_test.go
+++ b/internal/jobs/ends_test.go
@@ -1,25 +1,34 @@
 package jobs_test
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/masticscale/masticscale/internal/entry"
 )
 
 // TestStreamWithoutEventsIsAnItemsOutput guards against an item that is listed as completed
 // without an output, because an upstream ended a run before its first event.
 func TestStreamWithoutEventsIsAnItemsOutput(t *testing.T) {
-	runCluster(t, func(c *qt.C, w *cluster) {
-		h1 := w.start("h1")
-		s, item := submitBreaking(w, h1, breakPlan{how: ends, runs: 5})
-		w.waitForRuns(item, 5)
-		time.Sleep(maxRetryGap + 2*time.Second)
-		w.checkResults(h1, s)
-		c.Assert(w.engine.runsOf(item), qt.Equals, 6)
-		w.checkGaps(item, maxRetryGap)
-	})
+	for _, undelimited := range []bool{false, true} {
+		t.Run(fmt.Sprint("undelimited ", undelimited), func(t *testing.T) {
+			runCluster(t, func(c *qt.C, w *cluster) {
+				w.engine.undelimited = undelimited
+				h1 := w.start("h1")
+				s, item := submitBreaking(w, h1, breakPlan{how: ends, runs: 5})
+				w.waitForRuns(item, 5)
+				time.Sleep(maxRetryGap + 2*time.Second)
+				w.checkResults(h1, s)
+				c.Assert(w.engine.runsOf(item), qt.Equals, 6)
+				w.checkGaps(item, maxRetryGap)
+			})
+		})
+	}
 }
 
 // TestItemWithoutEventsOutlivesItsDeadline guards against an item that is run without end,
@@ -55,6 +64,48 @@
 	})
 }
 
+// closingEngine is an engine that closes the connections of the first runs that resume an
+// item before an event.
+type closingEngine struct {
+	*engine
+	closes int
+}
+
+// Do implements entry.UpstreamClient.
+func (e *closingEngine) Do(ctx context.Context, call entry.Call) (*entry.Response, error) {
+	if call.ResumeAfter == "" || e.closes == 0 {
+		return e.engine.Do(ctx, call)
+	}
+	e.closes--
+	return &entry.Response{Status: http.StatusOK, Events: true, Body: http.NoBody}, nil
+}
+
+// TestResumedRunWithoutEventsCompletesAnOutput guards against a truncated output that is listed
+// as completed, because the connection of the run that resumed it was closed before an event.
+func TestResumedRunWithoutEventsCompletesAnOutput(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		e := &closingEngine{engine: w.engine, closes: 3}
+		h1 := w.startWith(e)
+		s, item := submitBreaking(w, h1, breakPlan{how: resets, afterEvents: 5, runs: 1})
+		time.Sleep(10 * time.Second)
+		w.checkResults(h1, s)
+		c.Assert(w.engine.runsOf(item), qt.Equals, 2)
+		c.Assert(e.closes, qt.Equals, 0)
+	})
+}
+
+// TestDelimitedRunWithoutEventsCompletesAnOutput checks that an output is complete if all
+// its events came and the end of the stream was lost.
+func TestDelimitedRunWithoutEventsCompletesAnOutput(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		h1 := w.start("h1")
+		s, item := submitBreaking(w, h1, breakPlan{how: losesEnd, afterEvents: eventsPerItem, runs: 1})
+		time.Sleep(5 * time.Second)
+		w.checkResults(h1, s)
+		c.Assert(w.engine.runsOf(item), qt.Equals, 2)
+	})
+}
+
 // TestRunsWithoutEventIDsAreJoined guards against an output that holds events twice: a run
 // can't go on after an event that has no id.
 func TestRunsWithoutEventIDsAreJoined(t *testing.T) {
--- a/internal/jobs/engine_test.go
+++ b/internal/jobs/engine_test.go
@@ -34,6 +34,7 @@
 	numbered      int  // events that have ids if unnumbered
 	skips         int  // events missing at the begin of each run that breaks
 	comments      bool // a comment precedes each event
+	undelimited   bool // streams end with their connections
 }
 
 // breakPlan is how the runs of an item break.
@@ -46,15 +47,16 @@
 type breakKind int
 
 const (
-	crashes breakKind = iota // the upstream ends
-	resets                   // the connection is reset
-	pauses                   // no byte comes until the connection is closed
-	garbles                  // an event is missing
-	ends                     // the stream ends early
+	crashes  breakKind = iota // the upstream ends
+	resets                    // the connection is reset
+	pauses                    // no byte comes until the connection is closed
+	garbles                   // an event is missing
+	ends                      // the stream ends early
+	losesEnd                  // the connection is reset after the last event
 )
 
 func (b breakKind) String() string {
-	return [...]string{"crashes", "resets", "pauses", "garbles", "ends"}[b]
+	return [...]string{"crashes", "resets", "pauses", "garbles", "ends", "loses its end"}[b]
 }
 
 func newEngine() *engine {
@@ -131,6 +133,9 @@
 
 func (s *stream) Read(p []byte) (int, error) {
 	if s.unread == "" {
+		if s.next > eventsPerItem && s.breaks && s.how == losesEnd {
+			return 0, s.breakOff()
+		}
 		if s.next > eventsPerItem {
 			return 0, io.EOF
 		}
@@ -200,7 +205,7 @@
 		s.breaks, s.how, s.lastSent = true, plan.how, after+plan.afterEvents
 		s.next += e.skips
 	}
-	return &entry.Response{Status: http.StatusOK, Events: true, Body: s}, nil
+	return &entry.Response{Status: http.StatusOK, Events: true, Body: s, Delimited: !e.undelimited}, nil
 }
 
 // startsOf returns the start times of the item's runs.
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -78,11 +78,10 @@
 
 // progress is the output of an item so far.
 type progress struct {
-	output     []byte
-	events     int
-	comments   int // events of the current run that have neither an id nor data
-	lastID     string
-	unnumbered bool // the last event has no id, so that no run can go on after it
+	output   []byte
+	events   int
+	comments int // events of the current run that have neither an id nor data
+	lastID   string
 }
 
 // runItem runs the item once in the slot and records the outcome.
@@ -265,11 +264,7 @@
 		return runUnexpected, errors.New("upstream responded without an event stream")
 	}
 	slot.ReportSuccess()
-	outcome, err := readEvents(response.Body, p, maxEvents(i.Tokens))
-	if outcome != runDone && p.unnumbered {
-		*p = progress{} // the item starts again
-	}
-	return outcome, err
+	return readEvents(response, p, maxEvents(i.Tokens))
 }
 
 // refusesResume reports whether the status says that the id of the last event, or the state
@@ -323,16 +318,39 @@
 	return 2*tokens + extraEvents
 }
 
-// readEvents appends the events of the stream to p until the stream ends. After an
-// output beyond a limit, p is empty: the item starts again.
-func readEvents(body io.Reader, p *progress, maxEvents int64) (runOutcome, error) {
+// readEvents appends the events of the response to p until the stream ends. Afterwards p is
+// empty if the item must start again, because its output exceeds a limit or no run can go on
+// after its last event.
+func readEvents(response *entry.Response, p *progress, maxEvents int64) (runOutcome, error) {
 	sequence := eventstream.NewResumableSequence(p.lastID)
+	outcome, err := appendEvents(response.Body, &sequence, p, maxEvents)
+	if outcome == runDone {
+		outcome, err = endOutcome(response, sequence.Len(), p)
+	}
+	if outcome != runDone && !sequence.CanResume() {
+		*p = progress{}
+	}
+	return outcome, err
+}
+
+// endOutcome returns the outcome of a run whose stream ended after the number of events.
+// Without an event, the end of a body that isn't delimited may be that of the upstream.
+func endOutcome(response *entry.Response, events int64, p *progress) (runOutcome, error) {
+	switch {
+	case events == 0 && !response.Delimited:
+		return runTruncated, errors.New("the upstream closed the connection before the first event")
+	case p.events == 0:
+		return runUnexpected, errors.New("the stream ended without an event")
+	}
+	return runDone, nil
+}
+
+// appendEvents appends events to p until the stream ends.
+func appendEvents(body io.Reader, sequence *eventstream.Sequence, p *progress, maxEvents int64) (runOutcome, error) {
 	events := eventstream.NewReader(body)
 	for {
 		batch, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && p.events == 0:
-			return runUnexpected, errors.New("the stream ended without an event")
 		case errors.Is(err, io.EOF):
 			return runDone, nil
 		case readlimit.IsExceeded(err):
@@ -377,8 +395,7 @@
 	}
 	p.output = append(p.output, e.Data...)
 	p.events++
-	p.unnumbered = e.ID == ""
-	if !p.unnumbered {
+	if e.ID != "" {
 		p.lastID = e.ID
 	}
 }
