--- a/internal/jobs/engine_test.go
+++ b/internal/jobs/engine_test.go
@@ -30,6 +30,11 @@
 	onCrash func(upstream string)
 
 	refusesResume bool // runs that resume a stream are answered with status 400
+	unnumbered    bool // the events have no ids after the first numbered ones
+	numbered      int  // events that have ids if unnumbered
+	skips         int  // events missing at the begin of each run that breaks
+	comments      bool // a comment precedes each event
+	undelimited   bool // streams end with their connections
 }
 
 // breakPlan is how the runs of an item break.
@@ -42,13 +47,17 @@
 type breakKind int
 
 const (
-	crashes breakKind = iota // the upstream ends
-	resets                   // the connection is reset
-	pauses                   // no byte comes until the connection is closed
-	garbles                  // an event is missing
+	crashes  breakKind = iota // the upstream ends
+	resets                    // the connection is reset
+	pauses                    // no byte comes until the connection is closed
+	garbles                   // an event is missing
+	ends                      // the stream ends early
+	losesEnd                  // the connection is reset after the last event
 )
 
-func (b breakKind) String() string { return [...]string{"crashes", "resets", "pauses", "garbles"}[b] }
+func (b breakKind) String() string {
+	return [...]string{"crashes", "resets", "pauses", "garbles", "ends", "loses its end"}[b]
+}
 
 func newEngine() *engine {
 	return &engine{
@@ -124,6 +133,9 @@
 
 func (s *stream) Read(p []byte) (int, error) {
 	if s.unread == "" {
+		if s.next > eventsPerItem && s.breaks && s.how == losesEnd {
+			return 0, s.breakOff()
+		}
 		if s.next > eventsPerItem {
 			return 0, io.EOF
 		}
@@ -144,7 +156,13 @@
 		if s.endless {
 			return copy(p, ":\n\n"), nil
 		}
-		s.unread = fmt.Sprintf("id: %d\ndata: %s/%d%s\n\n", s.next, s.id, s.next, s.padding)
+		s.unread = fmt.Sprintf("data: %s/%d%s\n\n", s.id, s.next, s.padding)
+		if !s.engine.unnumbered || s.next <= s.engine.numbered {
+			s.unread = fmt.Sprintf("id: %d\n", s.next) + s.unread
+		}
+		if s.engine.comments {
+			s.unread = ": waiting\n\n" + s.unread
+		}
 		s.next++
 	}
 	n := copy(p, s.unread)
@@ -159,6 +177,8 @@
 	case pauses:
 		time.Sleep(idleTimeout)
 		return os.ErrDeadlineExceeded
+	case ends:
+		return io.EOF
 	}
 	return errors.New("connection reset")
 }
@@ -183,8 +203,9 @@
 	s := &stream{ctx: ctx, next: after + 1, id: call.ID, engine: e, upstream: call.Upstream.ID, endless: e.endless[call.ID], padding: e.padding[call.ID]}
 	if plan, ok := e.breaks[call.ID]; ok && (plan.runs == 0 || len(e.starts[call.ID]) <= plan.runs) {
 		s.breaks, s.how, s.lastSent = true, plan.how, after+plan.afterEvents
+		s.next += e.skips
 	}
-	return &entry.Response{Status: http.StatusOK, Events: true, Body: s}, nil
+	return &entry.Response{Status: http.StatusOK, Events: true, Body: s, Delimited: !e.undelimited}, nil
 }
 
 // startsOf returns the start times of the item's runs.
