Use no upstream that has announced in a response that it leaves

What callers would see: a host learned only from the registry that an upstream leaves. A host that is cut off from the store and its peers, or whose list lags, went on sending requests to an upstream that said in each of its responses that it shuts down, until the process was gone and cut them.

Cause: the header Server-Leaving was known nowhere.

Handler, jobs and health checks report it before anything else is decided, so also from rejections, failures and responses that aren't relayed. slots.Balancer keeps it by id and start time, and excludes the process wherever it excludes an entry that is leaving: placement of every kind, capacity, the count of usable upstreams, probes. Runs that are in progress there go on. Entries, lists and events that still say ready don't revoke it, nor does an entry that lapses and returns; a process with another start time is usable at once, also if the old one's response arrives later. It is forgotten ten minutes after its process was last registered. Cells still follow from the registry alone, so they stay the same on all hosts. The end of such an upstream counts as no crash.

Why it works: a request is placed after it has arrived, and the announcement is recorded before the response that carries it is passed on. So a request that a client sends after it has seen the announcement finds it recorded.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -32,7 +32,7 @@
 
 // ConfirmIsolation reports whether the slot may be used: always, unless its request must
 // not share an upstream with another isolated request. Then it waits until peers have
-// reported theirs, and one of the hosts keeps the upstream.
+// reported theirs, and one of the hosts keeps the upstream, unless that leaves meanwhile.
 func (s *Slot) ConfirmIsolation(ctx context.Context) bool {
 	if !s.run.Isolated {
 		return true
@@ -43,7 +43,7 @@
 	}
 	s.core.mu.Lock()
 	defer s.core.mu.Unlock()
-	return !s.core.balancer.YieldsIsolation(s.Upstream.ID, s.core.self.Name)
+	return !s.core.balancer.HasAnnouncedLeaving(s.Upstream) && !s.core.balancer.YieldsIsolation(s.Upstream.ID, s.core.self.Name)
 }
 
 // ReportFailure records that the upstream truncated its response or sent an invalid
@@ -105,6 +105,14 @@
 	s.core.balancer.ReportSuccess(s.Upstream.ID)
 }
 
+// ReportLeaving records that the upstream announces in the response that it shuts down, if
+// it does.
+func (s *Slot) ReportLeaving(resp *Response) {
+	if resp.Leaving {
+		s.core.reportLeaving(s.Upstream, "response")
+	}
+}
+
 // ReportLoad records the load that the upstream reported, if any.
 func (s *Slot) ReportLoad(l *Load) {
 	if l == nil {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -45,6 +45,7 @@
 // handleResponse relays the response, unless the request has not run or may be retried.
 func (h *Handler) handleResponse(ctx context.Context, r *request, slot *Slot, resp *Response, w http.ResponseWriter) (bool, error) {
 	defer func() { _ = resp.Body.Close() }()
+	slot.ReportLeaving(resp)
 	slot.ReportLoad(resp.Load)
 	r.status, r.eventStream = resp.Status, resp.Events
 	if resp.NotRun {
--- a/internal/entry/connect.go
+++ b/internal/entry/connect.go
@@ -21,10 +21,16 @@
 
 // Pinger is a Connector that can also ask an upstream for a response.
 type Pinger interface {
-	// Ping sends a health check over a new connection, and reports whether the upstream
-	// responded that it is healthy. Any response of the upstream is a success, since it
-	// shows that the upstream sends bytes.
-	Ping(ctx context.Context, u fleet.Upstream, healthPath string) (healthy bool, err error)
+	// Ping sends a health check over a new connection, and returns what the upstream
+	// responded. Any response of the upstream is a success, since it shows that the
+	// upstream sends bytes.
+	Ping(ctx context.Context, u fleet.Upstream, healthPath string) (Health, error)
+}
+
+// Health is an upstream's response to a health check.
+type Health struct {
+	Healthy bool
+	Leaving bool // the upstream announces that it shuts down
 }
 
 // noopConnector is the default Connector and treats every upstream as reachable.
@@ -86,19 +92,22 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	log := c.log.WithFields(logrus.Fields{"event": "upstream_pinged", "upstream": u.ID})
-	healthy, err := pinger.Ping(ctx, u, path)
+	health, err := pinger.Ping(ctx, u, path)
 	if err != nil {
 		log.WithField("error", err).Info("upstream is silent to a new connection too")
 		return
 	}
+	if health.Leaving {
+		c.reportLeaving(u, "health_check")
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if healthy {
+	if health.Healthy {
 		c.balancer.ReportHealthy(u.ID, time.Now())
 	} else {
 		c.balancer.ReportResponse(u.ID, time.Now())
 	}
-	log.WithField("healthy", healthy).Info("upstream responds on a new connection; those of silent requests may be lost")
+	log.WithField("healthy", health.Healthy).Info("upstream responds on a new connection; those of silent requests may be lost")
 }
 
 // releaseLostRuns gives the slots of runs whose connections are lost to others.
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -216,7 +216,7 @@
 	defer c.mu.Unlock()
 	now, registered := c.balancer.Upstream(u.ID)
 	switch {
-	case !registered || now.Leaving:
+	case !registered || now.Leaving || c.balancer.HasAnnouncedLeaving(u):
 		return UpstreamLeaving
 	case instanceOf(now) != instanceOf(u):
 		return UpstreamEnded
@@ -348,11 +348,12 @@
 // recordUpstreamEnd logs and records the end of an upstream that left the registry, or that
 // has restarted and is listed with another start time. The caller must hold mu.
 func (c *Core) recordUpstreamEnd(u fleet.Upstream, restarted bool) {
-	if !u.Leaving {
+	leaving := c.isLeaving(u)
+	if !leaving {
 		c.crashes.ReportEnd(instanceOf(u), time.Now())
 	}
 	c.log.WithFields(logrus.Fields{
-		"event": "upstream_ended", "upstream": u.ID, "address": u.Address, "was_leaving": u.Leaving,
+		"event": "upstream_ended", "upstream": u.ID, "address": u.Address, "was_leaving": leaving,
 		"restarted": restarted, "started": u.Started.UTC().Format(time.RFC3339Nano),
 	}).Info("upstream left the registry, or another process has taken its place")
 }
--- a/internal/entry/crashfleet_test.go
+++ b/internal/entry/crashfleet_test.go
@@ -51,6 +51,7 @@
 	listed  bool
 	up      bool
 	cut     bool          // from all hosts
+	leaves  bool          // announces so in its responses
 	crashed chan struct{} // closed when the process ends, or when the connections to it are reset
 }
 
@@ -198,6 +199,11 @@
 		return noResponse(call)
 	case <-time.After(duration):
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.leaves {
+		return announcing(complete("done"))(call)
+	}
 	return complete("done")(call)
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -160,6 +160,7 @@
 			continue
 		case now := <-review.C:
 			c.reviewCrashes(now)
+			c.forgetAnnouncements(now)
 			continue
 		case <-tick.C:
 		}
--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -139,3 +139,32 @@
 		core.State()
 	}
 }
+
+// TestAnnouncementChangesCells guards against cells that differ between hosts, because not
+// all of them have read that an upstream leaves. The slots of the upstream go at once.
+func TestAnnouncementChangesCells(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		c := qt.New(t)
+		core, computed := newLargeFleetCore(40)
+		var list []fleet.Upstream
+		for i := range 60 {
+			list = append(list, newUpstream(i))
+		}
+		core.SetUpstreams(list, 1)
+		before := fleet.CellOf("h0", core.dataCentres(), core.balancer.Upstreams())
+		slots := core.freeSlots()
+		*computed = 0
+		announced := 0
+		for _, u := range list {
+			if before.Upstreams[u.ID] && announced < 2 {
+				announced++
+				core.reportLeaving(u, "response")
+			}
+		}
+		time.Sleep(cellUpdateInterval)
+		core.checkPeers(time.Now())
+		c.Assert(*computed, qt.Equals, 0)
+		c.Assert(fleet.CellOf("h0", core.dataCentres(), core.balancer.Upstreams()), qt.DeepEquals, before)
+		c.Assert(core.freeSlots(), qt.Equals, slots-8*announced)
+	})
+}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -40,6 +40,8 @@
 	NotRun bool // the upstream states that it did not run the request
 	Moved  bool // another instance responded at the address
 	Load   *Load
+
+	Leaving bool // the upstream announces that it shuts down
 }
 
 // Load is the load that an upstream reports with a response.
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -243,6 +243,7 @@
 		return sendOutcome(ctx, slot, err), err
 	}
 	defer func() { _ = response.Body.Close() }()
+	slot.ReportLeaving(response)
 	slot.ReportLoad(response.Load)
 	switch {
 	case response.NotRun && response.Moved:
--- a/internal/slots/balancer.go
+++ b/internal/slots/balancer.go
@@ -46,6 +46,7 @@
 	backoffUntil     time.Time         // no requests, or no probe, before this time
 	failures         int               // consecutive
 	unreachable      bool              // gets no requests until a connection succeeds
+	announcedLeaving bool              // in a response, which the entry may not say yet
 	outlier          outlierDetector
 	fullUntil        time.Time // set when the upstream rejected a request for lack of slots
 	unaccounted      int       // requests that the upstream reports beyond own and peers'
@@ -67,6 +68,7 @@
 	upstreams     map[string]*upstream
 	cellUpstreams map[string]bool              // upstreams of this host's cell; nil means all
 	spillTo       map[string]bool              // upstreams of other cells that this host may use; nil means all
+	announced     map[boot]time.Time           // processes that have announced that they leave, and when they were last known to be registered
 	runs          map[string]map[*Run]bool     // by upstream
 	peerCounts    map[string]map[string]Counts // latest report of each peer, by upstream
 	unresponsive  map[string]bool              // data centres
@@ -78,6 +80,7 @@
 	return &Balancer{
 		dataCentre: dataCentre,
 		upstreams:  map[string]*upstream{},
+		announced:  map[boot]time.Time{},
 		runs:       map[string]map[*Run]bool{},
 		peerCounts: map[string]map[string]Counts{},
 		random:     rand.New(rand.NewPCG(seed, 0)),
@@ -111,7 +114,7 @@
 		known.unreachable, known.outlier = false, outlierDetector{}
 		known.endSilence()
 	}
-	known.Upstream = u
+	known.Upstream, known.announcedLeaving = u, b.HasAnnouncedLeaving(u)
 }
 
 // RemoveUpstream removes an upstream. Requests that run there continue.
@@ -120,7 +123,7 @@
 // addUpstream registers an upstream. Requests may already run there if the
 // upstream was registered before and its entry was missing for a while.
 func (b *Balancer) addUpstream(u fleet.Upstream) {
-	b.upstreams[u.ID] = &upstream{Upstream: u, peers: map[string]Counts{}}
+	b.upstreams[u.ID] = &upstream{Upstream: u, announcedLeaving: b.HasAnnouncedLeaving(u), peers: map[string]Counts{}}
 	for r := range b.runs[u.ID] {
 		b.countOwn(r, 1)
 	}
@@ -300,7 +303,7 @@
 
 // isAvailable reports whether new requests of the service may go to the upstream.
 func (u *upstream) isAvailable(service string, now time.Time) bool {
-	return u.Service == service && !u.Leaving && !u.unreachable && !now.Before(u.backoffUntil) && !now.Before(u.fullUntil)
+	return u.Service == service && !u.isLeaving() && !u.unreachable && !now.Before(u.backoffUntil) && !now.Before(u.fullUntil)
 }
 
 // freeSlots is negative when the upstream has more requests than slots.
@@ -343,7 +346,7 @@
 func (b *Balancer) CountRegistered(service string) int {
 	n := 0
 	for _, u := range b.upstreams {
-		if u.Service == service && !u.Leaving {
+		if u.Service == service && !u.isLeaving() {
 			n++
 		}
 	}
--- /dev/null
+++ b/internal/slots/leaving_test.go
@@ -0,0 +1,118 @@
+package slots_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticscale/masticscale/internal/fleet"
+	"github.com/masticscale/masticscale/internal/slots"
+)
+
+// TestPlacementIgnoresAnnouncement guards against a way to place a request at an upstream
+// that has announced that it leaves, as a last resort or for want of another.
+func TestPlacementIgnoresAnnouncement(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	list := upstreams(1, 8)
+	for name, prepare := range map[string]func(b *slots.Balancer){
+		"alone":         func(*slots.Balancer) {},
+		"in no cell":    func(b *slots.Balancer) { b.SetCell(map[string]bool{}, map[string]bool{list[0].ID: true}) },
+		"ejected":       func(b *slots.Balancer) { failRuns(b, list[0].ID, now) },
+		"in a backoff":  func(b *slots.Balancer) { b.ReportFailure(list[0].ID, now.Add(-time.Minute)) },
+		"has responded": func(b *slots.Balancer) { b.ReportSuccess(list[0].ID) },
+		"connected": func(b *slots.Balancer) {
+			b.ReportUnreachable(list[0].ID, now.Add(-time.Minute))
+			b.ReportReachable(list[0].ID)
+		},
+	} {
+		b := slots.NewBalancer("dc", 1)
+		b.SetUpstreams(list)
+		c.Assert(b.ReportLeaving(list[0], now), qt.IsTrue)
+		c.Assert(b.ReportLeaving(list[0], now), qt.IsFalse)
+		prepare(b)
+		placed := map[string]bool{}
+		_, placed["online"] = b.PlaceOnline(list[0].Service, nil, now)
+		_, placed["batch"] = b.PlaceBatch(list[0].Service, false, nil, now)
+		_, placed["batch, nearly due"] = b.PlaceBatch(list[0].Service, true, nil, now)
+		_, placed["move"] = b.PlaceMove(list[0].Service, nil, 2*time.Second, now)
+		for kind, ok := range placed {
+			c.Check(ok, qt.IsFalse, qt.Commentf("%s: %s", name, kind))
+		}
+		c.Check(b.Capacity(list[0].Service, now), qt.Equals, slots.Capacity{}, qt.Commentf("%s", name))
+		c.Check(b.CountRegistered(list[0].Service), qt.Equals, 0, qt.Commentf("%s", name))
+	}
+}
+
+// failRuns ejects the upstream, if that is possible.
+func failRuns(b *slots.Balancer, id string, now time.Time) {
+	for range 8 {
+		b.ReportRunResult(id, true, now)
+	}
+}
+
+// TestCellOfLeavingUpstreamsHoldsUpItems guards against items that wait for the upstreams of
+// their cell, though all of these have announced that they leave.
+func TestCellOfLeavingUpstreamsHoldsUpItems(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := newBalancer(2, 8)
+	list := upstreams(2, 8)
+	b.SetCell(map[string]bool{list[0].ID: true}, nil)
+	b.ReportFull(list[0].ID, now)
+	_, ok := b.PlaceBatch(list[0].Service, false, nil, now)
+	c.Assert(ok, qt.IsFalse)
+	b.ReportLeaving(list[0], now)
+	id, ok := b.PlaceBatch(list[0].Service, false, nil, now)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(id, qt.Equals, list[1].ID)
+}
+
+// TestLeavingUpstreamIsProbed guards against connections that are made for requests to an
+// upstream that gets none any more.
+func TestLeavingUpstreamIsProbed(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := newBalancer(1, 8)
+	list := upstreams(1, 8)
+	b.ReportUnreachable(list[0].ID, now)
+	now = now.Add(time.Minute)
+	b.ReportLeaving(list[0], now)
+	c.Assert(b.DueProbes(now, time.Second), qt.HasLen, 0)
+}
+
+// TestAnnouncementsTakeMemoryForGood guards against a record of each upstream that has ever
+// left. As long as an entry may return, its announcement holds.
+func TestAnnouncementsTakeMemoryForGood(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := slots.NewBalancer("dc", 1)
+	gone := fleet.Upstream{ID: "gone", Service: "lm", Started: now}
+	stays := fleet.Upstream{ID: "stays", Service: "lm", Started: now}
+	restarts := fleet.Upstream{ID: "restarts", Service: "lm", Started: now}
+	list := []fleet.Upstream{gone, stays, restarts}
+	b.SetUpstreams(list)
+	for _, u := range list {
+		b.ReportLeaving(u, now)
+	}
+	restarted := restarts
+	restarted.Started = now.Add(time.Second)
+	b.SetUpstreams([]fleet.Upstream{stays, restarted})
+	var known []string
+	for range 20 {
+		now = now.Add(time.Minute)
+		b.ForgetAnnouncements(now)
+		held := ""
+		for _, u := range list {
+			if b.HasAnnouncedLeaving(u) {
+				held += " " + u.ID
+			}
+		}
+		known = append(known, held)
+	}
+	c.Assert(known[8], qt.Equals, " gone stays restarts")
+	c.Assert(known[19], qt.Equals, " stays", qt.Commentf("%v", known))
+	b.ForgetAnnouncements(now.Add(time.Hour)) // by a host that was suspended
+	c.Assert(b.HasAnnouncedLeaving(stays), qt.IsTrue)
+}
--- a/internal/slots/outlier.go
+++ b/internal/slots/outlier.go
@@ -157,7 +157,7 @@
 func (b *Balancer) mayEject(service string, now time.Time) bool {
 	ejected, all := 1, 0
 	for _, u := range b.upstreams {
-		if u.Service != service || u.Leaving {
+		if u.Service != service || u.isLeaving() {
 			continue
 		}
 		all++
--- a/internal/slots/reach.go
+++ b/internal/slots/reach.go
@@ -55,7 +55,7 @@
 func (b *Balancer) DueProbes(now time.Time, interval time.Duration) []fleet.Upstream {
 	var due []fleet.Upstream
 	for _, u := range b.upstreams {
-		if u.unreachable && !u.Leaving && !now.Before(u.backoffUntil) {
+		if u.unreachable && !u.isLeaving() && !now.Before(u.backoffUntil) {
 			u.backoffUntil = now.Add(interval)
 			due = append(due, u.Upstream)
 		}
