eventstream: a continuation must begin with the next number

Seen by callers: a stream whose events are numbered goes on with those of a run that ignores the last event's id, if that run's events have no ids, or ids that aren't numbers.

Cause: the order is checked between numbers only, and anything else may follow.

Change: in a resumable sequence a run that continues after a number begins with the next one, and ids that aren't numbers don't follow numbers. Within a run events may still lack an id. StartRun marks where a run begins, and checkEnd now asks for the events of the run.

Why it works: the first event of a run decides whether the run continues the one before, and the number is what a run can be asked for.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -42,11 +42,11 @@
 	return errors.Errorf("status %d (event stream: %t) does not continue the stream after event %q", resp.Status, resp.Events, a.events.LastID())
 }
 
-// checkEnd returns an error unless the end of an event stream's body completes the answer,
-// which had the given number of events before. A connection that closes before the first
-// event doesn't show that the upstream has finished.
-func (a *answer) checkEnd(resp *Response, before int64) error {
-	if resp.Delimited || a.events.Len() > before {
+// checkEnd returns an error unless the end of an event stream's body completes the answer. A
+// connection that closes before the first event of its run doesn't show that the upstream
+// has finished.
+func (a *answer) checkEnd(resp *Response) error {
+	if resp.Delimited || a.events.RunLen() > 0 {
 		return nil
 	}
 	return errors.New("the upstream closed the connection before the first event")
--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -151,6 +151,26 @@
 	}
 }
 
+// TestContinuationWithoutNumbersIsJoined guards against a run that ignores the last event's
+// id, and that is joined to the events already sent because its own have no number to check.
+func TestContinuationWithoutNumbersIsJoined(t *testing.T) {
+	for name, next := range map[string]string{
+		"no ids":                   "data: a\n\ndata: b\n\n",
+		"ids that are not numbers": "id: a\ndata: a\n\nid: b\ndata: b\n\n",
+		"the first without an id":  "data: 1\n\nid: 3\ndata: 3\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := &script{steps: steps(events(1, 2, true), streamOf(next, false), events(3, 4, false))}
+				w, err := serve(newCore(4), s, "/stream/x", "k")
+				c.Check(err, qt.IsNil)
+				c.Check(w.Body.String(), qt.Equals, eventText(1, 4))
+			})
+		})
+	}
+}
+
 // TestStreamIsResumedBesideEventsWithoutIDs checks that events without ids before the last
 // id, and comments after it, don't keep a stream from being resumed.
 func TestStreamIsResumedBesideEventsWithoutIDs(t *testing.T) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,12 +23,12 @@
 	if r.route.Repeatable() {
 		resp.Header.Del("Content-Length") // of one run; the stream may be resumed
 	}
-	before := r.answer.events.Len()
+	r.answer.events.StartRun()
 	events := eventstream.NewReader(resp.Body)
 	for {
 		batch, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if err = r.answer.checkEnd(resp, before); err == nil {
+			if err = r.answer.checkEnd(resp); err == nil {
 				return false, r.endAnswer(w, resp, events.Rest())
 			}
 		}
--- a/internal/eventstream/sequence.go
+++ b/internal/eventstream/sequence.go
@@ -15,6 +15,7 @@
 	resumable bool
 	lastID    string
 	events    int64 // of all runs
+	inRun     int64 // events of the current run
 	lastHasID bool  // the last event has an id
 }
 
@@ -24,7 +25,8 @@
 func NewSequence(afterID string) Sequence { return Sequence{lastID: afterID} }
 
 // NewResumableSequence is like NewSequence for an answer that may be resumed: its numeric
-// ids count the events from the first one on.
+// ids count the events from the first one on, and are followed by no others. A run that
+// continues after a numeric id begins with the next one.
 func NewResumableSequence(afterID string) Sequence {
 	return Sequence{lastID: afterID, resumable: true}
 }
@@ -37,8 +39,11 @@
 // without an id there is nothing by which to ask for the one that follows.
 func (s *Sequence) CanResume() bool { return s.events == 0 || s.resumable && s.lastHasID }
 
-// Len returns the number of events that were added.
-func (s *Sequence) Len() int64 { return s.events }
+// StartRun begins a run that continues after the last event.
+func (s *Sequence) StartRun() { s.inRun = 0 }
+
+// RunLen returns the number of events of the current run.
+func (s *Sequence) RunLen() int64 { return s.inRun }
 
 // Add appends the event, unless it doesn't follow the last one.
 func (s *Sequence) Add(e Event) error {
@@ -49,6 +54,7 @@
 		return err
 	}
 	s.events++
+	s.inRun++
 	s.lastHasID = e.ID != ""
 	if s.lastHasID {
 		s.lastID = e.ID
@@ -56,20 +62,24 @@
 	return nil
 }
 
-// checkID returns an error if events are missing before the one with the id.
+// checkID returns an error if the event with the id doesn't follow the last one.
 func (s *Sequence) checkID(id string) error {
 	number, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return nil
-	}
+	isNumber := err == nil
 	if s.lastID == "" {
-		if s.resumable && number > s.events+1 {
+		if s.resumable && isNumber && number > s.events+1 {
 			return errors.Errorf("the stream begins with event %q; events before it are missing", id)
 		}
 		return nil
 	}
-	if last, err := strconv.ParseInt(s.lastID, 10, 64); err == nil && number != last+1 {
-		return errors.Errorf("event %q does not follow event %q", id, s.lastID)
+	last, err := strconv.ParseInt(s.lastID, 10, 64)
+	if err != nil || isNumber && number == last+1 || !isNumber && s.mayLackNumber(id) {
+		return nil
 	}
-	return nil
+	return errors.Errorf("event %q does not follow event %q", id, s.lastID)
+}
+
+// mayLackNumber reports whether the id, which isn't a number, may follow one that is.
+func (s *Sequence) mayLackNumber(id string) bool {
+	return !s.resumable || id == "" && s.inRun > 0
 }
--- a/internal/eventstream/sequence_test.go
+++ b/internal/eventstream/sequence_test.go
@@ -23,6 +23,11 @@
 		{"the event after the given one", "4", []string{"5", "6"}, true},
 		{"a later event than that", "4", []string{"6"}, false},
 		{"an id that isn't a number", "", []string{"a", "9"}, true},
+		{"a number and an id that isn't one", "", []string{"1", "a"}, false},
+		{"events without an id after the first", "", []string{"1", "", "2"}, true},
+		{"no id after the given one", "4", []string{""}, false},
+		{"no number after the given one", "4", []string{"a"}, false},
+		{"no id after a given one that isn't a number", "a", []string{"", "b"}, true},
 		{"an event without an id, then the second", "", []string{"", "2"}, true},
 		{"an event without an id, then the third", "", []string{"", "3"}, false},
 	} {
