--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// Rest returns the blank lines after the last event, once Next has returned io.EOF.
+// Rest returns the blank bytes after the last event, once Next has returned io.EOF.
 func (r *Reader) Rest() []byte { return r.pending }
 
 func (r *Reader) read() {
