batch: test that a truncated response is no item's result

No test ran an item against an upstream whose response breaks off, or ends within its JSON: the other tests of the package replace the executor.

TestTruncatedResponseIsAnItemsResult passes on the code before, in 8 of 8 cases; the code is unchanged. With the checks for a read error and for valid JSON switched off it fails in 5 of them.

--- a/internal/batch/executor_test.go
+++ b/internal/batch/executor_test.go
@@ -2,15 +2,25 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/masticscale/masticscale/internal/admission"
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/bubbletest"
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/job"
+	"github.com/masticscale/masticscale/internal/service"
+	"github.com/masticscale/masticscale/internal/serving"
+	"github.com/masticscale/masticscale/internal/telemetry"
+	"github.com/masticscale/masticscale/internal/upstream"
 )
 
 // TestItemIsFailedByAHostWithAnOldConfiguration guards against an item that ends for
@@ -37,3 +47,72 @@
 		c.Assert(line.Error.Code, qt.Equals, string(apierr.NotFound))
 	})
 }
+
+// scriptedEngine is an upstream that answers every call with the status and the body.
+type scriptedEngine struct {
+	upstream.Engine
+	status int
+	body   io.Reader
+}
+
+func (e *scriptedEngine) Start(context.Context, string, upstream.Call) (*upstream.Response, error) {
+	return &upstream.Response{Status: e.status, Header: http.Header{}, Body: io.NopCloser(e.body)}, nil
+}
+
+func (*scriptedEngine) CheckHealth(context.Context, string) error { return nil }
+
+// executeOnce runs an item once at the engine.
+func executeOnce(t *testing.T, e upstream.Engine) (job.ResultLine, error) {
+	cat := catalog.New()
+	cat.UpdateObjects(func(p *catalog.ObjectSpecs) {
+		p.Services["m"] = service.Spec{Kind: service.Engine, Models: []string{"m"}, Upstreams: map[string]upstream.Spec{"u": {Address: "http://u"}}}
+	})
+	pool := dispatch.NewPool()
+	pool.Apply(cat.Current())
+	metrics := telemetry.NewMetrics()
+	control := admission.NewController(pool, metrics)
+	suspects := dispatch.NewSuspects(dispatch.FingerprintKey("k"), nil, nil, discardLog())
+	x := NewPathExecutor(cat, serving.NewPipeline(control, dispatch.NewDispatcher(pool, e, suspects, metrics)))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { control.Run(ctx); close(ended) }()
+	defer func() { cancel(); <-ended }()
+	time.Sleep(time.Millisecond)
+	return x.Execute(ctx, Task{
+		Job:    job.Job{Team: "t", Endpoint: endpoints[0], Created: time.Now(), Deadline: time.Now().Add(time.Hour)},
+		Item:   job.Item{CustomID: "a", URL: endpoints[0], Body: []byte(`{"model": "m"}`)},
+		Permit: func() error { return nil },
+	})
+}
+
+// TestTruncatedResponseIsAnItemsResult guards against an item that is done with a part of a
+// response.
+func TestTruncatedResponseIsAnItemsResult(t *testing.T) {
+	const whole = `{"id": 1}`
+	for name, tc := range map[string]struct {
+		status int
+		body   io.Reader
+		done   bool
+	}{
+		"whole":                   {200, strings.NewReader(whole), true},
+		"whole rejection":         {400, strings.NewReader(whole), true},
+		"reset after the body":    {200, io.MultiReader(strings.NewReader(whole), iotest.ErrReader(io.ErrUnexpectedEOF)), false},
+		"rejection, reset":        {400, io.MultiReader(strings.NewReader(whole), iotest.ErrReader(io.ErrUnexpectedEOF)), false},
+		"closed within the body":  {200, strings.NewReader(whole[:5]), false},
+		"closed before the body":  {200, strings.NewReader(""), false},
+		"stream of events":        {200, strings.NewReader("data: {}\n\ndata: [DONE]\n\n"), false},
+		"longer than the maximum": {200, strings.NewReader(`"` + strings.Repeat("x", maxResponseBytes) + `"`), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				c := qt.New(t)
+				line, err := executeOnce(t, &scriptedEngine{status: tc.status, body: tc.body})
+				c.Assert(err == nil, qt.Equals, tc.done, qt.Commentf("%v", err))
+				if tc.done {
+					c.Assert(line.Response.StatusCode, qt.Equals, tc.status)
+					c.Assert(string(line.Response.Body), qt.Equals, whole)
+				}
+			})
+		})
+	}
+}
