--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -325,7 +325,7 @@
 	sequence := eventstream.NewResumableSequence(p.lastID)
 	outcome, err := appendEvents(response.Body, &sequence, p, maxEvents)
 	if outcome == runDone {
-		outcome, err = endOutcome(response, sequence.Len(), p)
+		outcome, err = endOutcome(response, sequence.RunLen(), p)
 	}
 	if outcome != runDone && !sequence.CanResume() {
 		*p = progress{}
