--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -273,7 +273,7 @@
 // moved at an upstream that has announced that it leaves, where no other is left.
 func TestNextAttemptGoesToLeavingUpstream(t *testing.T) {
 	silent := func(entry.Call) (*entry.Response, error) {
-		return &entry.Response{Status: 200, Header: http.Header{}, Events: true, Body: io.NopCloser(&silentUntilDone{})}, nil
+		return &entry.Response{Status: 200, Header: http.Header{}, Events: true, Body: io.NopCloser(&stalledBody{})}, nil
 	}
 	for name, tc := range map[string]struct {
 		path    string
@@ -299,11 +299,11 @@
 	}
 }
 
-// silentUntilDone sends one event and nothing more until its request has moved, if it can.
-type silentUntilDone struct{ begun bool }
+// stalledBody sends one event and nothing more until its request has moved, if it can.
+type stalledBody struct{ begun bool }
 
 // Read implements io.Reader.
-func (b *silentUntilDone) Read(p []byte) (int, error) {
+func (b *stalledBody) Read(p []byte) (int, error) {
 	if !b.begun {
 		b.begun = true
 		return copy(p, "id: 1\ndata: 1\n\n"), nil
