--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -44,6 +44,7 @@
 	// Delimited states that a length or a last chunk marks the end of Body. Any other body
 	// ends with its connection.
 	Delimited bool
+	Leaving   bool // the upstream announces that it shuts down
 }
 
 // Load is the load that an upstream reports with a response.
