--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -51,7 +51,7 @@
 	runPreempted                       // this host cancelled the run
 	runMalformed                       // events are missing or out of order
 	runUnbounded                       // the upstream sent more than an answer can have, or never completed an event
-	runUnexpected                      // the response is neither an event stream nor one of those above
+	runUnexpected                      // the response is neither a stream of events nor one of those above
 	runUnresumable                     // the upstream refused to go on after the item's last event
 )
 
@@ -78,9 +78,10 @@
 
 // progress is the output of an item so far.
 type progress struct {
-	output []byte
-	events int
-	lastID string
+	output   []byte
+	events   int
+	comments int // events of the current run that have neither an id nor data
+	lastID   string
 }
 
 // runItem runs the item once in the slot and records the outcome.
@@ -264,7 +265,7 @@
 		return runUnexpected, errors.New("upstream responded without an event stream")
 	}
 	slot.ReportSuccess()
-	return readEvents(response.Body, p, maxEvents(i.Tokens))
+	return readEvents(response, p, maxEvents(i.Tokens))
 }
 
 // refusesResume reports whether the status says that the id of the last event, or the state
@@ -318,10 +319,35 @@
 	return 2*tokens + extraEvents
 }
 
-// readEvents appends the events of the stream to p until the stream ends. After an
-// output beyond a limit, p is empty: the item starts again.
-func readEvents(body io.Reader, p *progress, maxEvents int64) (runOutcome, error) {
-	sequence := eventstream.NewSequence(p.lastID)
+// readEvents appends the events of the response to p until the stream ends. Afterwards p is
+// empty if the item must start again, because its output exceeds a limit or no run can go on
+// after its last event.
+func readEvents(response *entry.Response, p *progress, maxEvents int64) (runOutcome, error) {
+	sequence := eventstream.NewResumableSequence(p.lastID)
+	outcome, err := appendEvents(response.Body, &sequence, p, maxEvents)
+	if outcome == runDone {
+		outcome, err = endOutcome(response, sequence.Len(), p)
+	}
+	if outcome != runDone && !sequence.CanResume() {
+		*p = progress{}
+	}
+	return outcome, err
+}
+
+// endOutcome returns the outcome of a run whose stream ended after the number of events.
+// Without an event, the end of a body that isn't delimited may be that of the upstream.
+func endOutcome(response *entry.Response, events int64, p *progress) (runOutcome, error) {
+	switch {
+	case events == 0 && !response.Delimited:
+		return runTruncated, errors.New("the upstream closed the connection before the first event")
+	case p.events == 0:
+		return runUnexpected, errors.New("the stream ended without an event")
+	}
+	return runDone, nil
+}
+
+// appendEvents appends events to p until the stream ends.
+func appendEvents(body io.Reader, sequence *eventstream.Sequence, p *progress, maxEvents int64) (runOutcome, error) {
 	events := eventstream.NewReader(body)
 	for {
 		batch, err := events.Next()
@@ -352,13 +378,19 @@
 	switch {
 	case len(p.output) > maxOutputBytes:
 		return &readlimit.SizeError{What: "the output of an item", Limit: maxOutputBytes}
-	case int64(p.events) > maxEvents:
+	case int64(p.events+p.comments) > maxEvents:
 		return &readlimit.CountError{What: "events of an item", Limit: maxEvents}
 	}
 	return nil
 }
 
+// add appends the event's data to the output. Comments, which upstreams send while they have
+// no event, are no part of it.
 func (p *progress) add(e eventstream.Event) {
+	if e.ID == "" && e.Data == nil {
+		p.comments++
+		return
+	}
 	if p.events > 0 {
 		p.output = append(p.output, '\n')
 	}
