knowledge: a host that becomes a store poller ends its long polls

Cause: while one kind can't be listed, a host can't be a store poller, so kinds that are listed before that are watched by long polls (20 s, and 3 s for the response). The role was looked at only after a poll had returned. If the connections of these polls go dead without notice, as when a second cut follows an outage, no host notices before the 23 s are over. Class: a decision that is taken once and kept although what it rests on has changed.

Change: a long poll of the configuration or the upstreams is cancelled once its host is a poller; the watch goes on from the same version by short polls.

--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -50,6 +50,7 @@
 	expiryGracePeriod     = 2200 * time.Millisecond // after an outage of the store, live upstreams renew expired entries within two seconds
 	expiryInterval        = 250 * time.Millisecond  // between checks for deferred removals that are due
 	pruneAfter            = 20 * time.Second        // without a heartbeat; the host was then removed for good
+	electionCheckInterval = 500 * time.Millisecond  // between checks whether this host has become a store poller
 	roleCheckInterval     = 40 * time.Millisecond   // between checks whether this host should watch the store
 	startupGracePeriod    = 1500 * time.Millisecond // after startup, in which states of peers that already watch the store arrive
 	listTimeout           = 4 * time.Second
@@ -219,16 +220,24 @@
 	if s.isListOutdated(kind) {
 		return version, errListOutdated
 	}
-	w, err := store.Watch(ctx, kind, version)
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w, err := store.Watch(watchCtx, kind, version)
 	if err != nil {
 		return version, err
 	}
 	defer w.Close()
+	if !storePoller && kind != KindHost {
+		go s.cancelOnElection(watchCtx, cancel)
+	}
 	for {
 		if !s.awaitWatchRole(ctx) {
 			return version, ctx.Err()
 		}
 		e, err := w.Next()
+		if watchCtx.Err() != nil {
+			return version, ctx.Err()
+		}
 		if err != nil {
 			return version, err
 		}
@@ -245,6 +254,19 @@
 	}
 }
 
+// cancelOnElection cancels a watch once this host is a store poller. A long poll may be on
+// a dead connection, and no other host may have noticed.
+func (s *Syncer) cancelOnElection(ctx context.Context, cancel context.CancelFunc) {
+	for !s.core.IsStorePoller() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(electionCheckInterval):
+		}
+	}
+	cancel()
+}
+
 // awaitWatchRole waits until this host should watch the store itself. It returns
 // false when ctx ends.
 func (s *Syncer) awaitWatchRole(ctx context.Context) bool {
