slots: an announcement may be that of a restart the host doesn't know yet

The host was cut off from the store, and the upstream had started again under its id meanwhile.

Cause: a response doesn't tell the start of its process. The announcement was kept under the start that the host knew, and the entry with the new one made the upstream usable.

Ruled out: dropping the start from the key, since a process that starts after the one that left would get no requests; and counting such an announcement for good, since a late response of the process before would put the new one out of use.

Change: when an entry with a later start arrives, announcements under its id that were received after that start count for its process too, for 30 s.

Two tests had starts from long before their clocks, so that each announcement seemed to be received after the later start: TestAnnouncementOutlivesTheProcess restarts its upstream at the present time now, and the starts of TestAnyHistoryUsesLeavingProcess lie after its announcements. The checks are the same.

--- a/internal/slots/balancer.go
+++ b/internal/slots/balancer.go
@@ -68,7 +68,7 @@
 	upstreams     map[string]*upstream
 	cellUpstreams map[string]bool              // upstreams of this host's cell; nil means all
 	spillTo       map[string]bool              // upstreams of other cells that this host may use; nil means all
-	announced     map[boot]time.Time           // processes that have announced that they leave, and when they were last known to be registered
+	announced     map[boot]announcement        // processes that have announced that they leave
 	runs          map[string]map[*Run]bool     // by upstream
 	peerCounts    map[string]map[string]Counts // latest report of each peer, by upstream
 	unresponsive  map[string]bool              // data centres
@@ -80,7 +80,7 @@
 	return &Balancer{
 		dataCentre: dataCentre,
 		upstreams:  map[string]*upstream{},
-		announced:  map[boot]time.Time{},
+		announced:  map[boot]announcement{},
 		runs:       map[string]map[*Run]bool{},
 		peerCounts: map[string]map[string]Counts{},
 		random:     rand.New(rand.NewPCG(seed, 0)),
@@ -104,6 +104,7 @@
 
 // PutUpstream registers an upstream or replaces its entry.
 func (b *Balancer) PutUpstream(u fleet.Upstream) {
+	b.attributeAnnouncements(u)
 	known, ok := b.upstreams[u.ID]
 	if !ok {
 		b.addUpstream(u)
