Tests of truncated answers that notice more mutations

- A response that doesn't continue a stream isn't counted as a run, or an unmarked 429 or 503 to a resumed run is taken for a rejection: TestTruncatedStreamEndedByAnotherAnswer now counts the calls, among six upstreams, and fails in its ten cases or in the two of 429 and 503.
No test of package entry failed before.
- The completeness check of Serve is removed and relayBody returns nil for a truncated long body: TestTruncatedLongBodyEndsLikeAWholeOne fails.
No test of package entry failed before.
TestTruncatedLongBodyEndsProperly shows the same through sockets, but was not run with the mutation.
- Jobs start the sequence of a resumed item at "": TestRunThatBeginsAgainIsJoined fails, with NewSequence as with NewResumableSequence.

The tests pass on the unchanged code, also with -race.

--- a/internal/entry/continuation_test.go
+++ b/internal/entry/continuation_test.go
@@ -22,7 +22,7 @@
 
 // TestTruncatedStreamEndedByAnotherAnswer guards against a truncated stream that reaches
 // its caller as complete because the response of the next upstream, which doesn't continue
-// it, is relayed behind it.
+// it, is relayed behind it. Such a response counts as one of the route's three attempts.
 func TestTruncatedStreamEndedByAnotherAnswer(t *testing.T) {
 	truncated := events(1, 2, true)
 	cases := []struct {
@@ -36,15 +36,19 @@
 		{"status 204", steps(truncated, answer(204, false, ""), answer(204, false, ""))},
 		{"status 301", steps(truncated, answer(301, false, ""), answer(301, false, ""))},
 		{"status 200 without an event stream", steps(truncated, answer(200, false, "whole text"), answer(200, false, "whole text"))},
+		{"status 503 without the not-run mark", steps(truncated, answer(503, false, "busy"), answer(503, false, "busy"))},
+		{"status 429 without the not-run mark", steps(truncated, answer(429, false, "busy"), answer(429, false, "busy"))},
 		{"event stream of status 500", steps(truncated, answer(500, true, eventText(3, 4)), answer(500, true, eventText(3, 4)))},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			bubbletest.Run(t, func(t *testing.T) {
 				c := qt.New(t)
-				w, err := serve(newCore(4), &script{steps: tc.steps}, "/stream/x", "k")
+				s := &script{steps: tc.steps}
+				w, err := serve(newCore(6), s, "/stream/x", "k")
 				c.Check(w.Body.String(), qt.Equals, eventText(1, 2))
 				c.Check(errors.Is(err, entry.ErrResponseTruncated), qt.IsTrue, qt.Commentf("%v", err))
+				c.Check(s.calls, qt.HasLen, 3)
 			})
 		})
 	}
--- a/internal/entry/truncation_test.go
+++ b/internal/entry/truncation_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,3 +62,24 @@
 		})
 	}
 }
+
+// TestTruncatedLongBodyEndsLikeAWholeOne guards against a body that is too long to be
+// buffered, is truncated, and reaches its caller as complete.
+func TestTruncatedLongBodyEndsLikeAWholeOne(t *testing.T) {
+	const size = 3 << 19
+	for _, path := range []string{"/safe/x", "/once/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := &script{steps: steps(func(entry.Call) (*entry.Response, error) {
+					body := io.MultiReader(strings.NewReader(strings.Repeat("x", size)), &failingReader{})
+					return &entry.Response{Status: 200, Header: http.Header{}, Body: io.NopCloser(body), Delimited: true}, nil
+				})}
+				w, err := serve(newCore(4), s, path, "k")
+				c.Check(errors.Is(err, entry.ErrResponseTruncated), qt.IsTrue, qt.Commentf("%v", err))
+				c.Check(w.Body.Len(), qt.Equals, size)
+				c.Check(s.calls, qt.HasLen, 1)
+			})
+		})
+	}
+}
--- a/internal/jobs/resume_test.go
+++ b/internal/jobs/resume_test.go
@@ -100,3 +100,36 @@
 		})
 	}
 }
+
+// restartingEngine is an engine whose first runs that resume an item begin with the first
+// event again.
+type restartingEngine struct {
+	*engine
+	restarts int
+}
+
+// Do implements entry.UpstreamClient.
+func (e *restartingEngine) Do(ctx context.Context, call entry.Call) (*entry.Response, error) {
+	if call.ResumeAfter != "" && e.restarts > 0 {
+		e.restarts--
+		call.ResumeAfter = ""
+	}
+	return e.engine.Do(ctx, call)
+}
+
+// TestRunThatBeginsAgainIsJoined guards against an output that holds events twice, because
+// an upstream ignored the id after which its run was to go on.
+func TestRunThatBeginsAgainIsJoined(t *testing.T) {
+	for _, restarts := range []int{1, 3} {
+		t.Run(fmt.Sprint(restarts), func(t *testing.T) {
+			runCluster(t, func(c *qt.C, w *cluster) {
+				e := &restartingEngine{engine: w.engine, restarts: restarts}
+				h := w.startWith(e)
+				s, item := submitBreaking(w, h, breakPlan{how: resets, afterEvents: 5, runs: 1})
+				time.Sleep(15 * time.Second)
+				w.checkResults(h, s)
+				c.Assert(w.engine.runsOf(item), qt.Equals, restarts+2)
+			})
+		})
+	}
+}
