entry: an answer below 500 to a resumed run doesn't count against its upstream

Cause: a response that doesn't continue a stream was reported as a failed run whatever its status. A first response counts as failed with 500 or more only.

Change: the same rule for both. The truncated run itself still counts.

Evidence: one stream cut and resumed twice at other upstreams, answered 200, 204, 301, 400, 404 or 429: 3 failed runs before, 1 after; 500 and 503: 3 before and after. The test counts failed runs.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -91,9 +91,12 @@
 }
 
 // handleDiscontinuity records a response that doesn't continue the answer that has begun.
-// It reports whether the request may be resumed at another upstream.
-func (h *Handler) handleDiscontinuity(r *request, slot *Slot, err error) (bool, error) {
-	slot.ReportRunResult(true)
+// It reports whether the request may be resumed at another upstream. A status below 500 may
+// be right at all upstreams of the route, and doesn't count against this one.
+func (h *Handler) handleDiscontinuity(r *request, slot *Slot, resp *Response, err error) (bool, error) {
+	if resp.Status >= http.StatusInternalServerError {
+		slot.ReportRunResult(true)
+	}
 	h.metrics.Attempts.WithLabelValues("not_continued").Inc()
 	h.log.WithFields(logrus.Fields{"event": "stream_not_continued", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "after_event": r.answer.events.LastID(), "error": err}).
 		Info("upstream did not continue a stream that had begun")
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -56,7 +56,7 @@
 	r.runs++
 	slot.ReportSuccess()
 	if err := r.answer.checkContinues(resp); err != nil {
-		return h.handleDiscontinuity(r, slot, err)
+		return h.handleDiscontinuity(r, slot, resp, err)
 	}
 	failed := resp.Status >= http.StatusInternalServerError
 	if failed {
