entry: send the events before one that is out of order at once

Cause: relayEvents flushes after a batch, and returned within it to resume the request.

Change: the events before the one out of order are flushed first. A run of which nothing was sent flushes nothing, since that would send a header.

Evidence: an upstream sends events 1, 2 and 9 at once, and the next takes a second. Before, the response wasn't flushed when the next run began; now it is. The test of the header passes before and after. Package entry passes with -race.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -35,24 +35,39 @@
 		if err != nil {
 			return h.handleTruncation(ctx, r, slot, err)
 		}
-		for _, e := range batch {
-			if err := r.answer.events.Add(e); err != nil {
-				return h.handleTruncation(ctx, r, slot, err)
-			}
-			if err := r.sendHeader(w, resp); err != nil {
-				return false, err
-			}
-			if _, err := w.Write(e.Raw); err != nil {
-				return false, callerGoneError(err)
-			}
+		orderErr, err := r.writeEvents(w, resp, batch)
+		if err != nil {
+			return false, err
 		}
 		if !r.answer.events.CanResume() {
 			r.watch.forbidMove()
 		}
-		if err := http.NewResponseController(w).Flush(); err != nil {
-			return false, callerGoneError(err)
+		if r.answer.begun { // a flush would send a header
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				return false, callerGoneError(err)
+			}
+		}
+		if orderErr != nil { // the events before it were flushed, since the next run may take long
+			return h.handleTruncation(ctx, r, slot, orderErr)
+		}
+	}
+}
+
+// writeEvents writes the events up to the first that is out of order, whose error is
+// orderErr.
+func (r *request) writeEvents(w http.ResponseWriter, resp *Response, batch []eventstream.Event) (orderErr, err error) {
+	for _, e := range batch {
+		if err := r.answer.events.Add(e); err != nil {
+			return err, nil
+		}
+		if err := r.sendHeader(w, resp); err != nil {
+			return nil, err
+		}
+		if _, err := w.Write(e.Raw); err != nil {
+			return nil, callerGoneError(err)
 		}
 	}
+	return nil, nil
 }
 
 // callerGoneError returns the error of a response that can't be written to the caller.
