--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -119,7 +119,7 @@
 	runs        int             // attempts that may have been run
 	waited      time.Duration   // total time in the slot queue
 	upstream    string          // ID of the last upstream
-	status      int             // of the last response of an upstream; zero if there was none
+	status      int             // of the response to the last attempt; zero if there was none
 	eventStream bool            // whether that response was an event stream
 	attemptAt   time.Time       // start of the last attempt
 	suspicion   quarantine.Level
