knowledge: wait for the goroutine that ends a long poll

A goroutine has an owner that waits for it; this one only ended with its watch. No change of behaviour. go test -race ./internal/knowledge passes, twice.

--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -229,7 +229,12 @@
 	}
 	defer w.Close()
 	if !storePoller && kind != KindHost {
-		go s.cancelOnElection(watchCtx, cancel)
+		var election sync.WaitGroup
+		election.Go(func() { s.cancelOnElection(watchCtx, cancel) })
+		defer func() {
+			cancel()
+			election.Wait()
+		}()
 	}
 	for {
 		if !s.awaitWatchRole(ctx) {
