quarantine: trials before a completed run no longer count

A request that a burst of crashes has quarantined is tried twice. The number of failed trials was kept until the request was forgotten, ten minutes after its last crash, also if it had run to its end meanwhile. So the second burst in that time left it one trial, and the third none: callers were refused for an hour though nothing crashed any more.

The failed trials are now counted from the crashes that count, as the level is: the same at each host, whatever the order of messages, and gone with their withdrawal. So that a trial's crash is always kept, it takes the place of the oldest if 16 isolated ones are.

TestTrialsBeforeACompletedRunCount failed before (the second round was quarantined 1.5 s after its crashes). TestTrialsEndAfterMoreCrashesThanAreKept guards the new way of counting and passed before. Package under the race detector: 3 runs passed.

--- a/internal/quarantine/burst.go
+++ b/internal/quarantine/burst.go
@@ -40,7 +40,7 @@
 // NextTrial returns the time from which a quarantined request may run again, isolated,
 // because a burst may explain its crashes. It returns false if it may not.
 func (t *Table) NextTrial(f Fingerprint) (time.Time, bool) {
-	failed := t.failedTrials[f]
+	failed := t.countFailedTrials(f)
 	if failed >= len(trialDelays) || !t.inBurst(f) {
 		return time.Time{}, false
 	}
@@ -75,21 +75,36 @@
 	return n
 }
 
-// countTrial counts a crash under a quarantined request as a failed trial, unless it
-// belongs to the runs before.
-func (t *Table) countTrial(x Crash) {
-	if x.Counts() && x.At.Sub(t.LastCrash(x.Fingerprint)) >= newCrashTime && t.level(x.Fingerprint) == Quarantined {
-		t.failedTrials[x.Fingerprint]++
+// countFailedTrials counts the trials that have failed since the crashes that quarantined
+// the request. Crashes that follow each other closely are those of one trial, or of runs
+// that were in progress.
+func (t *Table) countFailedTrials(f Fingerprint) int {
+	decides := t.decidesFor(f)
+	before := map[Instance]*crash{}
+	failed, last := 0, time.Time{}
+	for _, c := range countingCrashes(t.requests[f]) {
+		if c.At.Sub(last) >= newCrashTime && levelWith(before, decides) == Quarantined {
+			failed++
+		}
+		before[c.Upstream] = c
+		last = c.At
 	}
+	return failed
 }
 
-// expireEnds forgets ends that are beside no later crash, and the trials of requests that
-// are no longer known.
-func (t *Table) expireEnds(now time.Time) {
-	t.ends = slices.DeleteFunc(t.ends, func(e end) bool { return now.Sub(e.at) > suspicionLifetime })
-	for f := range t.failedTrials {
-		if _, known := t.requests[f]; !known {
-			delete(t.failedTrials, f)
+// countingCrashes returns the crashes that count, the oldest first.
+func countingCrashes(crashes map[Instance]*crash) []*crash {
+	var counting []*crash
+	for _, c := range crashes {
+		if c.Counts() {
+			counting = append(counting, c)
 		}
 	}
+	slices.SortFunc(counting, func(a, b *crash) int { return a.At.Compare(b.At) })
+	return counting
+}
+
+// expireEnds forgets ends that are beside no later crash.
+func (t *Table) expireEnds(now time.Time) {
+	t.ends = slices.DeleteFunc(t.ends, func(e end) bool { return now.Sub(e.at) > suspicionLifetime })
 }
--- a/internal/quarantine/burst_test.go
+++ b/internal/quarantine/burst_test.go
@@ -88,3 +88,51 @@
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(table.Level(quarantine.Fingerprint{1}, epoch.Add(time.Minute)), qt.Equals, quarantine.Quarantined)
 }
+
+// TestTrialsBeforeACompletedRunCount guards against a request that isn't tried again after
+// a burst because trials after earlier ones have failed, though it has run to its end since.
+func TestTrialsBeforeACompletedRunCount(t *testing.T) {
+	c := qt.New(t)
+	table := quarantine.NewTable()
+	f := quarantine.Fingerprint{1}
+	now, upstream := epoch, 0
+	for range 4 {
+		for range 3 {
+			observeAt(table, upstream, now)
+			endsOf(table, now, 100+upstream, 200+upstream)
+			upstream++
+		}
+		c.Assert(table.Level(f, now), qt.Equals, quarantine.Quarantined)
+		now = now.Add(1500 * time.Millisecond)
+		c.Assert(table.Level(f, now), qt.Equals, quarantine.Isolated)
+		observeAt(table, upstream, now) // the trial fails
+		endsOf(table, now, 100+upstream, 200+upstream)
+		upstream++
+		now = now.Add(2500 * time.Millisecond)
+		c.Assert(table.Level(f, now), qt.Equals, quarantine.Isolated)
+		c.Assert(table.Complete(f), qt.IsTrue)
+		c.Assert(table.Level(f, now), qt.Equals, quarantine.Clear)
+		now = now.Add(10 * time.Second)
+	}
+}
+
+// TestTrialsEndAfterMoreCrashesThanAreKept guards against a request that is tried again
+// for good because no room was left for the crashes of its trials.
+func TestTrialsEndAfterMoreCrashesThanAreKept(t *testing.T) {
+	c := qt.New(t)
+	table := quarantine.NewTable()
+	f := quarantine.Fingerprint{1}
+	for n := range 20 {
+		observeAt(table, n, epoch)
+	}
+	endsOf(table, epoch, 30, 31)
+	now := epoch
+	for n, delay := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond} {
+		now = now.Add(delay)
+		c.Assert(table.Level(f, now), qt.Equals, quarantine.Isolated)
+		observeAt(table, 20+n, now)
+		endsOf(table, now, 40+n, 50+n)
+	}
+	_, ok := table.NextTrial(f)
+	c.Assert(ok, qt.IsFalse)
+}
--- a/internal/quarantine/level.go
+++ b/internal/quarantine/level.go
@@ -83,14 +83,20 @@
 	return Quarantined
 }
 
-// level returns the request's level. A crash doesn't decide if another request that ran
-// there is shown to crash upstreams by an isolated run elsewhere.
+// level returns the request's level.
 func (t *Table) level(f Fingerprint) Level {
-	return levelWith(t.requests[f], func(upstream Instance) bool {
+	return levelWith(t.requests[f], t.decidesFor(f))
+}
+
+// decidesFor returns a function that reports whether an isolated crash of the request
+// decides. It doesn't if another request that ran there is shown to crash upstreams by an
+// isolated run elsewhere.
+func (t *Table) decidesFor(f Fingerprint) func(Instance) bool {
+	return func(upstream Instance) bool {
 		return !t.isExplained(upstream, f, func(other Fingerprint, elsewhere Instance) bool {
 			return !t.isExplained(elsewhere, other, func(third Fingerprint, _ Instance) bool { return third != f })
 		})
-	})
+	}
 }
 
 // isExplained reports whether another request than f explains the upstream's crash: it
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -72,13 +72,11 @@
 	version   int64     // rises with each change
 	shared    []Crash   // as of sharedAt
 	sharedAt  int64     // version
-
-	failedTrials map[Fingerprint]int // under quarantined requests
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{requests: map[Fingerprint]map[Instance]*crash{}, completed: newRecentSet(maxCompleted), failedTrials: map[Fingerprint]int{}}
+	return &Table{requests: map[Fingerprint]map[Instance]*crash{}, completed: newRecentSet(maxCompleted)}
 }
 
 // Empty reports whether the table holds no crash.
@@ -118,8 +116,7 @@
 	}
 	c, known := crashes[x.Upstream]
 	if !known {
-		t.countTrial(x)
-		if len(crashes) >= maxCrashes && !makeRoom(crashes, x.Isolated) {
+		if len(crashes) >= maxCrashes && !makeRoom(crashes, x) {
 			return false
 		}
 		crashes[x.Upstream] = &crash{Crash: x}
@@ -143,24 +140,32 @@
 }
 
 // makeRoom removes the oldest crash that doesn't count or, for an isolated one, the
-// oldest that wasn't isolated. It reports whether there was one.
-func makeRoom(crashes map[Instance]*crash, isolated bool) bool {
+// oldest that wasn't isolated or else the oldest before it. It reports whether there was
+// one.
+func makeRoom(crashes map[Instance]*crash, x Crash) bool {
 	var victim *crash
 	for _, c := range crashes {
-		if c.Counts() && (!isolated || c.Isolated) {
-			continue
-		}
-		if victim == nil || c.Counts() == victim.Counts() && c.At.Before(victim.At) || !c.Counts() && victim.Counts() {
+		if victim == nil || isBetterVictim(c, victim) {
 			victim = c
 		}
 	}
-	if victim == nil {
+	if victim.Counts() && (!x.Isolated || victim.Isolated && !victim.At.Before(x.At)) {
 		return false
 	}
 	delete(crashes, victim.Upstream)
 	return true
 }
 
+func isBetterVictim(c, than *crash) bool {
+	if c.Counts() != than.Counts() {
+		return !c.Counts()
+	}
+	if c.Counts() && c.Isolated != than.Isolated {
+		return !c.Isolated
+	}
+	return c.At.Before(than.At)
+}
+
 // evict removes the request of the least weight, of these the one with the oldest crash.
 func (t *Table) evict() {
 	var victim Fingerprint
