quarantine: try a request that has run to its end again without a burst

A request that was quarantined is tried again only if other upstreams, which are not known to have run it, ended beside its crashes. A content that many callers send, in a fleet with few upstreams, runs at each upstream that ends. Then no other upstream shows the burst, and callers are refused for an hour.

A request that crashes each upstream never runs to its end. So one that has ever done so, which already needs three isolated crashes, is tried after 1.5, 2.5 and 2.5 s, whatever else ended; then it is refused. That is three runs after the third crash, one of them within three seconds of it.

TestInnocentRequestRanAtAllUpstreamsThatEnded failed before (no trial). TestRequestThatBeginsToCrashUpstreams bounds the trials.

--- a/internal/quarantine/burst.go
+++ b/internal/quarantine/burst.go
@@ -7,7 +7,8 @@
 
 // In a burst upstreams end for a reason of their own, also under an isolated run. So a
 // request that is quarantined while others of the fleet's upstreams end is tried again,
-// a limited number of times.
+// a limited number of times. So is one that has ever run to its end, once more: a request
+// that runs often runs at each upstream that ends, so that no other one shows a burst.
 const (
 	burstSize    = 2 // upstreams that end beside a crash without having run the request
 	burstBefore  = time.Second
@@ -16,9 +17,11 @@
 	newCrashTime = time.Second // since the last crash; later ones belong to a new run
 )
 
-// trialDelays are the times from the last crash to the next run of a request that is
-// quarantined because of a burst.
-var trialDelays = []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond}
+// The times from the last crash to the next run of a quarantined request.
+var (
+	trialDelays          = []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond}
+	completedTrialDelays = append(slices.Clone(trialDelays), 2500*time.Millisecond) // of one that has ever run to its end
+)
 
 // end is the unannounced end of an upstream, whatever it ran.
 type end struct {
@@ -38,13 +41,36 @@
 }
 
 // NextTrial returns the time from which a quarantined request may run again, isolated,
-// because a burst may explain its crashes. It returns false if it may not.
+// because a burst may explain its crashes, or because it has run to its end before. It
+// returns false if it may not.
 func (t *Table) NextTrial(f Fingerprint) (time.Time, bool) {
+	delays := t.trialDelaysOf(f)
 	failed := t.countFailedTrials(f)
-	if failed >= len(trialDelays) || !t.inBurst(f) {
+	if failed >= len(delays) {
 		return time.Time{}, false
 	}
-	return t.LastCrash(f).Add(trialDelays[failed]), true
+	return t.LastCrash(f).Add(delays[failed]), true
+}
+
+// trialDelaysOf returns the times until the trials of the request; none if it isn't tried.
+func (t *Table) trialDelaysOf(f Fingerprint) []time.Duration {
+	switch {
+	case hasCompleted(t.requests[f]):
+		return completedTrialDelays
+	case t.inBurst(f):
+		return trialDelays
+	}
+	return nil
+}
+
+// hasCompleted reports whether the request has ever run to its end.
+func hasCompleted(crashes map[Instance]*crash) bool {
+	for _, c := range crashes {
+		if c.Completed {
+			return true
+		}
+	}
+	return false
 }
 
 func (t *Table) isTrialDue(f Fingerprint, now time.Time) bool {
--- a/internal/quarantine/burst_test.go
+++ b/internal/quarantine/burst_test.go
@@ -89,6 +89,25 @@
 	c.Assert(table.Level(quarantine.Fingerprint{1}, epoch.Add(time.Minute)), qt.Equals, quarantine.Quarantined)
 }
 
+// TestInnocentRequestRanAtAllUpstreamsThatEnded guards against a request that is refused
+// for an hour, though it has run to its end before, because it ran at each upstream that
+// ended: no other one shows a burst.
+func TestInnocentRequestRanAtAllUpstreamsThatEnded(t *testing.T) {
+	c := qt.New(t)
+	table := quarantine.NewTable()
+	f := quarantine.Fingerprint{1}
+	table.Complete(f)
+	for n := range 3 {
+		observeAt(table, n, epoch.Add(time.Duration(n)*300*time.Millisecond))
+	}
+	last := epoch.Add(600 * time.Millisecond)
+	c.Assert(table.Level(f, last), qt.Equals, quarantine.Quarantined)
+	at, ok := table.NextTrial(f)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(at, qt.Equals, last.Add(1500*time.Millisecond))
+	c.Assert(table.Level(f, at), qt.Equals, quarantine.Isolated)
+}
+
 // TestTrialsBeforeACompletedRunCount guards against a request that isn't tried again after
 // a burst because trials after earlier ones have failed, though it has run to its end since.
 func TestTrialsBeforeACompletedRunCount(t *testing.T) {
@@ -136,3 +155,25 @@
 	_, ok := table.NextTrial(f)
 	c.Assert(ok, qt.IsFalse)
 }
+
+// TestRequestThatBeginsToCrashUpstreams checks that a request that has run to its end, and
+// crashes each upstream since, is refused after three trials.
+func TestRequestThatBeginsToCrashUpstreams(t *testing.T) {
+	c := qt.New(t)
+	table := quarantine.NewTable()
+	f := quarantine.Fingerprint{1}
+	table.Complete(f)
+	for n := range 3 {
+		observeAt(table, n, epoch)
+	}
+	now := epoch
+	for n, delay := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond, 2500 * time.Millisecond} {
+		c.Assert(table.Level(f, now.Add(delay-time.Millisecond)), qt.Equals, quarantine.Quarantined)
+		now = now.Add(delay)
+		c.Assert(table.Level(f, now), qt.Equals, quarantine.Isolated)
+		observeAt(table, 10+n, now)
+	}
+	_, ok := table.NextTrial(f)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(table.Level(f, now.Add(time.Minute)), qt.Equals, quarantine.Quarantined)
+}
--- a/internal/quarantine/level.go
+++ b/internal/quarantine/level.go
@@ -73,9 +73,9 @@
 		if c.Isolated && c.Counts() && !c.Unproven && decides(upstream) {
 			isolated++
 		}
-		if c.Completed {
-			needed = crashLimit
-		}
+	}
+	if hasCompleted(crashes) {
+		needed = crashLimit
 	}
 	if isolated < needed {
 		return Isolated
