quarantine: a run to the end counts at hosts that have restarted since

A request that has ever run to its end is quarantined only after three isolated crashes. Only the host that observed a crash looked whether it remembered such a run. One that had restarted didn't, and its peers took its word: one isolated crash was enough.

Each host now adds what it remembers to the crashes that it merges, and the mark spreads with them. TestRestartedHostQuarantinesWhatPeersHaveCompleted failed before (quarantined at both hosts). Packages quarantine (twice) and the tests of crashes in entry, under the race detector, passed.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -87,7 +87,7 @@
 func (t *Table) Observe(run BrokenRun, now time.Time) bool {
 	f, upstream := run.Fingerprint, run.Upstream
 	x := Crash{
-		Fingerprint: f, Upstream: upstream, At: now, Observed: 1, Completed: t.completed.has(f),
+		Fingerprint: f, Upstream: upstream, At: now, Observed: 1,
 		Isolated: run.Isolated, Unproven: run.Unproven, Late: run.Late,
 	}
 	if known, ok := t.requests[f][upstream]; ok {
@@ -106,6 +106,7 @@
 
 // Merge adds a crash that a peer reports. It reports whether the table has changed.
 func (t *Table) Merge(x Crash) bool {
+	x.Completed = x.Completed || t.completed.has(x.Fingerprint)
 	crashes, known := t.requests[x.Fingerprint]
 	if !known {
 		if len(t.requests) >= maxRequests {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -259,3 +259,30 @@
 		}
 	}
 }
+
+// TestRestartedHostQuarantinesWhatPeersHaveCompleted guards against a request that is
+// quarantined as if it had never run to its end, because the host that observes its crashes
+// has restarted since.
+func TestRestartedHostQuarantinesWhatPeersHaveCompleted(t *testing.T) {
+	c := qt.New(t)
+	f := quarantine.Fingerprint{1}
+	restarted, peer := quarantine.NewTable(), quarantine.NewTable()
+	peer.Complete(f)
+	for n := range 3 {
+		x := crashOf(1, n)
+		x.Isolated = n == 2
+		restarted.Observe(runOf(x), epoch)
+		exchange(restarted, peer)
+		exchange(peer, restarted)
+	}
+	c.Assert(peer.Level(f, epoch), qt.Equals, quarantine.Isolated)
+	c.Assert(restarted.Level(f, epoch), qt.Equals, quarantine.Isolated)
+}
+
+// exchange merges what one table shares into the other.
+func exchange(from, to *quarantine.Table) {
+	shared, _ := from.Shared()
+	for _, x := range shared {
+		to.Merge(x)
+	}
+}
