quarantine: peers hear of withdrawals by hosts that observed no crash

Callers of one content were refused for many seconds after the last crash, though a host had run it to its end since.

Cause: a host sends its peers the crashes that it has observed itself, and all of a request that is isolated or quarantined. A run to the end withdraws all crashes of the request, so that its level falls and the host no longer sends those that others observed: with them it kept back that they don't count any more. The observers went on to count them, quarantined the request, and each had to try it itself.

Now a host also sends the crashes that it has withdrawn. TestPeersIgnoreACompletedRun (with 1, 2 and 3 crashes) and TestPeersIgnoreThatAnUpstreamLivesOn failed before. Tests of quarantine and those of crashes in entry pass under the race detector.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -61,7 +61,14 @@
 // crash is a Crash with where this host knows it from.
 type crash struct {
 	Crash
-	own bool // observed by this host
+	own       bool // observed by this host
+	withdrawn bool // by this host
+}
+
+// withdraw has the crash no longer count, for a reason that this host knows.
+func (c *crash) withdraw() {
+	c.Withdrawn = c.Observed
+	c.withdrawn = true
 }
 
 // Table holds the crashes by request.
@@ -226,7 +233,8 @@
 	changed := false
 	for _, c := range t.requests[f] {
 		changed = changed || c.Counts() || !c.Completed
-		c.Withdrawn, c.Completed = c.Observed, true
+		c.Completed = true
+		c.withdraw()
 	}
 	if changed {
 		t.version++
@@ -243,7 +251,7 @@
 			if !c.Counts() || c.At.After(before) || !live[upstream] {
 				continue
 			}
-			c.Withdrawn = c.Observed
+			c.withdraw()
 			t.version++
 			withdrawn = append(withdrawn, c.Crash)
 		}
@@ -286,9 +294,9 @@
 	return false
 }
 
-// Shared returns the crashes to send to peers: those that this host has observed, and
-// those of requests from the level Isolated on, so that they outlast the host that
-// observed them. Requests of a higher level and later crashes come first, up to
+// Shared returns the crashes to send to peers: those that this host has observed or
+// withdrawn, and those of requests from the level Isolated on, so that they outlast the host
+// that observed them. Requests of a higher level and later crashes come first, up to
 // maxShared. It also returns the version of the table, which rises with each change.
 func (t *Table) Shared() ([]Crash, int64) {
 	if t.sharedAt != t.version {
@@ -306,7 +314,7 @@
 	for _, crashes := range t.requests {
 		level := levelOf(crashes)
 		for _, c := range crashes {
-			if c.own || level >= Isolated {
+			if c.own || c.withdrawn || level >= Isolated {
 				all = append(all, ranked{c.Crash, level})
 			}
 		}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -286,3 +286,32 @@
 		to.Merge(x)
 	}
 }
+
+// TestPeersIgnoreACompletedRun guards against crashes that go on to count at the hosts that
+// observed them after another host has run the request to its end.
+func TestPeersIgnoreACompletedRun(t *testing.T) {
+	c := qt.New(t)
+	f := quarantine.Fingerprint{1}
+	for crashes := 1; crashes <= 3; crashes++ {
+		observer, peer := quarantine.NewTable(), quarantine.NewTable()
+		for n := range crashes {
+			observe(observer, 1, n)
+		}
+		exchange(observer, peer)
+		c.Assert(peer.Complete(f), qt.IsTrue)
+		exchange(peer, observer)
+		c.Check(observer.Level(f, epoch), qt.Equals, quarantine.Clear, qt.Commentf("%d crashes", crashes))
+	}
+}
+
+// TestPeersIgnoreThatAnUpstreamLivesOn is the same with an upstream that turns out to be
+// alive.
+func TestPeersIgnoreThatAnUpstreamLivesOn(t *testing.T) {
+	c := qt.New(t)
+	observer, peer := quarantine.NewTable(), quarantine.NewTable()
+	observe(observer, 1, 0)
+	exchange(observer, peer)
+	c.Assert(peer.WithdrawLive(epoch.Add(time.Second), map[quarantine.Instance]bool{crashOf(1, 0).Upstream: true}), qt.HasLen, 1)
+	exchange(peer, observer)
+	c.Assert(observer.Level(quarantine.Fingerprint{1}, epoch), qt.Equals, quarantine.Clear)
+}
