Queued requests are rejected when the last upstream of their service leaves

What callers saw: a request that waits for a slot when the last upstream of its service leaves was refused only at the end of its wait budget (75 ms for a first attempt and 240 ms for a retry with a latency target of 300 ms, more on other routes), though a request that came a moment later was rejected at once.

Cause: Acquire looked whether the service has an upstream before it queued the request, and nothing looked again. A queued request heard only of slots and of its own timer.

Fix: Core.canServe decides for both. Announcements, events and lists, the only changes that can take away upstreams, ask it again for the services of queued requests, and reject those that can't be served. Nothing polls. Items don't wait in this queue.

Ruled out: a slot that is granted at the same moment isn't lost; a replacement in the same event or list keeps the requests queued; a second announcement of a process, after the first had expired, which isn't logged again, counts as well.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/fleet"
 	"github.com/masticscale/masticscale/internal/slots"
@@ -139,39 +141,28 @@
 	Isolated   bool            // must not share an upstream with another isolated request
 }
 
-// Acquire waits for a slot for an online request, within its WaitBudget.
-// A request for a service without upstreams is rejected at once.
+// Acquire waits for a slot for an online request, within its WaitBudget. A request that
+// can't be served is rejected at once, also while it waits.
 func (c *Core) Acquire(ctx context.Context, req SlotRequest) (*Slot, error) {
 	now := time.Now()
 	c.mu.Lock()
-	if c.balancer.CountRegistered(req.Service) == 0 {
+	if !c.canServe(req.Service) {
 		c.mu.Unlock()
-		return nil, c.overloadedError(req, "no upstream of the service is registered")
+		return nil, c.unservableError(req)
 	}
 	if id, ok := c.balancer.PlaceOnline(req.Service, c.unusable(req.Excluded, req.Isolated), now); ok && !c.hasEarlierWaiters(req.Service) {
 		slot := c.startRun(id, req.Isolated, now)
 		c.mu.Unlock()
 		return slot, nil
 	}
-	maxWait := req.WaitBudget.MaxWait()
-	granted := make(chan string, 1)
-	w := &slots.Waiter{
-		Service: req.Service, Priority: req.Priority, IsRetry: req.WaitBudget.IsRetry,
-		Arrived: now, StartBy: now.Add(req.WaitBudget.LatencyTarget), Excluded: req.Excluded, Isolated: req.Isolated,
-	}
-	var slot *Slot
-	w.Granted = func(id string) {
-		slot = c.startRun(id, req.Isolated, now)
-		granted <- id
-	}
-	c.queue.Push(w)
+	w, decision := c.enqueue(req, now)
 	c.schedule()
 	c.mu.Unlock()
-	timer := time.NewTimer(maxWait)
+	timer := time.NewTimer(req.WaitBudget.MaxWait())
 	defer timer.Stop()
 	select {
-	case <-granted:
-		return slot, nil
+	case slot := <-decision:
+		return c.decided(req, slot)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -181,12 +172,57 @@
 		c.balancer.RequestPings(req.Service, nil, minSilence, time.Now())
 	}
 	c.mu.Unlock()
-	if !stillQueued { // the slot was granted before the removal
-		return slot, nil
+	if !stillQueued { // decided before the removal
+		return c.decided(req, <-decision)
 	}
 	return nil, c.overloadedError(req, "all slots of the service are taken")
 }
 
+// enqueue adds the request to the queue. The channel receives its slot, or nil if it can't
+// be served any more. The caller must hold mu.
+func (c *Core) enqueue(req SlotRequest, now time.Time) (*slots.Waiter, <-chan *Slot) {
+	decision := make(chan *Slot, 1)
+	w := &slots.Waiter{
+		Service: req.Service, Priority: req.Priority, IsRetry: req.WaitBudget.IsRetry,
+		Arrived: now, StartBy: now.Add(req.WaitBudget.LatencyTarget), Excluded: req.Excluded, Isolated: req.Isolated,
+		Granted:  func(id string) { decision <- c.startRun(id, req.Isolated, now) },
+		Rejected: func() { decision <- nil },
+	}
+	c.queue.Push(w)
+	return w, decision
+}
+
+// decided returns the result of a request that has left the queue with the slot, or with
+// none because it can't be served.
+func (c *Core) decided(req SlotRequest, slot *Slot) (*Slot, error) {
+	if slot == nil {
+		return nil, c.unservableError(req)
+	}
+	return slot, nil
+}
+
+// noUpstream is why requests for a service can't be served.
+const noUpstream = "no upstream of the service is registered"
+
+// canServe reports whether requests for the service can be served: an upstream that isn't
+// about to leave is registered. One that is full, unreachable or ejected may return to use
+// within the time that a request waits. The caller must hold mu.
+func (c *Core) canServe(service string) bool { return c.balancer.CountRegistered(service) > 0 }
+
+// rejectUnservable rejects the queued requests that can't be served any more. It must be
+// called after each change that can take away upstreams. The caller must hold mu.
+func (c *Core) rejectUnservable() {
+	rejected := map[string]int{}
+	for _, w := range c.queue.RemoveIf(func(service string) bool { return !c.canServe(service) }) {
+		rejected[w.Service]++
+		w.Rejected()
+	}
+	for service, requests := range rejected {
+		c.log.WithFields(logrus.Fields{"event": "queued_requests_rejected", "service": service, "requests": requests, "reason": noUpstream}).
+			Info("the last upstream of a service left; the requests that waited for it were rejected")
+	}
+}
+
 // AcquireForMove returns a slot for a request that has received no byte from its upstream
 // for the given time. It doesn't wait, and returns false if no other upstream is fit.
 func (c *Core) AcquireForMove(req SlotRequest, silence time.Duration) (*Slot, bool) {
@@ -229,6 +265,9 @@
 	return s
 }
 
+// unservableError returns the error of a request that can't be served.
+func (c *Core) unservableError(req SlotRequest) error { return c.overloadedError(req, noUpstream) }
+
 func (c *Core) overloadedError(req SlotRequest, message string) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -13,9 +13,14 @@
 func (c *Core) reportLeaving(u fleet.Upstream, source string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.balancer.ReportLeaving(u, time.Now()) {
-		return
+	if c.balancer.ReportLeaving(u, time.Now()) {
+		c.logLeaving(u, source)
 	}
+	c.rejectUnservable()
+}
+
+// logLeaving logs the first announcement of an upstream. The caller must hold mu.
+func (c *Core) logLeaving(u fleet.Upstream, source string) {
 	entry, registered := c.balancer.Upstream(u.ID)
 	c.log.WithFields(logrus.Fields{
 		"event": "upstream_leaving", "upstream": u.ID, "source": source, "started": u.Started.UTC().Format(time.RFC3339Nano),
--- a/internal/slots/wait.go
+++ b/internal/slots/wait.go
@@ -17,6 +17,7 @@
 	Excluded map[string]bool // upstreams that have failed this request
 	Isolated bool            // must not share an upstream with another isolated run
 	Granted  func(upstream string)
+	Rejected func() // called when the request can't be served
 }
 
 // Queue holds the waiting requests. During a peak that takes all slots for a few
@@ -38,6 +39,23 @@
 	return false
 }
 
+// RemoveIf removes the waiters for the services for which the function returns true, and
+// returns them. It calls the function once a service.
+func (q *Queue) RemoveIf(remove func(service string) bool) []*Waiter {
+	decided := map[string]bool{}
+	var removed []*Waiter
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiter) bool {
+		if _, known := decided[w.Service]; !known {
+			decided[w.Service] = remove(w.Service)
+		}
+		if decided[w.Service] {
+			removed = append(removed, w)
+		}
+		return decided[w.Service]
+	})
+	return removed
+}
+
 // WaitsForAny reports whether requests wait for the service that may use any upstream.
 func (q *Queue) WaitsForAny(service string) bool {
 	return slices.ContainsFunc(q.waiting, func(w *Waiter) bool {
