A request goes back to upstreams that failed it if no other is registered

What callers saw: a resumable stream was broken off, and a retried request ended with an error, with attempts and time left, if each upstream of its service had failed it once: with two upstreams 340 ms after the second break, with one after the first.

Cause: an upstream that failed a request was excluded from it for good, whatever the failure. The request then waited for a slot that nothing could grant, to the end of its wait budget. For the only upstream that budget would have been too short anyway: a stream that has begun waited four fifths of the latency target (240 ms of 300), which is for the first event, and an upstream that truncated a response rests for 250 ms.

Fix: the exclusion holds while another upstream of the service is registered that isn't leaving. If none is, the request goes back to upstreams known to be alive: they responded, or accepted a connection after the break. It is barred from one that refused the connection, whose address another process has taken, or that may have crashed. If it is barred from all, it can't be served and ends at once, by the rule of new and queued requests. It goes back over a new connection, since a late response of the attempt before bears the same id. A stream that has begun waits for half of its time left. The queue is placed again when an upstream leaves, so that a retry that waited for that one goes back at once. The limits on runs and sends are unchanged.

No reason for the absolute exclusion is written down but that the next attempt should go elsewhere. It did keep requests away from crashed upstreams and from late responses with their own id; the bar and the new connection keep both.

TestNextAttemptGoesToLeavingUpstream counts the calls at the upstream that stays, three after a status 500 instead of one; none may go to the one that leaves, as before. CountRegistered is HasRegistered, which stops at the first.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -137,7 +137,8 @@
 	Service    string
 	Priority   int
 	WaitBudget slots.WaitBudget
-	Excluded   map[string]bool // upstreams that have failed this request
+	Excluded   map[string]bool // upstreams that have failed this request; used if no other is registered
+	Barred     map[string]bool // those of them that must not get it again
 	Isolated   bool            // must not share an upstream with another isolated request
 }
 
@@ -146,16 +147,17 @@
 func (c *Core) Acquire(ctx context.Context, req SlotRequest) (*Slot, error) {
 	now := time.Now()
 	c.mu.Lock()
-	if !c.canServe(req.Service) {
+	if !c.canServe(req.Service, req.Barred) {
 		c.mu.Unlock()
 		return nil, c.unservableError(req)
 	}
-	if id, ok := c.balancer.PlaceOnline(req.Service, c.unusable(req.Excluded, req.Isolated), now); ok && !c.hasEarlierWaiters(req.Service) {
+	w, decision := c.newWaiter(req, now)
+	if id, ok := c.place(w, now); ok && !c.hasEarlierWaiters(req.Service) {
 		slot := c.startRun(id, req.Isolated, now)
 		c.mu.Unlock()
 		return slot, nil
 	}
-	w, decision := c.enqueue(req, now)
+	c.queue.Push(w)
 	c.schedule()
 	c.mu.Unlock()
 	timer := time.NewTimer(req.WaitBudget.MaxWait())
@@ -178,18 +180,16 @@
 	return nil, c.overloadedError(req, "all slots of the service are taken")
 }
 
-// enqueue adds the request to the queue. The channel receives its slot, or nil if it can't
-// be served any more. The caller must hold mu.
-func (c *Core) enqueue(req SlotRequest, now time.Time) (*slots.Waiter, <-chan *Slot) {
+// newWaiter returns a waiter for the request. The channel receives its slot, or nil if it
+// can't be served any more.
+func (c *Core) newWaiter(req SlotRequest, now time.Time) (*slots.Waiter, <-chan *Slot) {
 	decision := make(chan *Slot, 1)
-	w := &slots.Waiter{
+	return &slots.Waiter{
 		Service: req.Service, Priority: req.Priority, IsRetry: req.WaitBudget.IsRetry,
-		Arrived: now, StartBy: now.Add(req.WaitBudget.LatencyTarget), Excluded: req.Excluded, Isolated: req.Isolated,
+		Arrived: now, StartBy: now.Add(req.WaitBudget.LatencyTarget), Excluded: req.Excluded, Barred: req.Barred, Isolated: req.Isolated,
 		Granted:  func(id string) { decision <- c.startRun(id, req.Isolated, now) },
 		Rejected: func() { decision <- nil },
-	}
-	c.queue.Push(w)
-	return w, decision
+	}, decision
 }
 
 // decided returns the result of a request that has left the queue with the slot, or with
@@ -202,18 +202,24 @@
 }
 
 // noUpstream is why requests for a service can't be served.
-const noUpstream = "no upstream of the service is registered"
+const noUpstream = "no upstream of the service is registered that may run the request"
 
-// canServe reports whether requests for the service can be served: an upstream that isn't
-// about to leave is registered. One that is full, unreachable or ejected may return to use
-// within the time that a request waits. The caller must hold mu.
-func (c *Core) canServe(service string) bool { return c.balancer.CountRegistered(service) > 0 }
+// canServe reports whether a request for the service can be served: an upstream from which
+// it isn't barred is registered and not about to leave. One that is full, unreachable or
+// ejected may return to use within the time that a request waits. The caller must hold mu.
+func (c *Core) canServe(service string, barred map[string]bool) bool {
+	return c.balancer.HasRegistered(service, barred)
+}
 
-// rejectUnservable rejects the queued requests that can't be served any more. It must be
-// called after each change that can take away upstreams. The caller must hold mu.
-func (c *Core) rejectUnservable() {
+// reviewQueue rejects the queued requests that can't be served any more, and places those
+// that may use other upstreams now. It must be called after each change that can take away
+// upstreams. The caller must hold mu.
+func (c *Core) reviewQueue() {
+	if c.queue.IsEmpty() {
+		return
+	}
 	rejected := map[string]int{}
-	for _, w := range c.queue.RemoveIf(func(service string) bool { return !c.canServe(service) }) {
+	for _, w := range c.queue.RemoveIf(func(w *slots.Waiter) bool { return !c.canServe(w.Service, w.Barred) }) {
 		rejected[w.Service]++
 		w.Rejected()
 	}
@@ -221,6 +227,7 @@
 		c.log.WithFields(logrus.Fields{"event": "queued_requests_rejected", "service": service, "requests": requests, "reason": noUpstream}).
 			Info("the last upstream of a service left; the requests that waited for it were rejected")
 	}
+	c.schedule()
 }
 
 // AcquireForMove returns a slot for a request that has received no byte from its upstream
@@ -240,12 +247,22 @@
 	return c.startRun(id, false, now), true
 }
 
-// unusable returns the upstreams that a request must not use. The caller must hold mu.
-func (c *Core) unusable(excluded map[string]bool, isolated bool) map[string]bool {
-	if !isolated {
-		return excluded
+// place picks the upstream for a waiter. The caller must hold mu.
+func (c *Core) place(w *slots.Waiter, now time.Time) (string, bool) {
+	return c.balancer.PlaceOnline(w.Service, c.unusable(w), now)
+}
+
+// unusable returns the upstreams that a waiter must not use. Those that have failed its
+// request are among them while another is registered. The caller must hold mu.
+func (c *Core) unusable(w *slots.Waiter) map[string]bool {
+	excluded := w.Excluded
+	if len(excluded) > 0 && !c.balancer.HasRegistered(w.Service, excluded) {
+		excluded = w.Barred
+	}
+	if w.Isolated {
+		return c.balancer.Isolating(excluded)
 	}
-	return c.balancer.Isolating(excluded)
+	return excluded
 }
 
 // hasEarlierWaiters reports whether requests that may use any upstream are queued for
--- a/internal/entry/acquire_test.go
+++ b/internal/entry/acquire_test.go
@@ -11,6 +11,7 @@
 	"github.com/masticscale/masticscale/internal/bubbletest"
 	"github.com/masticscale/masticscale/internal/entry"
 	"github.com/masticscale/masticscale/internal/fleet"
+	"github.com/masticscale/masticscale/internal/mesh"
 	"github.com/masticscale/masticscale/internal/slots"
 )
 
@@ -51,7 +52,8 @@
 			bubbletest.Run(t, func(t *testing.T) {
 				c := qt.New(t)
 				core := newCore(1)
-				core.SetUpstreams([]fleet.Upstream{{ID: "u0", Service: "lm", Address: "u0", Slots: 8}}, 2)
+				core.SetUpstreams([]fleet.Upstream{{ID: "u0", Service: "lm", Address: "u0", Slots: 8}, {ID: "u1", Service: "lm", Address: "u1", Slots: 1}}, 2)
+				core.MergeState(mesh.State{Host: "h2", Incarnation: "i2", Running: map[string]slots.Counts{"u1": {Online: 1}}})
 				budget := slots.WaitBudget{LatencyTarget: 5 * time.Second, TimeLeft: 5 * time.Second, IsRetry: true}
 				done := make(chan struct{})
 				go func() {
@@ -62,7 +64,8 @@
 				time.Sleep(300 * time.Millisecond)
 				slot, ok := core.AcquireBatch(entry.BatchSlotRequest{Service: "lm", Due: time.Now(), NearlyDue: nearlyDue, Pause: func() {}})
 				<-done
-				c.Assert(ok, qt.IsTrue, qt.Commentf("8 of 8 slots are free"))
+				c.Assert(ok, qt.IsTrue, qt.Commentf("8 of 9 slots are free"))
+				c.Assert(slot.Upstream.ID, qt.Equals, "u0")
 				slot.Release()
 			})
 		})
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -27,7 +27,7 @@
 	r.attemptAt, r.status, r.eventStream = time.Now(), 0, false
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	newConnection := r.suspicion > quarantine.Clear || r.watch.hasMoved() || slot.AtSilentUpstream()
+	newConnection := r.needsNewConnection(slot)
 	r.watch = h.watchSilence(r, slot, cancel)
 	defer func() { r.next = h.endWatch(ctx, r, slot) }()
 	resp, err := h.upstreams.Do(attemptCtx, Call{
@@ -42,6 +42,13 @@
 	return h.handleResponse(ctx, r, slot, resp, w)
 }
 
+// needsNewConnection reports whether the next attempt must not use a kept connection: that
+// may be dead or, at an upstream that has failed the request before, a late response to that
+// attempt may arrive on it, which bears the request's id.
+func (r *request) needsNewConnection(slot *Slot) bool {
+	return r.suspicion > quarantine.Clear || r.watch.hasMoved() || r.excluded[slot.Upstream.ID] || slot.AtSilentUpstream()
+}
+
 // handleResponse relays the response, unless the request has not run or may be retried.
 func (h *Handler) handleResponse(ctx context.Context, r *request, slot *Slot, resp *Response, w http.ResponseWriter) (bool, error) {
 	defer func() { _ = resp.Body.Close() }()
@@ -49,7 +56,7 @@
 	slot.ReportLoad(resp.Load)
 	r.status, r.eventStream = resp.Status, resp.Events
 	if resp.NotRun {
-		h.reportRejection(slot, resp)
+		h.reportRejection(r, slot, resp)
 		h.metrics.Attempts.WithLabelValues("turned_away").Inc()
 		return true, apierr.New(apierr.Overloaded, "the upstreams turned the request away", "send it again after the stated time").
 			WithRetryAfter(h.core.retryAfter(time.Until(r.deadline)))
@@ -122,20 +129,30 @@
 	h.metrics.Attempts.WithLabelValues("failed").Inc()
 	h.log.WithFields(logrus.Fields{"event": "attempt_failed", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "not_run": notRun, "error": err}).Info("an attempt failed")
 	if notRun {
+		r.barred[slot.Upstream.ID] = true
 		return true, apierr.New(apierr.Unavailable, "the upstreams can't be reached", "send the request again after the stated time").
 			WithRetryAfter(h.core.retryAfter(time.Until(r.deadline))).WithCause(err)
 	}
 	r.runs++
 	if ctx.Err() == nil {
 		slot.ReportRunResult(true)
-		slot.ReportBrokenRun(ctx, r.brokenRun(send != nil && send.NewConnection))
+		r.reportBreak(ctx, slot, send != nil && send.NewConnection)
 	}
 	return r.route.Repeatable(), apierr.New(apierr.Unknown, "the upstream did not answer, and the request may have run", "send it again only if it may run twice").
 		MayHaveRun().WithCause(err)
 }
 
-func (h *Handler) reportRejection(slot *Slot, resp *Response) {
+// reportBreak reports that the connection of the last attempt broke. The request doesn't
+// go back to an upstream that may have crashed.
+func (r *request) reportBreak(ctx context.Context, slot *Slot, wasAlive bool) {
+	if slot.ReportBrokenRun(ctx, r.brokenRun(wasAlive)) != UpstreamAlive {
+		r.barred[slot.Upstream.ID] = true
+	}
+}
+
+func (h *Handler) reportRejection(r *request, slot *Slot, resp *Response) {
 	if resp.Moved {
+		r.barred[slot.Upstream.ID] = true
 		slot.ReportFailure()
 		return
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -262,7 +262,7 @@
 func (c *Core) schedule() {
 	now := time.Now()
 	for _, w := range c.queue.Sorted(now) {
-		id, ok := c.balancer.PlaceOnline(w.Service, c.unusable(w.Excluded, w.Isolated), now)
+		id, ok := c.place(w, now)
 		if !ok {
 			continue
 		}
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -16,7 +16,7 @@
 	if c.balancer.ReportLeaving(u, time.Now()) {
 		c.logLeaving(u, source)
 	}
-	c.rejectUnservable()
+	c.reviewQueue()
 }
 
 // logLeaving logs the first announcement of an upstream. The caller must hold mu.
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -278,13 +279,14 @@
 	for name, tc := range map[string]struct {
 		path    string
 		respond step
+		calls   int // at the upstream that stays; it gets the request again if it is known to be alive
 	}{
-		"retry after status 500":     {"/safe/x", status(500)},
-		"retry after a lost run":     {"/safe/x", noResponse},
-		"retry after a rejection":    {"/once/x", rejected},
-		"retry after a refused dial": {"/once/x", connectionRefused},
-		"resumed stream":             {"/stream/x", events(1, 2, true)},
-		"move":                       {"/stream/x", silent},
+		"retry after status 500":     {"/safe/x", status(500), 3},
+		"retry after a lost run":     {"/safe/x", noResponse, 1},
+		"retry after a rejection":    {"/once/x", rejected, 1},
+		"retry after a refused dial": {"/once/x", connectionRefused, 1},
+		"resumed stream":             {"/stream/x", events(1, 2, true), 1},
+		"move":                       {"/stream/x", silent, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubbletest.Run(t, func(t *testing.T) {
@@ -293,7 +295,7 @@
 				f.announce("u0")
 				f.setResponse("u1", tc.respond)
 				_ = f.serve(tc.path)
-				c.Assert(f.takeCalls(), qt.DeepEquals, []string{"u1"})
+				c.Assert(f.takeCalls(), qt.DeepEquals, slices.Repeat([]string{"u1"}, tc.calls))
 			})
 		})
 	}
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -20,8 +20,8 @@
 	defer c.mu.Unlock()
 	c.recordEndedUpstreams(list)
 	c.balancer.SetUpstreams(list)
-	c.rejectUnservable()
 	c.updateCellUpstreams(time.Now())
+	c.reviewQueue()
 	c.setUpstreamsVersion(version)
 }
 
@@ -35,7 +35,7 @@
 		c.cellOutdated = true
 		c.updateOutdatedCell(time.Now())
 	}
-	c.rejectUnservable()
+	c.reviewQueue()
 	c.setUpstreamsVersion(version)
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -85,7 +85,7 @@
 	if ctx.Err() == nil {
 		slot.ReportFailure()
 		slot.ReportRunResult(true)
-		slot.ReportBrokenRun(ctx, r.brokenRun(true))
+		r.reportBreak(ctx, slot, true)
 	}
 	h.metrics.Attempts.WithLabelValues("broken_off").Inc()
 	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "after_event": r.answer.events.LastID(), "error": err}).Info("upstream truncated a response")
--- a/internal/entry/requestslot.go
+++ b/internal/entry/requestslot.go
@@ -59,8 +59,11 @@
 		return nil, err
 	}
 	slot, err := h.core.Acquire(ctx, SlotRequest{
-		Service: r.service, Priority: r.priority, Excluded: r.excluded, Isolated: r.suspicion == quarantine.Isolated,
-		WaitBudget: slots.WaitBudget{LatencyTarget: r.route.LatencyTarget, TimeLeft: time.Until(r.deadline), IsRetry: r.isRetry || r.sends > 0},
+		Service: r.service, Priority: r.priority, Excluded: r.excluded, Barred: r.barred, Isolated: r.suspicion == quarantine.Isolated,
+		WaitBudget: slots.WaitBudget{
+			LatencyTarget: r.route.LatencyTarget, TimeLeft: time.Until(r.deadline),
+			IsRetry: r.isRetry || r.sends > 0, Begun: r.answer.begun,
+		},
 	})
 	if err != nil {
 		return nil, err
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -115,6 +115,7 @@
 	isRetry  bool // the caller has spent part of its timeout elsewhere
 
 	excluded    map[string]bool // IDs of upstreams that have failed the request
+	barred      map[string]bool // those of them that aren't known to be alive
 	sends       int             // attempts
 	runs        int             // attempts that may have been run
 	waited      time.Duration   // total time in the slot queue
@@ -176,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &request{Request: in, route: route, team: team, started: in.Received, excluded: map[string]bool{}, answer: newAnswer(route, in.ResumeAfter)}
+	r := &request{Request: in, route: route, team: team, started: in.Received, excluded: map[string]bool{}, barred: map[string]bool{}, answer: newAnswer(route, in.ResumeAfter)}
 	if r.started.IsZero() {
 		r.started = time.Now()
 	}
--- a/internal/entry/unservable_test.go
+++ b/internal/entry/unservable_test.go
@@ -24,7 +24,7 @@
 // fullFleet is a drainFleet whose slots are held, so that requests wait.
 type fullFleet struct {
 	*drainFleet
-	held []*entry.Slot
+	held []*entry.Slot // in the order of list
 }
 
 func newFullFleet(c *qt.C, upstreams int) *fullFleet {
@@ -38,6 +38,7 @@
 		c.Assert(err, qt.IsNil)
 		f.held = append(f.held, slot)
 	}
+	slices.SortFunc(f.held, func(a, b *entry.Slot) int { return strings.Compare(a.Upstream.ID, b.Upstream.ID) })
 	return f
 }
 
--- a/internal/slots/balancer.go
+++ b/internal/slots/balancer.go
@@ -342,16 +342,15 @@
 	return sum
 }
 
-// CountRegistered returns the number of registered upstreams of the service that
-// are not about to leave.
-func (b *Balancer) CountRegistered(service string) int {
-	n := 0
-	for _, u := range b.upstreams {
-		if u.Service == service && !u.isLeaving() {
-			n++
+// HasRegistered reports whether an upstream of the service is registered that isn't about
+// to leave, other than the given ones.
+func (b *Balancer) HasRegistered(service string, except map[string]bool) bool {
+	for id, u := range b.upstreams {
+		if u.Service == service && !u.isLeaving() && !except[id] {
+			return true
 		}
 	}
-	return n
+	return false
 }
 
 // PreemptBatch returns the batch items of this host to preempt at upstreams that
--- a/internal/slots/balancer_test.go
+++ b/internal/slots/balancer_test.go
@@ -152,7 +152,7 @@
 	b.SetUpstreams(list)
 	_, ok := startOnline(b, epoch)
 	c.Assert(ok, qt.IsFalse)
-	c.Assert(b.CountRegistered("lm"), qt.Equals, 0)
+	c.Assert(b.HasRegistered("lm", nil), qt.IsFalse)
 }
 
 // TestReregisteredUpstreamKeepsCounts checks that runs at an upstream whose entry
--- a/internal/slots/leaving_test.go
+++ b/internal/slots/leaving_test.go
@@ -42,7 +42,7 @@
 			c.Check(ok, qt.IsFalse, qt.Commentf("%s: %s", name, kind))
 		}
 		c.Check(b.Capacity(list[0].Service, now), qt.Equals, slots.Capacity{}, qt.Commentf("%s", name))
-		c.Check(b.CountRegistered(list[0].Service), qt.Equals, 0, qt.Commentf("%s", name))
+		c.Check(b.HasRegistered(list[0].Service, nil), qt.IsFalse, qt.Commentf("%s", name))
 	}
 }
 
--- a/internal/slots/wait.go
+++ b/internal/slots/wait.go
@@ -14,7 +14,8 @@
 	IsRetry  bool            // a retry of a request that was refused for lack of slots
 	Arrived  time.Time       // at this host
 	StartBy  time.Time       // latest start that meets the route's latency target
-	Excluded map[string]bool // upstreams that have failed this request
+	Excluded map[string]bool // upstreams that have failed this request; used if no other is registered
+	Barred   map[string]bool // those of them that must not get it again
 	Isolated bool            // must not share an upstream with another isolated run
 	Granted  func(upstream string)
 	Rejected func() // called when the request can't be served
@@ -28,6 +29,9 @@
 // Push adds a waiter.
 func (q *Queue) Push(w *Waiter) { q.waiting = append(q.waiting, w) }
 
+// IsEmpty reports whether no request waits.
+func (q *Queue) IsEmpty() bool { return len(q.waiting) == 0 }
+
 // Remove removes a waiter. It reports whether the waiter was in the queue.
 func (q *Queue) Remove(w *Waiter) bool {
 	for i, x := range q.waiting {
@@ -39,19 +43,15 @@
 	return false
 }
 
-// RemoveIf removes the waiters for the services for which the function returns true, and
-// returns them. It calls the function once a service.
-func (q *Queue) RemoveIf(remove func(service string) bool) []*Waiter {
-	decided := map[string]bool{}
+// RemoveIf removes the waiters for which the function returns true, and returns them.
+func (q *Queue) RemoveIf(remove func(*Waiter) bool) []*Waiter {
 	var removed []*Waiter
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiter) bool {
-		if _, known := decided[w.Service]; !known {
-			decided[w.Service] = remove(w.Service)
-		}
-		if decided[w.Service] {
-			removed = append(removed, w)
+		if !remove(w) {
+			return false
 		}
-		return decided[w.Service]
+		removed = append(removed, w)
+		return true
 	})
 	return removed
 }
@@ -88,6 +88,7 @@
 	LatencyTarget time.Duration // latency target for the first event
 	TimeLeft      time.Duration // until the caller's deadline
 	IsRetry       bool          // a retry of a request that was refused for lack of slots
+	Begun         bool          // the caller has received a part of the answer
 }
 
 const (
@@ -96,14 +97,18 @@
 	minResponseFraction = 0.5  // of the caller's remaining time, kept for the response itself
 )
 
-// MaxWait returns the time after which a waiting request is refused.
+// MaxWait returns the time after which a waiting request is refused. The latency target is
+// for the first event, so it doesn't limit an answer that has begun.
 func (b WaitBudget) MaxWait() time.Duration {
+	longest := time.Duration(float64(b.TimeLeft) * minResponseFraction)
+	if b.Begun {
+		return longest
+	}
 	fraction := firstWaitFraction
 	if b.IsRetry {
 		fraction = retryWaitFraction
 	}
-	wait := time.Duration(float64(b.LatencyTarget) * fraction)
-	return min(wait, time.Duration(float64(b.TimeLeft)*minResponseFraction))
+	return min(time.Duration(float64(b.LatencyTarget)*fraction), longest)
 }
 
 const (
--- a/internal/slots/wait_test.go
+++ b/internal/slots/wait_test.go
@@ -44,6 +44,16 @@
 	c.Assert(shortDeadline.MaxWait() <= 50*time.Millisecond, qt.IsTrue)
 }
 
+// TestResumptionWaitsNoLongerThanAFirstAttempt guards against a stream that is broken off
+// after the wait that suits a first event, though half of its time is left.
+func TestResumptionWaitsNoLongerThanAFirstAttempt(t *testing.T) {
+	c := qt.New(t)
+	for _, retry := range []bool{false, true} {
+		budget := slots.WaitBudget{LatencyTarget: 300 * time.Millisecond, TimeLeft: 4 * time.Second, IsRetry: retry, Begun: true}
+		c.Assert(budget.MaxWait(), qt.Equals, 2*time.Second)
+	}
+}
+
 // TestRetriesAreSpread checks that callers refused in the same peak don't retry
 // together, and that no delay exceeds the caller's remaining time.
 func TestRetriesAreSpread(t *testing.T) {
