--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -21,6 +21,7 @@
 	c.recordEndedUpstreams(list)
 	c.balancer.SetUpstreams(list)
 	c.updateCellUpstreams(time.Now())
+	c.reviewQueue()
 	c.setUpstreamsVersion(version)
 }
 
@@ -34,6 +35,7 @@
 		c.cellOutdated = true
 		c.updateOutdatedCell(time.Now())
 	}
+	c.reviewQueue()
 	c.setUpstreamsVersion(version)
 }
 
