entry: compute the cell after removed peers are forgotten

What callers would see: after a host has been removed for good, hosts that had heard from it divide hosts and upstreams into other cells than hosts that never have, until the next host starts or registers. Two cells can then fill the same slots.

Cause: SetMembers computed the cell first and forgot the unresponsive peers that are no longer registered afterwards. The removed host was still counted in the cell's hosts. The cell's upstreams were computed with it too, if the least time between two computations had passed, or else without it.

Found by reading.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -48,7 +48,6 @@
 	c.members = hosts
 	c.versions.Hosts = max(c.versions.Hosts, version)
 	c.stateDirty = true
-	c.updateCell()
 	for name, p := range c.peers {
 		if _, listed := hosts[name]; !listed && p.unresponsive {
 			c.balancer.SetPeerCounts(name, nil)
@@ -56,6 +55,7 @@
 			delete(c.peers, name)
 		}
 	}
+	c.updateCell()
 	c.updateUnresponsiveDCs()
 }
 
--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -168,3 +168,24 @@
 		c.Assert(core.freeSlots(), qt.Equals, slots-8*announced)
 	})
 }
+
+// TestForgottenPeerLeavesCells guards against cells that still count a removed host, and so
+// differ from those of hosts that have never heard from it.
+func TestForgottenPeerLeavesCells(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		c := qt.New(t)
+		core, _ := newLargeFleetCore(40)
+		members := map[string]HostInfo{}
+		for name, dc := range core.dataCentres() {
+			members[name] = HostInfo{DataCentre: dc}
+		}
+		core.SetMembers(members, 1)
+		time.Sleep(time.Minute)
+		core.checkPeers(time.Now())
+		delete(members, "h3") // of this host's data centre
+		core.SetMembers(members, 2)
+		cell := fleet.CellOf("h0", core.dataCentres(), nil)
+		c.Assert(core.dataCentres(), qt.HasLen, 39)
+		c.Assert(core.cellHosts, qt.DeepEquals, cell.Hosts)
+	})
+}
