fleet: keep an index for the cell instead of dividing all upstreams anew

Seen: an upstream that registers at a host of 300 that knows 3,000 upstreams takes 3.8 ms and allocates 1.8 MB, when it comes 100 ms after the change before. Such changes come at up to ten a second while many upstreams register, restart or leave: 3.8% of a core, where control may take 2.8%.

Cause, by a profile of BenchmarkSpacedRegistration: 97% of UpdateUpstreams is the computation of the cell. It copied all upstreams, grouped them by service, sorted each group (half of the time), divided it among all data centres, and hashed each id for the sample of upstreams outside the cell. Ruled out: decoding, comparing lists and computing the cell for each event, which ended (41.1 s to 0.25 s for 3,000 registrations).

Now fleet.CellIndex holds the sorted ids by service and data centre, and the sample. A change inserts or removes one id. The cell follows from a data centre's own ids up to its quota, and from the surplus of others if it has fewer. The sample is picked again when the number of hosts changes. Changes within 100 ms still share one computation. The index holds one entry an upstream, and forgets it with its removal. The cells are the same.

TestRegistrationDoesNotDivideAllUpstreams failed before: 1,805,898 bytes a registration, with a bound of 48,000. TestIndexDividesAsAnew compares the index after drawn changes of hosts and upstreams with the algorithm of before, which stands in the test as its model. It failed with each of six faults put in: another order of data centres, an unsorted surplus, a sample that isn't picked again, one that keeps removed upstreams, an old place in a service that is kept, and an ignored leaving mark.

Tests changed: newLargeFleetCore counts the computations of the cell through the new signature; its assertions are the same.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -42,6 +42,7 @@
 	peers               map[string]*peerRecord
 	unresponsiveDCs     map[string]bool     // other data centres with no live host
 	members             map[string]HostInfo // hosts registered in the store, by name
+	cells               *fleet.CellIndex    // of all known hosts and upstreams
 	cellHosts           map[string]bool     // hosts of this host's cell, by name
 	cellUpdatedAt       time.Time           // when the upstreams of the cell were computed
 	cellOutdated        bool                // hosts or upstreams have changed since then
@@ -92,7 +93,8 @@
 		onPeerChange:    func(PeerChange) {},
 		onJobsCancelled: func([]string) {},
 		connector:       noopConnector{},
-		cellUpstreams:   fleet.CellUpstreams,
+		cells:           fleet.NewCellIndex(self.Name, map[string]string{self.Name: self.DataCentre}),
+		cellUpstreams:   (*fleet.CellIndex).Upstreams,
 		batchWake:       make(chan struct{}, 1),
 	}
 }
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -7,12 +7,11 @@
 )
 
 // cellUpdateInterval is the least time between two computations of the upstreams of this
-// host's cell. Each takes time in proportion to the upstreams of the fleet, of which many
-// register or leave within seconds.
+// host's cell. Many upstreams register or leave within seconds.
 const cellUpdateInterval = 100 * time.Millisecond
 
-// cellUpstreamsFunc is the type of fleet.CellUpstreams.
-type cellUpstreamsFunc func(self string, hosts map[string]string, upstreams []fleet.Upstream) (preferred, outside map[string]bool)
+// cellUpstreamsFunc is the type of (*fleet.CellIndex).Upstreams.
+type cellUpstreamsFunc func(*fleet.CellIndex) (preferred, outside map[string]bool)
 
 // SetUpstreams replaces the list of upstreams.
 func (c *Core) SetUpstreams(list []fleet.Upstream, version int64) {
@@ -20,6 +19,7 @@
 	defer c.mu.Unlock()
 	c.recordEndedUpstreams(list)
 	c.balancer.SetUpstreams(list)
+	c.cells.SetUpstreams(list)
 	c.updateCellUpstreams(time.Now())
 	c.setUpstreamsVersion(version)
 }
@@ -46,8 +46,8 @@
 		if registered && instanceOf(before) != instanceOf(u) {
 			c.recordUpstreamEnd(before, true)
 		}
-		affected = affected || !registered || affectsCells(before, u)
 		c.balancer.PutUpstream(u)
+		affected = c.cells.PutUpstream(u) || affected
 	}
 	for _, id := range removed {
 		before, registered := c.balancer.Upstream(id)
@@ -56,16 +56,12 @@
 		}
 		c.recordUpstreamEnd(before, false)
 		c.balancer.RemoveUpstream(id)
+		c.cells.RemoveUpstream(id)
 		affected = true
 	}
 	return affected
 }
 
-// affectsCells reports whether cells can differ after a change of an upstream's entry.
-func affectsCells(before, after fleet.Upstream) bool {
-	return before.Service != after.Service || before.DataCentre != after.DataCentre || before.Leaving != after.Leaving
-}
-
 // setUpstreamsVersion records the version of the list of upstreams and tells peers. Hosts
 // of other cells hear at once only from the few hosts that watch the store: the others have
 // the list from one of these, and messages from all to all grow with the square of the
@@ -82,7 +78,8 @@
 // updateCell computes the hosts of this host's cell from the registered hosts and the known
 // peers, and its upstreams if they may be computed again. The caller must hold mu.
 func (c *Core) updateCell() {
-	c.cellHosts = fleet.CellHosts(c.self.Name, c.dataCentres())
+	c.cells.SetHosts(c.dataCentres())
+	c.cellHosts = c.cells.Hosts()
 	c.cellOutdated = true
 	c.updateOutdatedCell(time.Now())
 }
@@ -97,8 +94,7 @@
 
 // updateCellUpstreams computes the upstreams of this host's cell. The caller must hold mu.
 func (c *Core) updateCellUpstreams(now time.Time) {
-	preferred, outside := c.cellUpstreams(c.self.Name, c.dataCentres(), c.balancer.Upstreams())
-	c.balancer.SetCell(preferred, outside)
+	c.balancer.SetCell(c.cellUpstreams(c.cells))
 	c.cellUpdatedAt, c.cellOutdated = now, false
 }
 
--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -21,9 +21,9 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	core, computed = NewCore(Identity{Name: "h0", DataCentre: "dc0"}, log), new(int)
-	core.cellUpstreams = func(self string, hosts map[string]string, upstreams []fleet.Upstream) (preferred, outside map[string]bool) {
+	core.cellUpstreams = func(cells *fleet.CellIndex) (preferred, outside map[string]bool) {
 		*computed++
-		return fleet.CellUpstreams(self, hosts, upstreams)
+		return cells.Upstreams()
 	}
 	for i := range hosts {
 		core.MergeState(mesh.State{Host: fmt.Sprint("h", i), Incarnation: "i", DataCentre: fmt.Sprint("dc", i%3)})
--- a/internal/fleet/cells.go
+++ b/internal/fleet/cells.go
@@ -2,12 +2,8 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"sort"
-	"strings"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // A cell is a group of hosts that exchange their in-flight counts without delay,
@@ -31,54 +27,15 @@
 }
 
 // CellOf returns the cell of the host self. The map hosts gives the data centre of
-// every host by name.
+// every host by name. A host whose lists change keeps a CellIndex instead.
 func CellOf(self string, hosts map[string]string, upstreams []Upstream) Cell {
-	cell := Cell{Hosts: CellHosts(self, hosts)}
-	cell.Upstreams, cell.OutsideUpstreams = CellUpstreams(self, hosts, upstreams)
+	index := NewCellIndex(self, hosts)
+	index.SetUpstreams(upstreams)
+	cell := Cell{Hosts: index.Hosts()}
+	cell.Upstreams, cell.OutsideUpstreams = index.Upstreams()
 	return cell
 }
 
-// CellHosts returns Cell.Hosts of the cell of the host self.
-func CellHosts(self string, hosts map[string]string) map[string]bool {
-	members := map[string]bool{self: true}
-	if len(hosts) <= maxSingleCellHosts {
-		for name := range hosts {
-			members[name] = true
-		}
-		return members
-	}
-	localHosts := groupByDC(hosts)[hosts[self]]
-	index, count := cellIndex(self, localHosts)
-	for i, name := range localHosts {
-		if i%count == index {
-			members[name] = true
-		}
-	}
-	return members
-}
-
-// CellUpstreams returns Cell.Upstreams and Cell.OutsideUpstreams of the cell of the host
-// self. It takes time in proportion to the upstreams of the fleet.
-func CellUpstreams(self string, hosts map[string]string, upstreams []Upstream) (preferred, outside map[string]bool) {
-	preferred = map[string]bool{}
-	if len(hosts) <= maxSingleCellHosts {
-		for _, u := range upstreams {
-			preferred[u.ID] = true
-		}
-		return preferred, nil
-	}
-	hostsByDC := groupByDC(hosts)
-	index, count := cellIndex(self, hostsByDC[hosts[self]])
-	for _, ids := range assignUpstreams(hostsByDC, upstreams) {
-		for i, id := range ids[hosts[self]] {
-			if i%count == index {
-				preferred[id] = true
-			}
-		}
-	}
-	return preferred, sampleUpstreams(self, len(hosts), upstreams)
-}
-
 // groupByDC returns the sorted names of the hosts in each data centre.
 func groupByDC(hosts map[string]string) map[string][]string {
 	grouped := map[string][]string{}
@@ -99,57 +56,6 @@
 	return position % count, count
 }
 
-// sampleUpstreams picks the upstreams that the host may use outside of its cell. A
-// sample keeps the number of hosts low that use an upstream whose load they learn
-// with a delay.
-func sampleUpstreams(self string, hosts int, upstreams []Upstream) map[string]bool {
-	picked := map[string]bool{}
-	for _, u := range upstreams {
-		if xxhash.Sum64String(self+"\x00"+u.ID) < math.MaxUint64/uint64(hosts)*meanOutsideHosts {
-			picked[u.ID] = true
-		}
-	}
-	return picked
-}
-
-// assignUpstreams gives each data centre a part of each service's upstreams in
-// proportion to its hosts: its own upstreams first, then the surplus of others.
-// Without it, the cells of a data centre that lost more upstreams than others would
-// send their excess requests to upstreams whose load they learn with a delay. The
-// result is indexed by service and data centre, and omits upstreams that are leaving.
-func assignUpstreams(hostsByDC map[string][]string, upstreams []Upstream) map[string]map[string][]string {
-	byService := map[string][]Upstream{}
-	for _, u := range upstreams {
-		if !u.Leaving {
-			byService[u.Service] = append(byService[u.Service], u)
-		}
-	}
-	assigned := map[string]map[string][]string{}
-	for service, list := range byService {
-		slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
-		assigned[service] = assignServiceUpstreams(quotas(hostsByDC, len(list)), list)
-	}
-	return assigned
-}
-
-func assignServiceUpstreams(quota map[string]int, list []Upstream) map[string][]string {
-	assigned := map[string][]string{}
-	var spare []string
-	for _, u := range list {
-		if len(assigned[u.DataCentre]) < quota[u.DataCentre] {
-			assigned[u.DataCentre] = append(assigned[u.DataCentre], u.ID)
-			continue
-		}
-		spare = append(spare, u.ID)
-	}
-	for _, dc := range slices.Sorted(maps.Keys(quota)) {
-		transferred := min(quota[dc]-len(assigned[dc]), len(spare))
-		assigned[dc] = append(assigned[dc], spare[:transferred]...)
-		spare = spare[transferred:]
-	}
-	return assigned
-}
-
 // quotas divides n upstreams among the data centres in proportion to their hosts by
 // the largest remainder method. Ties go to the first data centre by name.
 func quotas(hostsByDC map[string][]string, n int) map[string]int {
