slots: find the announcements of an upstream by its id

Seen: after 3,000 upstreams have announced that they leave and have restarted, a list of them takes a host 233 to 259 ms, in which it holds the lock of the request path. A single registration looks at all announcements, which are kept for ten minutes.

Cause: attributeAnnouncements, called for each entry that is put, looked through the announcements of all upstreams for those under its id.

Now they are kept by id, and below it by the start of the process. Which process counts as leaving is as before: TestAnyHistoryUsesLeavingProcess and the tests of restarts pass unchanged.

BenchmarkListAfterRestarts, three runs each: 233 to 259 ms at a load of about 10 on 8 cores, then 2.7 to 4.2 ms at a load of up to 18. There is no test that counts this work. go test -race passes on slots, and on the tests of leaving upstreams in entry and platform.

--- a/internal/slots/balancer.go
+++ b/internal/slots/balancer.go
@@ -68,7 +68,7 @@
 	upstreams     map[string]*upstream
 	cellUpstreams map[string]bool              // upstreams of this host's cell; nil means all
 	spillTo       map[string]bool              // upstreams of other cells that this host may use; nil means all
-	announced     map[boot]announcement        // processes that have announced that they leave
+	announced     announcements                // of processes that leave
 	runs          map[string]map[*Run]bool     // by upstream
 	peerCounts    map[string]map[string]Counts // latest report of each peer, by upstream
 	unresponsive  map[string]bool              // data centres
@@ -80,7 +80,7 @@
 	return &Balancer{
 		dataCentre: dataCentre,
 		upstreams:  map[string]*upstream{},
-		announced:  map[boot]announcement{},
+		announced:  announcements{},
 		runs:       map[string]map[*Run]bool{},
 		peerCounts: map[string]map[string]Counts{},
 		random:     rand.New(rand.NewPCG(seed, 0)),
--- a/internal/slots/leaving.go
+++ b/internal/slots/leaving.go
@@ -23,22 +23,33 @@
 	expired        bool
 }
 
-// boot identifies one process lifetime of an upstream.
-type boot struct {
-	id        string
-	startedMS int64 // Unix time
+// announcements are the announcements of processes, by the upstream's id and the process's
+// start in Unix milliseconds. Those under one id are few, while a rolling restart leaves one
+// of each upstream.
+type announcements map[string]map[int64]announcement
+
+func (a announcements) put(id string, started int64, put announcement) {
+	if a[id] == nil {
+		a[id] = map[int64]announcement{}
+	}
+	a[id][started] = put
 }
 
-func bootOf(u fleet.Upstream) boot { return boot{id: u.ID, startedMS: u.Started.UnixMilli()} }
+func (a announcements) remove(id string, started int64) {
+	delete(a[id], started)
+	if len(a[id]) == 0 {
+		delete(a, id)
+	}
+}
 
 // ReportLeaving records that the process of the upstream has announced in a response that
 // it leaves. From then on it counts as leaving, whatever its entry says; a process that
 // starts later under the same id doesn't. ReportLeaving reports whether the announcement
 // is the first one.
 func (b *Balancer) ReportLeaving(u fleet.Upstream, now time.Time) bool {
-	process := bootOf(u)
-	_, known := b.announced[process]
-	b.announced[process] = announcement{received: now, lastRegistered: now}
+	started := u.Started.UnixMilli()
+	_, known := b.announced[u.ID][started]
+	b.announced.put(u.ID, started, announcement{received: now, lastRegistered: now})
 	if entry, ok := b.upstreams[u.ID]; ok {
 		entry.announcedLeaving = b.HasAnnouncedLeaving(entry.Upstream)
 	}
@@ -49,13 +60,13 @@
 // under its id for its own, for a while. They are kept under an earlier start if this host
 // didn't know of the restart: a response doesn't tell the start of its process.
 func (b *Balancer) attributeAnnouncements(u fleet.Upstream) {
-	process := bootOf(u)
-	if _, known := b.announced[process]; known {
+	started := u.Started.UnixMilli()
+	if _, known := b.announced[u.ID][started]; known {
 		return
 	}
-	for other, a := range b.announced {
-		if other.id == u.ID && other.startedMS < process.startedMS && a.expires.IsZero() && !a.received.Before(u.Started) {
-			b.announced[process] = announcement{received: a.received, lastRegistered: a.received, expires: a.received.Add(uncertainTTL)}
+	for other, a := range b.announced[u.ID] {
+		if other < started && a.expires.IsZero() && !a.received.Before(u.Started) {
+			b.announced.put(u.ID, started, announcement{received: a.received, lastRegistered: a.received, expires: a.received.Add(uncertainTTL)})
 		}
 	}
 }
@@ -63,30 +74,37 @@
 // HasAnnouncedLeaving reports whether the process of the upstream has announced in a
 // response that it leaves.
 func (b *Balancer) HasAnnouncedLeaving(u fleet.Upstream) bool {
-	a, announced := b.announced[bootOf(u)]
+	a, announced := b.announced[u.ID][u.Started.UnixMilli()]
 	return announced && !a.expired
 }
 
 // ForgetAnnouncements removes the announcements of processes that have not been registered
 // for a long time, and those that may be of another process and have expired.
 func (b *Balancer) ForgetAnnouncements(now time.Time) {
-	for process, a := range b.announced {
-		u, ok := b.upstreams[process.id]
-		registered := ok && bootOf(u.Upstream) == process
-		if registered {
-			a.lastRegistered = now
-		}
-		a.expired = !a.expires.IsZero() && !now.Before(a.expires)
-		b.announced[process] = a
-		if registered {
-			u.announcedLeaving = !a.expired
-		}
-		if now.Sub(a.lastRegistered) >= announcementTTL {
-			delete(b.announced, process)
+	for id, ofUpstream := range b.announced {
+		for started, a := range ofUpstream {
+			b.reviewAnnouncement(id, started, a, now)
 		}
 	}
 }
 
+// reviewAnnouncement is ForgetAnnouncements for one process.
+func (b *Balancer) reviewAnnouncement(id string, started int64, a announcement, now time.Time) {
+	u, ok := b.upstreams[id]
+	registered := ok && u.Started.UnixMilli() == started
+	if registered {
+		a.lastRegistered = now
+	}
+	a.expired = !a.expires.IsZero() && !now.Before(a.expires)
+	b.announced.put(id, started, a)
+	if registered {
+		u.announcedLeaving = !a.expired
+	}
+	if now.Sub(a.lastRegistered) >= announcementTTL {
+		b.announced.remove(id, started)
+	}
+}
+
 // isLeaving reports whether the registry says that the upstream leaves, or it has announced
 // so in a response.
 func (u *upstream) isLeaving() bool { return u.Leaving || u.announcedLeaving }
