--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -89,7 +89,7 @@
 	return false
 }
 
-func newTestHost(t *testing.T, name, address string) *testHost {
+func newTestHost(t testing.TB, name, address string) *testHost {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	socket, err := net.Listen("tcp", address)
