--- a/internal/fleet/cellindex.go
+++ b/internal/fleet/cellindex.go
@@ -123,7 +123,7 @@
 		return members
 	}
 	localHosts := x.hostsByDC[x.hosts[x.self]]
-	index, count := cellIndex(x.self, localHosts)
+	index, count := cellPosition(x.self, localHosts)
 	for i := index; i < len(localHosts); i += count {
 		members[localHosts[i]] = true
 	}
@@ -142,7 +142,7 @@
 		return preferred, nil
 	}
 	dc := x.hosts[x.self]
-	index, count := cellIndex(x.self, x.hostsByDC[dc])
+	index, count := cellPosition(x.self, x.hostsByDC[dc])
 	for _, service := range x.services {
 		ids := service.assignedTo(dc, quotas(x.hostsByDC, service.size()))
 		for i := index; i < len(ids); i += count {
--- a/internal/fleet/cellindex_test.go
+++ b/internal/fleet/cellindex_test.go
@@ -27,7 +27,7 @@
 	}
 	hostsByDC := groupByDC(hosts)
 	localHosts := hostsByDC[hosts[self]]
-	index, count := cellIndex(self, localHosts)
+	index, count := cellPosition(self, localHosts)
 	for i, name := range localHosts {
 		if i%count == index {
 			cell.Hosts[name] = true
--- a/internal/fleet/cells.go
+++ b/internal/fleet/cells.go
@@ -48,9 +48,9 @@
 	return grouped
 }
 
-// cellIndex returns the index of the host's cell among those of its data centre, and the
-// number of these cells.
-func cellIndex(self string, localHosts []string) (index, count int) {
+// cellPosition returns the position of the host's cell among those of its data centre, and
+// the number of these cells.
+func cellPosition(self string, localHosts []string) (index, count int) {
 	count = max((len(localHosts)+maxCellHosts-1)/maxCellHosts, 1)
 	position, _ := slices.BinarySearch(localHosts, self)
 	return position % count, count
