quarantine: trials of two hosts at the same moment count once

Callers were refused for an hour after one trial of their request, though two are allowed. A crash a second or more after the one before counted as another failed trial. Hosts that try a request at the same moment run it at two upstreams, and one run can crash a second later than the other.

A failed trial now needs the time since the crash before after which it was due, less 0.5 s for the times at which hosts see a crash. TestTrialsAtTheSameMomentCountTwice failed before. Tests of quarantine and those of crashes in entry pass under the race detector.

--- a/internal/quarantine/burst.go
+++ b/internal/quarantine/burst.go
@@ -10,11 +10,11 @@
 // a limited number of times. So is one that has ever run to its end, once more: a request
 // that runs often runs at each upstream that ends, so that no other one shows a burst.
 const (
-	burstSize    = 2 // upstreams that end beside a crash without having run the request
-	burstBefore  = time.Second
-	burstAfter   = 6 * time.Second // the registry shows an end with a delay
-	maxEnds      = 64
-	newCrashTime = time.Second // since the last crash; later ones belong to a new run
+	burstSize   = 2 // upstreams that end beside a crash without having run the request
+	burstBefore = time.Second
+	burstAfter  = 6 * time.Second // the registry shows an end with a delay
+	maxEnds     = 64
+	trialMargin = 500 * time.Millisecond // between the times at which hosts see a crash
 )
 
 // The times from the last crash to the next run of a quarantined request.
@@ -45,7 +45,7 @@
 // returns false if it may not.
 func (t *Table) NextTrial(f Fingerprint) (time.Time, bool) {
 	delays := t.trialDelaysOf(f)
-	failed := t.countFailedTrials(f)
+	failed := t.countFailedTrials(f, delays)
 	if failed >= len(delays) {
 		return time.Time{}, false
 	}
@@ -102,14 +102,17 @@
 }
 
 // countFailedTrials counts the trials that have failed since the crashes that quarantined
-// the request. Crashes that follow each other closely are those of one trial, or of runs
-// that were in progress.
-func (t *Table) countFailedTrials(f Fingerprint) int {
+// the request. A crash sooner than the next trial is due belongs to the runs before: hosts
+// may try a request at the same moment.
+func (t *Table) countFailedTrials(f Fingerprint, delays []time.Duration) int {
 	decides := t.decidesFor(f)
 	before := map[Instance]*crash{}
 	failed, last := 0, time.Time{}
 	for _, c := range countingCrashes(t.requests[f]) {
-		if c.At.Sub(last) >= newCrashTime && levelWith(before, decides) == Quarantined {
+		if failed == len(delays) {
+			break
+		}
+		if c.At.Sub(last) >= delays[failed]-trialMargin && levelWith(before, decides) == Quarantined {
 			failed++
 		}
 		before[c.Upstream] = c
--- a/internal/quarantine/burst_test.go
+++ b/internal/quarantine/burst_test.go
@@ -177,3 +177,22 @@
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(table.Level(f, now.Add(time.Minute)), qt.Equals, quarantine.Quarantined)
 }
+
+// TestTrialsAtTheSameMomentCountTwice guards against a request that isn't tried again
+// because two hosts have tried it at the same moment, and one of the runs crashed later than
+// the other.
+func TestTrialsAtTheSameMomentCountTwice(t *testing.T) {
+	c := qt.New(t)
+	table := quarantine.NewTable()
+	for n := range 3 {
+		observeAt(table, n, epoch)
+	}
+	endsOf(table, epoch, 10, 11)
+	trial := epoch.Add(1500 * time.Millisecond)
+	observeAt(table, 3, trial.Add(100*time.Millisecond))
+	last := trial.Add(1300 * time.Millisecond)
+	observeAt(table, 4, last)
+	at, ok := table.NextTrial(quarantine.Fingerprint{1})
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(at, qt.Equals, last.Add(2500*time.Millisecond))
+}
