An answer cut by a forced stop ended like a whole one in HTTP/1.0

Callers of the own API that speak HTTP/1.0 read a regular end when a host was stopped by force (the stop time passed, or a second signal) in the middle of an answer without a length: plain, the connection was closed; encrypted, close_notify was sent as well.

Cause: http.Server.Close closes the connections of requests in progress, and in HTTP/1.0 that is the end of such an answer. The own API reset connections of aborted answers only, by hijacking them; the platform's callers were covered by the linger time 0, which isn't enough below TLS, since close_notify is read before the reset.

internal/httpreset replaces both mechanisms (internal/httpabort, platform/http10.go). Until an answer is complete, its connection has the linger time 0. When a handler ends with an answer that isn't complete, and before a forced stop closes the server, the connection below TLS is closed. The guard keeps one entry for each connection with an answer in progress. It is around all listeners of the own API. The flush that tells whether an answer is complete keeps net/http from adding a length to short ones: the host's JSON responses now set it. Responses of /healthz, /readyz, /metrics and the operators' API have none in HTTP/1.0 any more; their connection is closed after them.

Ruled out: HTTP/1.1 (the new test passed before, plain and encrypted: the last chunk is missing). No handler sends an HTTP/1.1 response without a length or chunks (read).

Failed before: TestResponseCutByAForcedStopEndsLikeAWholeOne in HTTP/1.0, plain and encrypted. A killed process resets, too, now shown by a test.

The gateway's test harness has the guard around its handler, as the product has; no check of an existing test changed. TestAbortedResponseEndsLikeAWholeOne has moved with the package and also covers other panics.

--- a/internal/app/host.go
+++ b/internal/app/host.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/catalog"
+	"github.com/masticscale/masticscale/internal/httpreset"
 	"github.com/masticscale/masticscale/internal/peer"
 	"github.com/masticscale/masticscale/internal/telemetry"
 )
@@ -33,6 +34,7 @@
 	components
 
 	drainer *drainer
+	guard   httpreset.Guard // of the responses of all listeners
 }
 
 // listener is a server and the socket it accepts connections on.
@@ -154,7 +156,8 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           handler,
+		Handler:           h.guard.Handler(handler),
+		ConnContext:       httpreset.ConnContext,
 		TLSConfig:         tlsConfig.Clone(), // http.Server modifies its configuration
 		Protocols:         protocols,
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -124,6 +124,7 @@
 		h.Log.WithError(err).WithFields(logrus.Fields{
 			"event": "stop_forced", "listener": l.name, "requests_cut": h.drainer.inFlight.Load(),
 		}).Warn("shutdown was forced; requests in progress were aborted")
+		h.guard.Close()
 		_ = l.server.Close()
 	}
 }
--- a/internal/gateway/batches.go
+++ b/internal/gateway/batches.go
@@ -10,7 +10,6 @@
 
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/batch"
-	"github.com/masticscale/masticscale/internal/httpabort"
 	"github.com/masticscale/masticscale/internal/job"
 )
 
@@ -207,7 +206,7 @@
 	err = content.WriteTo(r.Context(), out)
 	if err != nil && out.started {
 		requestInfoFrom(r.Context()).log.WithError(err).WithField("event", "content_cut").Warn("file transfer to the caller was cut off")
-		httpabort.Abort(w, r)
+		panic(http.ErrAbortHandler)
 	}
 	if err == nil && !out.started {
 		w.Header().Set("Content-Type", jsonLinesContentType)
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -14,7 +14,6 @@
 	"github.com/masticscale/masticscale/internal/catalog"
 	"github.com/masticscale/masticscale/internal/claim"
 	"github.com/masticscale/masticscale/internal/dispatch"
-	"github.com/masticscale/masticscale/internal/httpabort"
 	"github.com/masticscale/masticscale/internal/outcome"
 	"github.com/masticscale/masticscale/internal/serving"
 	"github.com/masticscale/masticscale/internal/upstream"
@@ -70,7 +69,7 @@
 	}
 	g.recordOutcome(r, class, c.who.team, o)
 	if o.State == outcome.Truncated && o.Err.Kind == apierr.Cancelled {
-		httpabort.Abort(w, r) // a caller that has closed only its side still reads
+		panic(http.ErrAbortHandler) // a caller that has closed only its side still reads
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,9 @@
 	return &Gateway{catalog: c, limiter: l, pipeline: p, batches: b, claims: k, cache: newResponseCache(), bodies: bodyBudget{limit: maxHeldBodyBytes}, metrics: m, log: log}
 }
 
-// Handler returns the handler for all routes of the API.
+// Handler returns the handler for all routes of the API. It panics with
+// http.ErrAbortHandler to end a response that can't be completed; callers that speak
+// HTTP/1.0 notice that only if an httpreset.Guard is around it.
 func (g *Gateway) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", g.complete)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/emulator/objectapi"
 	"github.com/masticscale/masticscale/internal/gateway"
+	"github.com/masticscale/masticscale/internal/httpreset"
 	"github.com/masticscale/masticscale/internal/key"
 	"github.com/masticscale/masticscale/internal/membership"
 	"github.com/masticscale/masticscale/internal/route"
@@ -142,7 +143,10 @@
 	suspects := dispatch.NewSuspects(dispatch.FingerprintKey("fleet"), client, members, log)
 	path := serving.NewPipeline(controller, dispatch.NewDispatcher(pool, engine, suspects, metrics))
 	claimKeeper := keeper.New(claimstore.New(client), members, log)
-	server := httptest.NewServer(gateway.New(cat, unlimited{}, path, nil, claimKeeper, metrics, log).Handler())
+	var guard httpreset.Guard
+	server := httptest.NewUnstartedServer(guard.Handler(gateway.New(cat, unlimited{}, path, nil, claimKeeper, metrics, log).Handler()))
+	server.Config.ConnContext = httpreset.ConnContext
+	server.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { controller.Run(ctx) })
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"sort"
+	"strconv"
 
 	"github.com/masticscale/masticscale/internal/apierr"
 )
@@ -49,6 +51,9 @@
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
+	var body bytes.Buffer
+	_ = json.NewEncoder(&body).Encode(v) // strings and numbers can be encoded
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
+	_, _ = w.Write(body.Bytes()) // a failed write means that the caller has disconnected
 }
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -267,6 +267,17 @@
 	}
 }
 
+// TestShortResponseHasNoLengthInHTTP10 guards against a response of the host itself that has
+// no length, so that a caller that speaks HTTP/1.0 can't keep its connection.
+func TestShortResponseHasNoLengthInHTTP10(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c)
+	f.service("m", service.Engine, newScriptedUpstream(c, -1, always("")).url())
+	resp, body, err := f.readHTTP10(http.MethodGet, f.host("h1"), "/v1/models", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(resp.ContentLength, qt.Equals, int64(len(body)), qt.Commentf("%s", body))
+}
+
 // TestResponseIsCompleteWhenCallerPauses lets a caller stop reading for three
 // times the idle timeout of upstreams. The pause must not count as idle time of
 // the upstream.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -12,7 +12,6 @@
 	"github.com/masticscale/masticscale/internal/claim"
 	"github.com/masticscale/masticscale/internal/claim/keeper"
 	"github.com/masticscale/masticscale/internal/dispatch"
-	"github.com/masticscale/masticscale/internal/httpabort"
 	"github.com/masticscale/masticscale/internal/outcome"
 	"github.com/masticscale/masticscale/internal/route"
 	"github.com/masticscale/masticscale/internal/serving"
@@ -49,7 +48,7 @@
 	o := g.runPlain(w, r, snapshot, p)
 	g.recordOutcome(r, class, p.who.team, o)
 	if o.State == outcome.Truncated {
-		httpabort.Abort(w, r)
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -22,6 +22,7 @@
 	"github.com/masticscale/masticscale/internal/config"
 	"github.com/masticscale/masticscale/internal/dispatch"
 	"github.com/masticscale/masticscale/internal/gateway"
+	"github.com/masticscale/masticscale/internal/httpreset"
 	"github.com/masticscale/masticscale/internal/route"
 	"github.com/masticscale/masticscale/internal/service"
 	"github.com/masticscale/masticscale/internal/serving"
@@ -109,7 +110,8 @@
 		path := serving.NewPipeline(control, dispatch.NewDispatcher(pool, e, suspects, metrics))
 		g := gateway.New(cat, unlimited{}, path, nil, nil, metrics, log)
 		p := &pipeListener{make(chan net.Conn), make(chan struct{})}
-		server := &http.Server{Handler: g.Handler()}
+		var guard httpreset.Guard
+		server := &http.Server{Handler: guard.Handler(g.Handler()), ConnContext: httpreset.ConnContext}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{}, 2)
 		go func() { control.Run(ctx); ended <- struct{}{} }()
