knowledge: obey removals that a watch delivers within 1.7 s

Requests reached an upstream 2.004 s after the store had acknowledged its removal.

Cause: a host that regains the store keeps removed entries for 2.2 s from its return, since they may have lapsed in an outage in which live upstreams couldn't renew them. That also held for entries that were removed after its return, though live upstreams could renew theirs by then, and whether the store was down or the host alone cut off. A check each 250 ms added up to that much.

Ruled out: that no removal which a watch delivers is deferred: an entry may lapse between the store's return and its renewal. That peers tell whether the store was down: a host in a long poll doesn't notice an outage. A shorter grace period: it would lose live upstreams.

Change: the removal of an entry that was still listed when the store was regained takes effect 1.7 s after its event, or at the end of the grace period if that is sooner. Deferred removals take effect when they are due and not at the next check.

Before: TestRemovalAfterOwnCutIsDeferredTooLong failed in 4 of 6 cases (more than 1.8 s), TestDeferredRemovalWaitsForATick in 4 of 4. TestEntryThatExpiresAfterAnOutageStays passed before and guards the grace period.

--- a/internal/knowledge/removal_test.go
+++ b/internal/knowledge/removal_test.go
@@ -232,3 +232,91 @@
 		c.Assert(a.lists("u1"), qt.IsFalse)
 	})
 }
+
+// TestRemovalAfterOwnCutIsDeferredTooLong guards against a host that is back from a cut of
+// its own and takes each removal for an expiry in an outage of the store: it kept upstreams
+// that were removed after its return for up to 2.45 s. They serve for two seconds.
+func TestRemovalAfterOwnCutIsDeferredTooLong(t *testing.T) {
+	for _, sinceReturn := range []time.Duration{0, 40, 130, 400, 1000, 2150} {
+		t.Run((sinceReturn * time.Millisecond).String(), func(t *testing.T) {
+			runSyncer(t, func(c *qt.C, f *fixture) {
+				version := f.writeUpstream(c, "u1")
+				f.writeConfig(c, 1, 0)
+				time.Sleep(time.Second)
+				f.loseStore(3 * time.Second)
+				time.Sleep(sinceReturn * time.Millisecond)
+				c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+				c.Assert(f.listedFor() <= 1800*time.Millisecond, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestDeferredRemovalWaitsForATick guards against deferred removals that took effect up to
+// 250 ms after they were due.
+func TestDeferredRemovalWaitsForATick(t *testing.T) {
+	for _, cut := range []time.Duration{3000, 3070, 3140, 3210} {
+		t.Run((cut * time.Millisecond).String(), func(t *testing.T) {
+			runSyncer(t, func(c *qt.C, f *fixture) {
+				version := f.writeUpstream(c, "u1")
+				f.writeConfig(c, 1, 0)
+				time.Sleep(time.Second)
+				f.client.SetPartitioned(true)
+				c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+				f.writeUpstream(c, "u2")
+				time.Sleep(cut * time.Millisecond)
+				f.client.SetPartitioned(false)
+				for f.listed() == 1 {
+					time.Sleep(time.Millisecond)
+				}
+				c.Assert(f.core.UpstreamAddresses(), qt.DeepEquals, map[string]bool{"u1": true, "u2": true})
+				start := time.Now()
+				for f.listed() == 2 {
+					time.Sleep(time.Millisecond)
+				}
+				c.Assert(time.Since(start), qt.Satisfies, func(d time.Duration) bool { return d > 2*time.Second && d <= 2205*time.Millisecond })
+			})
+		})
+	}
+}
+
+// TestEntryThatExpiresAfterAnOutageStays checks that an upstream whose entry expires soon
+// after an outage of the store stays listed until it has renewed the entry.
+func TestEntryThatExpiresAfterAnOutageStays(t *testing.T) {
+	runSyncer(t, func(c *qt.C, f *fixture) {
+		version := f.writeUpstream(c, "u1")
+		f.writeConfig(c, 1, 0)
+		time.Sleep(time.Second)
+		f.loseStore(3 * time.Second)
+		time.Sleep(300 * time.Millisecond)
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+		for range 33 {
+			time.Sleep(50 * time.Millisecond)
+			c.Assert(f.listed(), qt.Equals, 1)
+		}
+		f.writeUpstream(c, "u1")
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			c.Assert(f.listed(), qt.Equals, 1)
+		}
+	})
+}
+
+// loseStore cuts the host off from the store and waits until it has regained it.
+func (f *fixture) loseStore(cut time.Duration) {
+	f.client.SetPartitioned(true)
+	time.Sleep(cut)
+	f.client.SetPartitioned(false)
+	for !f.core.State().StoreReachable {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// listedFor waits until no upstream is listed, and returns how long that took.
+func (f *fixture) listedFor() time.Duration {
+	start := time.Now()
+	for f.listed() > 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -48,7 +48,7 @@
 	maxRetryDelay         = 1500 * time.Millisecond
 	peerInterval          = 250 * time.Millisecond  // between checks for peers with newer data
 	expiryGracePeriod     = 2200 * time.Millisecond // after an outage of the store, live upstreams renew expired entries within two seconds
-	expiryInterval        = 250 * time.Millisecond  // between checks for deferred removals that are due
+	maxRemovalDelay       = 1700 * time.Millisecond // after an event; a removed upstream serves for two seconds from the acknowledgement on
 	pruneAfter            = 20 * time.Second        // without a heartbeat; the host was then removed for good
 	electionCheckInterval = 500 * time.Millisecond  // between checks whether this host has become a store poller
 	roleCheckInterval     = 40 * time.Millisecond   // between checks whether this host should watch the store
@@ -84,6 +84,7 @@
 	upstreamsKnown    bool
 	upstreamsListedAt time.Time            // when the store first listed the upstreams to this process
 	pendingRemovals   map[string]time.Time // deferred removals of upstreams, and when they take effect
+	removalDeferred   chan struct{}        // signals expiryLoop
 	hosts             map[string]hostEntry
 	hostsVersion      int64
 	hostVersions      map[string]int64
@@ -104,7 +105,7 @@
 func NewSyncer(self entry.Identity, store, shortPollStore objstore.Store, decoder Decoder, core *entry.Core, seeds []string, log logrus.FieldLogger) *Syncer {
 	return &Syncer{
 		self: self, store: store, shortPollStore: shortPollStore, decoder: decoder, core: core, seeds: seeds, log: log, startedAt: time.Now(),
-		upstreams: newUpstreamTable(), pendingRemovals: map[string]time.Time{},
+		upstreams: newUpstreamTable(), pendingRemovals: map[string]time.Time{}, removalDeferred: make(chan struct{}, 1),
 		hosts: map[string]hostEntry{}, hostVersions: map[string]int64{},
 		failedWatches: map[objstore.Kind]bool{}, registerRequests: make(chan struct{}, 1),
 	}
--- a/internal/knowledge/upstreams.go
+++ b/internal/knowledge/upstreams.go
@@ -26,7 +26,7 @@
 		delete(s.pendingRemovals, o.Name)
 	}
 	for id, e := range before.entries {
-		if _, listed := s.upstreams.entries[id]; !listed && s.deferRemoval(id) {
+		if _, listed := s.upstreams.entries[id]; !listed && s.deferRemoval(id, s.graceEnd()) {
 			s.upstreams.put(id, e)
 		}
 	}
@@ -48,7 +48,7 @@
 	if e.Type == objstore.EventPut {
 		s.upstreams.put(id, s.decodeUpstream(id, e.Object.Value, s.upstreams))
 		delete(s.pendingRemovals, id)
-	} else if !s.deferRemoval(id) {
+	} else if !s.deferRemoval(id, earlier(s.graceEnd(), time.Now().Add(maxRemovalDelay))) {
 		s.upstreams.remove(id)
 	}
 	s.upstreamsVersion = max(s.upstreamsVersion, e.Object.Version)
@@ -68,49 +68,80 @@
 	return upstreamEntry{raw: raw, upstream: u}
 }
 
-// deferRemoval reports whether a removed entry stays for a grace period: upstreams
+// graceEnd returns the end of the grace period after the latest outage of the store. The
+// caller holds mu.
+func (s *Syncer) graceEnd() time.Time { return s.storeRegainedAt.Add(expiryGracePeriod) }
+
+// deferRemoval reports whether a removed entry stays, until the given time: upstreams
 // could not renew their entries during an outage of the store, and live ones renew
 // them soon after. The caller holds mu.
-func (s *Syncer) deferRemoval(id string) bool {
+func (s *Syncer) deferRemoval(id string, until time.Time) bool {
 	if _, pending := s.pendingRemovals[id]; pending {
 		return true
 	}
-	if s.storeRegainedAt.IsZero() || time.Since(s.storeRegainedAt) > expiryGracePeriod {
+	if !time.Now().Before(until) {
 		return false
 	}
-	s.pendingRemovals[id] = s.storeRegainedAt.Add(expiryGracePeriod)
+	s.setPendingRemoval(id, until)
 	return true
 }
 
-// expiryLoop removes entries whose deferred removal is due. It doesn't wait for peers.
+// setPendingRemoval lets the removal of the entry take effect at the given time. The
+// caller holds mu.
+func (s *Syncer) setPendingRemoval(id string, at time.Time) {
+	s.pendingRemovals[id] = at
+	select {
+	case s.removalDeferred <- struct{}{}:
+	default: // expiryLoop has yet to see an earlier one
+	}
+}
+
+// expiryLoop removes entries when their deferred removal is due. It doesn't wait for peers.
 func (s *Syncer) expiryLoop(ctx context.Context) {
-	tick := time.NewTicker(expiryInterval)
-	defer tick.Stop()
+	due := time.NewTimer(0)
+	defer due.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
-			s.removeExpired(now)
+		case <-s.removalDeferred:
+		case <-due.C:
+		}
+		if next, pending := s.removeExpired(time.Now()); pending {
+			due.Reset(time.Until(next))
 		}
 	}
 }
 
-// removeExpired removes the entries that were not renewed in the grace period.
-func (s *Syncer) removeExpired(now time.Time) {
+// removeExpired removes the entries that were not renewed in the grace period. It returns
+// when the next deferred removal is due, if there is one.
+func (s *Syncer) removeExpired(now time.Time) (next time.Time, pending bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var expired []string
 	for id, at := range s.pendingRemovals {
-		if now.After(at) {
-			delete(s.pendingRemovals, id)
-			s.upstreams.remove(id)
-			expired = append(expired, id)
+		if now.Before(at) {
+			if !pending || at.Before(next) {
+				next, pending = at, true
+			}
+			continue
 		}
+		delete(s.pendingRemovals, id)
+		s.upstreams.remove(id)
+		expired = append(expired, id)
 	}
 	if len(expired) > 0 {
 		s.updateUpstreams("lapsed", expired...)
 	}
+	return next, pending
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // remainingTimes returns for how long each entry with a deferred removal stays listed.
@@ -157,7 +188,7 @@
 	for id, e := range before.entries {
 		if _, listed := s.upstreams.entries[id]; !listed {
 			s.upstreams.put(id, e)
-			s.pendingRemovals[id] = time.Now().Add(grace)
+			s.setPendingRemoval(id, time.Now().Add(grace))
 		}
 	}
 }
@@ -182,7 +213,7 @@
 		e = s.decodeUpstream(id, raw, before)
 	}
 	s.upstreams.put(id, e)
-	s.pendingRemovals[id] = time.Now().Add(remaining)
+	s.setPendingRemoval(id, time.Now().Add(remaining))
 }
 
 // updateUpstreams passes the upstreams with the ids to the core. The caller holds mu.
