knowledge: a peer's list doesn't prolong a deferred removal

Seen in a test: a host that defers a removal adopts the list of a peer that defers the same one for longer, or that has just started and doesn't know the entry. The host then counted from the peer's time: an upstream was listed for more than 1.8 s after its removal had been acknowledged.

Cause: adoptUpstreams dropped the host's own deferred removals and took over the peer's. A peer that regained the store later has a later end of its grace period.

Change: of the two times the earlier one counts.

Ruled out: that the host's earlier time drops a live upstream. It was computed from the host's own return, by which the upstream could renew its entry, too.

Before: TestPeerProlongsADeferredRemoval and TestNewHostProlongsADeferredRemoval failed. After: all tests of the package 5 of 5 under -race.

--- a/internal/knowledge/removal_test.go
+++ b/internal/knowledge/removal_test.go
@@ -302,6 +302,53 @@
 	})
 }
 
+// TestPeerProlongsADeferredRemoval guards against a host that adopts the list of a peer that
+// regained the store later, and with it the peer's later time for a removal that the host
+// had deferred itself.
+func TestPeerProlongsADeferredRemoval(t *testing.T) {
+	runSyncer(t, func(c *qt.C, f *fixture) {
+		version := f.writeUpstream(c, "u1")
+		f.writeConfig(c, 1, 0)
+		time.Sleep(time.Second)
+		f.loseStore(3 * time.Second)
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+		deleted := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		f.peers.set(mesh.Snapshot{
+			Versions:        mesh.Versions{Upstreams: 1000},
+			Upstreams:       map[string][]byte{"u1": []byte(`{"Service":"lm","Address":"u1","Slots":8}`)},
+			PendingRemovals: map[string]time.Duration{"u1": 2 * time.Second},
+		})
+		f.core.MergeState(mesh.State{Host: "h2", Incarnation: "i2", Address: "h2:1", UpstreamsVersion: 1000})
+		f.listedFor()
+		c.Assert(f.core.State().UpstreamsVersion, qt.Equals, int64(1000)) // the list was adopted
+		c.Assert(time.Since(deleted) <= 1800*time.Millisecond, qt.IsTrue)
+	})
+}
+
+// TestNewHostProlongsADeferredRemoval is the same with a list that lacks the entry, of a
+// peer that has just started.
+func TestNewHostProlongsADeferredRemoval(t *testing.T) {
+	runSyncer(t, func(c *qt.C, f *fixture) {
+		version := f.writeUpstream(c, "u1")
+		f.writeConfig(c, 1, 0)
+		time.Sleep(time.Second)
+		f.loseStore(3 * time.Second)
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+		deleted := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		f.client.SetPartitioned(true)
+		time.Sleep(500 * time.Millisecond)
+		f.peers.set(mesh.Snapshot{Versions: mesh.Versions{Upstreams: 1000}, Upstreams: map[string][]byte{}, UnknownExpiries: 2 * time.Second})
+		f.core.MergeState(mesh.State{Host: "h2", Incarnation: "i2", Address: "h2:1", UpstreamsVersion: 1000})
+		f.listedFor()
+		c.Assert(f.core.State().UpstreamsVersion, qt.Equals, int64(1000)) // the list was adopted
+		c.Assert(time.Since(deleted) <= 1800*time.Millisecond, qt.IsTrue)
+	})
+}
+
 // loseStore cuts the host off from the store and waits until it has regained it.
 func (f *fixture) loseStore(cut time.Duration) {
 	f.client.SetPartitioned(true)
--- a/internal/knowledge/upstreams.go
+++ b/internal/knowledge/upstreams.go
@@ -161,7 +161,7 @@
 	if snapshot.Versions.Upstreams <= s.upstreamsVersion {
 		return
 	}
-	before := s.upstreams
+	before, ownPending := s.upstreams, s.pendingRemovals
 	s.upstreams, s.pendingRemovals = newUpstreamTable(), map[string]time.Time{}
 	for id, raw := range snapshot.Upstreams {
 		if remaining, pending := snapshot.PendingRemovals[id]; pending {
@@ -171,6 +171,7 @@
 		s.upstreams.put(id, s.decodeUpstream(id, raw, before))
 	}
 	s.keepUnknownExpiries(before, snapshot.UnknownExpiries)
+	s.keepEarlierRemovals(ownPending)
 	s.upstreamsVersion = snapshot.Versions.Upstreams
 	s.upstreamsKnown = true
 	changed := before.differing(s.upstreams)
@@ -193,6 +194,16 @@
 	}
 }
 
+// keepEarlierRemovals keeps the times of this host's deferred removals that are earlier than
+// those of the adopted list. The caller holds mu.
+func (s *Syncer) keepEarlierRemovals(own map[string]time.Time) {
+	for id, at := range own {
+		if adopted, pending := s.pendingRemovals[id]; pending {
+			s.setPendingRemoval(id, earlier(at, adopted))
+		}
+	}
+}
+
 // unknownExpiries returns for how long entries may be missing from this host's list that
 // expired in an outage before it started. The caller holds mu.
 func (s *Syncer) unknownExpiries(now time.Time) time.Duration {
