knowledge: obey removals that a second list shows within 1.7 s

Cause: the host had adopted a peer's list after its return and listed the upstreams again at the next event, which that list replaces. Entries that the second list lacked were kept for 2.2 s from the latest return, as if they could have lapsed in the outage.

Ruled out: that the list that ends an outage is treated alike. Entries that it lacks may have lapsed; their live upstreams have two seconds.

Change: a list that follows no failed list or watch of upstreams counts like an event.

--- a/internal/knowledge/removal_test.go
+++ b/internal/knowledge/removal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -349,6 +350,61 @@
 	})
 }
 
+// configlessStore fails lists of configurations while it is set to.
+type configlessStore struct {
+	*memstore.Client
+	failing atomic.Bool
+}
+
+func (s *configlessStore) List(ctx context.Context, kind objstore.Kind, prefix string) ([]objstore.Object, int64, error) {
+	if kind == kindConfig && s.failing.Load() {
+		return nil, 0, objstore.ErrUnavailable
+	}
+	return s.Client.List(ctx, kind, prefix)
+}
+
+// TestRemovalFoundByARelistIsDeferredTooLong guards against a host that regains the store,
+// adopts a peer's list and lists the upstreams again: it kept one that the second list
+// lacked for 2.2 s from its return.
+func TestRemovalFoundByARelistIsDeferredTooLong(t *testing.T) {
+	store := &configlessStore{}
+	wrap := func(client *memstore.Client) objstore.Store {
+		store.Client = client
+		return store
+	}
+	runSyncerOn(t, wrap, func(c *qt.C, f *fixture) {
+		v1, v2 := f.writeUpstream(c, "u1"), f.writeUpstream(c, "u2")
+		f.writeConfig(c, 1, 0)
+		time.Sleep(time.Second)
+		f.client.SetPartitioned(true)
+		store.failing.Store(true)
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", v1), qt.IsNil)
+		f.writeUpstream(c, "u3")
+		time.Sleep(3 * time.Second)
+		f.client.SetPartitioned(false)
+		for f.listed() < 3 { // the removal of u1 is deferred
+			time.Sleep(5 * time.Millisecond)
+		}
+		f.peers.set(mesh.Snapshot{Versions: mesh.Versions{Upstreams: 1000}, Upstreams: map[string][]byte{
+			"u2": []byte(`{"Service":"lm","Address":"u2","Slots":8}`), "u3": []byte(`{"Service":"lm","Address":"u3","Slots":8}`),
+		}})
+		f.core.MergeState(mesh.State{Host: "h2", Incarnation: "i2", Address: "h2:1", UpstreamsVersion: 1000})
+		for f.listed() == 3 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		store.failing.Store(false)
+		for !f.core.State().StoreReachable {
+			time.Sleep(5 * time.Millisecond)
+		}
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u2", v2), qt.IsNil)
+		deleted := time.Now()
+		for f.core.UpstreamAddresses()["u2"] {
+			time.Sleep(5 * time.Millisecond)
+		}
+		c.Assert(time.Since(deleted), qt.Satisfies, func(d time.Duration) bool { return d <= 1800*time.Millisecond })
+	})
+}
+
 // loseStore cuts the host off from the store and waits until it has regained it.
 func (f *fixture) loseStore(cut time.Duration) {
 	f.client.SetPartitioned(true)
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -98,6 +98,9 @@
 	// of the store was begun. That list and the events after it may be older.
 	upstreamsAdopted bool
 	hostsAdopted     bool
+
+	upstreamsListBegan      time.Time // the latest one
+	upstreamsListEndsOutage bool      // the latest one follows a failed list or watch of upstreams
 }
 
 // NewSyncer returns a syncer that watches store, or shortPollStore while this
@@ -193,6 +196,7 @@
 		s.hostsAdopted = false
 	case s.decoder.UpstreamKind():
 		s.upstreamsAdopted = false
+		s.upstreamsListBegan, s.upstreamsListEndsOutage = time.Now(), s.failedWatches[kind]
 	}
 }
 
--- a/internal/knowledge/syncer_test.go
+++ b/internal/knowledge/syncer_test.go
@@ -93,13 +93,19 @@
 
 // runSyncer runs a host's syncer in virtual time.
 func runSyncer(t *testing.T, run func(c *qt.C, f *fixture)) {
+	runSyncerOn(t, func(client *memstore.Client) objstore.Store { return client }, run)
+}
+
+// runSyncerOn is runSyncer with a store that may wrap the client.
+func runSyncerOn(t *testing.T, wrap func(*memstore.Client) objstore.Store, run func(c *qt.C, f *fixture)) {
 	bubbletest.Run(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		self := entry.Identity{Name: "h1", Incarnation: "i1", DataCentre: "dc", PeerAddress: "h1:1"}
 		f := &fixture{store: memstore.New(), core: entry.NewCore(self, log), peers: &fakePeers{}}
 		f.writer, f.client = f.store.Client(latency), f.store.Client(latency)
-		f.syncer = knowledge.NewSyncer(self, f.client, f.client, decoder{}, f.core, []string{"seed:1"}, log)
+		store := wrap(f.client)
+		f.syncer = knowledge.NewSyncer(self, store, store, decoder{}, f.core, []string{"seed:1"}, log)
 		f.syncer.SetPeerClient(f.peers)
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
--- a/internal/knowledge/upstreams.go
+++ b/internal/knowledge/upstreams.go
@@ -25,8 +25,12 @@
 		s.upstreams.put(o.Name, s.decodeUpstream(o.Name, o.Value, before))
 		delete(s.pendingRemovals, o.Name)
 	}
+	until := s.graceEnd()
+	if !s.upstreamsListEndsOutage {
+		until = earlier(until, s.upstreamsListBegan.Add(maxRemovalDelay))
+	}
 	for id, e := range before.entries {
-		if _, listed := s.upstreams.entries[id]; !listed && s.deferRemoval(id, s.graceEnd()) {
+		if _, listed := s.upstreams.entries[id]; !listed && s.deferRemoval(id, until) {
 			s.upstreams.put(id, e)
 		}
 	}
