--- a/internal/knowledge/removal_test.go
+++ b/internal/knowledge/removal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -232,3 +233,193 @@
 		c.Assert(a.lists("u1"), qt.IsFalse)
 	})
 }
+
+// TestRemovalAfterOwnCutIsDeferredTooLong guards against a host that is back from a cut of
+// its own and takes each removal for an expiry in an outage of the store: it kept upstreams
+// that were removed after its return for up to 2.45 s. They serve for two seconds.
+func TestRemovalAfterOwnCutIsDeferredTooLong(t *testing.T) {
+	for _, sinceReturn := range []time.Duration{0, 40, 130, 400, 1000, 2150} {
+		t.Run((sinceReturn * time.Millisecond).String(), func(t *testing.T) {
+			runSyncer(t, func(c *qt.C, f *fixture) {
+				version := f.writeUpstream(c, "u1")
+				f.writeConfig(c, 1, 0)
+				time.Sleep(time.Second)
+				f.loseStore(3 * time.Second)
+				time.Sleep(sinceReturn * time.Millisecond)
+				c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+				c.Assert(f.listedFor() <= 1800*time.Millisecond, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestDeferredRemovalWaitsForATick guards against deferred removals that took effect up to
+// 250 ms after they were due.
+func TestDeferredRemovalWaitsForATick(t *testing.T) {
+	for _, cut := range []time.Duration{3000, 3070, 3140, 3210} {
+		t.Run((cut * time.Millisecond).String(), func(t *testing.T) {
+			runSyncer(t, func(c *qt.C, f *fixture) {
+				version := f.writeUpstream(c, "u1")
+				f.writeConfig(c, 1, 0)
+				time.Sleep(time.Second)
+				f.client.SetPartitioned(true)
+				c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+				f.writeUpstream(c, "u2")
+				time.Sleep(cut * time.Millisecond)
+				f.client.SetPartitioned(false)
+				for f.listed() == 1 {
+					time.Sleep(time.Millisecond)
+				}
+				c.Assert(f.core.UpstreamAddresses(), qt.DeepEquals, map[string]bool{"u1": true, "u2": true})
+				start := time.Now()
+				for f.listed() == 2 {
+					time.Sleep(time.Millisecond)
+				}
+				c.Assert(time.Since(start), qt.Satisfies, func(d time.Duration) bool { return d > 2*time.Second && d <= 2205*time.Millisecond })
+			})
+		})
+	}
+}
+
+// TestEntryThatExpiresAfterAnOutageStays checks that an upstream whose entry expires soon
+// after an outage of the store stays listed until it has renewed the entry.
+func TestEntryThatExpiresAfterAnOutageStays(t *testing.T) {
+	runSyncer(t, func(c *qt.C, f *fixture) {
+		version := f.writeUpstream(c, "u1")
+		f.writeConfig(c, 1, 0)
+		time.Sleep(time.Second)
+		f.loseStore(3 * time.Second)
+		time.Sleep(300 * time.Millisecond)
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+		for range 33 {
+			time.Sleep(50 * time.Millisecond)
+			c.Assert(f.listed(), qt.Equals, 1)
+		}
+		f.writeUpstream(c, "u1")
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			c.Assert(f.listed(), qt.Equals, 1)
+		}
+	})
+}
+
+// TestPeerProlongsADeferredRemoval guards against a host that adopts the list of a peer that
+// regained the store later, and with it the peer's later time for a removal that the host
+// had deferred itself.
+func TestPeerProlongsADeferredRemoval(t *testing.T) {
+	runSyncer(t, func(c *qt.C, f *fixture) {
+		version := f.writeUpstream(c, "u1")
+		f.writeConfig(c, 1, 0)
+		time.Sleep(time.Second)
+		f.loseStore(3 * time.Second)
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+		deleted := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		f.peers.set(mesh.Snapshot{
+			Versions:        mesh.Versions{Upstreams: 1000},
+			Upstreams:       map[string][]byte{"u1": []byte(`{"Service":"lm","Address":"u1","Slots":8}`)},
+			PendingRemovals: map[string]time.Duration{"u1": 2 * time.Second},
+		})
+		f.core.MergeState(mesh.State{Host: "h2", Incarnation: "i2", Address: "h2:1", UpstreamsVersion: 1000})
+		f.listedFor()
+		c.Assert(f.core.State().UpstreamsVersion, qt.Equals, int64(1000)) // the list was adopted
+		c.Assert(time.Since(deleted) <= 1800*time.Millisecond, qt.IsTrue)
+	})
+}
+
+// TestNewHostProlongsADeferredRemoval is the same with a list that lacks the entry, of a
+// peer that has just started.
+func TestNewHostProlongsADeferredRemoval(t *testing.T) {
+	runSyncer(t, func(c *qt.C, f *fixture) {
+		version := f.writeUpstream(c, "u1")
+		f.writeConfig(c, 1, 0)
+		time.Sleep(time.Second)
+		f.loseStore(3 * time.Second)
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+		deleted := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		f.client.SetPartitioned(true)
+		time.Sleep(500 * time.Millisecond)
+		f.peers.set(mesh.Snapshot{Versions: mesh.Versions{Upstreams: 1000}, Upstreams: map[string][]byte{}, UnknownExpiries: 2 * time.Second})
+		f.core.MergeState(mesh.State{Host: "h2", Incarnation: "i2", Address: "h2:1", UpstreamsVersion: 1000})
+		f.listedFor()
+		c.Assert(f.core.State().UpstreamsVersion, qt.Equals, int64(1000)) // the list was adopted
+		c.Assert(time.Since(deleted) <= 1800*time.Millisecond, qt.IsTrue)
+	})
+}
+
+// configlessStore fails lists of configurations while it is set to.
+type configlessStore struct {
+	*memstore.Client
+	failing atomic.Bool
+}
+
+func (s *configlessStore) List(ctx context.Context, kind objstore.Kind, prefix string) ([]objstore.Object, int64, error) {
+	if kind == kindConfig && s.failing.Load() {
+		return nil, 0, objstore.ErrUnavailable
+	}
+	return s.Client.List(ctx, kind, prefix)
+}
+
+// TestRemovalFoundByARelistIsDeferredTooLong guards against a host that regains the store,
+// adopts a peer's list and lists the upstreams again: it kept one that the second list
+// lacked for 2.2 s from its return.
+func TestRemovalFoundByARelistIsDeferredTooLong(t *testing.T) {
+	store := &configlessStore{}
+	wrap := func(client *memstore.Client) objstore.Store {
+		store.Client = client
+		return store
+	}
+	runSyncerOn(t, wrap, func(c *qt.C, f *fixture) {
+		v1, v2 := f.writeUpstream(c, "u1"), f.writeUpstream(c, "u2")
+		f.writeConfig(c, 1, 0)
+		time.Sleep(time.Second)
+		f.client.SetPartitioned(true)
+		store.failing.Store(true)
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", v1), qt.IsNil)
+		f.writeUpstream(c, "u3")
+		time.Sleep(3 * time.Second)
+		f.client.SetPartitioned(false)
+		for f.listed() < 3 { // the removal of u1 is deferred
+			time.Sleep(5 * time.Millisecond)
+		}
+		f.peers.set(mesh.Snapshot{Versions: mesh.Versions{Upstreams: 1000}, Upstreams: map[string][]byte{
+			"u2": []byte(`{"Service":"lm","Address":"u2","Slots":8}`), "u3": []byte(`{"Service":"lm","Address":"u3","Slots":8}`),
+		}})
+		f.core.MergeState(mesh.State{Host: "h2", Incarnation: "i2", Address: "h2:1", UpstreamsVersion: 1000})
+		for f.listed() == 3 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		store.failing.Store(false)
+		for !f.core.State().StoreReachable {
+			time.Sleep(5 * time.Millisecond)
+		}
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u2", v2), qt.IsNil)
+		deleted := time.Now()
+		for f.core.UpstreamAddresses()["u2"] {
+			time.Sleep(5 * time.Millisecond)
+		}
+		c.Assert(time.Since(deleted), qt.Satisfies, func(d time.Duration) bool { return d <= 1800*time.Millisecond })
+	})
+}
+
+// loseStore cuts the host off from the store and waits until it has regained it.
+func (f *fixture) loseStore(cut time.Duration) {
+	f.client.SetPartitioned(true)
+	time.Sleep(cut)
+	f.client.SetPartitioned(false)
+	for !f.core.State().StoreReachable {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// listedFor waits until no upstream is listed, and returns how long that took.
+func (f *fixture) listedFor() time.Duration {
+	start := time.Now()
+	for f.listed() > 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
