knowledge: obey removals just before a host's return within 1.7 s

A removal was acknowledged at 10.005 s, the host regained the store at 10.198 s and used the upstream until 12.398 s. It had had its list from peers since 9.25 s, and they had nothing newer at 10.003 s.

Cause: what the list that ends an outage lacks was kept for 2.2 s whatever the host knew of the time in between.

Ruled out: that such a removal is obeyed at once. A peer in a long poll doesn't notice an outage, and its word that it reaches the store is no proof.

Change: at each check of peers a host records when one that reaches the store, and none with a newer list, confirmed its list; adopting the list of such a peer counts as well. What the store lacks half a second later, at most, stays for 1.7 s from then.

Before: TestRemovalDuringAHostsReturnIsDeferredTooLong failed in 5 of 5 cases, three times. TestOutageOfAllHostsKeepsExpiredUpstreams passed before and after; it guards the grace period with peers.

Left: without a peer's confirmation, the 2.2 s remain (docs/design/platform.md).

--- a/internal/knowledge/hosts.go
+++ b/internal/knowledge/hosts.go
@@ -162,6 +162,7 @@
 		return p.ConfigVersion > known.Config || p.UpstreamsVersion > known.Upstreams || p.HostsVersion > known.Hosts
 	}
 	peers := s.core.Peers()
+	s.confirmUpstreams(peers)
 	watchWorks := len(s.failedWatches) == 0 && s.core.IsWatchingStore()
 	if !s.countBehind(peers, newer) || watchWorks && s.behindChecks < minBehindChecks {
 		s.mu.Unlock()
@@ -172,6 +173,21 @@
 	s.fetchFromFirst(ctx, peers, known)
 }
 
+// confirmUpstreams records that a peer reaches the store and none has a newer list of
+// upstreams than this host. The caller holds mu.
+func (s *Syncer) confirmUpstreams(peers map[string]mesh.State) {
+	storeReached := false
+	for _, p := range peers {
+		if p.UpstreamsVersion > s.upstreamsVersion {
+			return
+		}
+		storeReached = storeReached || p.StoreReachable
+	}
+	if storeReached {
+		s.upstreamsConfirmedAt = time.Now()
+	}
+}
+
 // minBehindChecks is the number of consecutive checks in which a peer must have
 // newer data before a host with a working watch fetches it. The host's own watch
 // mostly delivers the change within one check.
--- a/internal/knowledge/removal_test.go
+++ b/internal/knowledge/removal_test.go
@@ -405,6 +405,109 @@
 	})
 }
 
+// gatedStore holds up lists of upstreams that begin after hold, until release.
+type gatedStore struct {
+	*memstore.Client
+	mu      sync.Mutex
+	gate    chan struct{} // nil: open
+	waiting atomic.Bool
+}
+
+func (s *gatedStore) hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate = make(chan struct{})
+}
+
+func (s *gatedStore) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.gate)
+	s.gate = nil
+}
+
+func (s *gatedStore) wait() {
+	s.mu.Lock()
+	gate := s.gate
+	s.mu.Unlock()
+	if gate != nil {
+		s.waiting.Store(true)
+		<-gate
+	}
+}
+
+func (s *gatedStore) List(ctx context.Context, kind objstore.Kind, prefix string) ([]objstore.Object, int64, error) {
+	if kind == kindUpstreams {
+		s.wait()
+	}
+	return s.Client.List(ctx, kind, prefix)
+}
+
+// TestRemovalDuringAHostsReturnIsDeferredTooLong guards against a host that learns from
+// peers while the store turns it away: it kept an upstream for 2.2 s that was removed
+// moments before the list that ends its outage.
+func TestRemovalDuringAHostsReturnIsDeferredTooLong(t *testing.T) {
+	for _, wait := range []time.Duration{0, 60, 120, 180, 240} {
+		t.Run((wait * time.Millisecond).String(), func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				c := qt.New(t)
+				f, all := newHosts()
+				client := f.store.Client(latency)
+				all.add("a", client, client)
+				gated := &gatedStore{Client: f.store.Client(latency)}
+				b := all.add("b", gated.Client, gated)
+				defer all.start()()
+				f.writeConfig(c, 1, 0)
+				version := f.writeUpstream(c, "u1")
+				time.Sleep(8 * time.Second)
+				gated.SetPartitioned(true)
+				time.Sleep(3 * time.Second)
+				gated.hold()
+				gated.SetPartitioned(false)
+				for !gated.waiting.Load() {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(500*time.Millisecond + wait*time.Millisecond)
+				c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+				deleted := time.Now()
+				gated.release()
+				for b.lists("u1") {
+					time.Sleep(5 * time.Millisecond)
+				}
+				c.Assert(time.Since(deleted), qt.Satisfies, func(d time.Duration) bool { return d <= 1800*time.Millisecond })
+			})
+		})
+	}
+}
+
+// TestOutageOfAllHostsKeepsExpiredUpstreams checks that upstreams whose entries expired in
+// an outage stay listed for the two seconds in which they renew them, also where peers
+// regain the store before.
+func TestOutageOfAllHostsKeepsExpiredUpstreams(t *testing.T) {
+	runHosts(t, []string{"a", "b", "c"}, func(c *qt.C, f *fixture, all *hosts) {
+		f.writeConfig(c, 1, 0)
+		version := f.writeUpstream(c, "u1")
+		time.Sleep(8 * time.Second)
+		for _, h := range all.byName {
+			h.client.SetPartitioned(true)
+		}
+		time.Sleep(5 * time.Second)
+		c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+		for _, h := range all.byName {
+			h.client.SetPartitioned(false)
+		}
+		for n := range 100 {
+			if n == 38 {
+				f.writeUpstream(c, "u1")
+			}
+			time.Sleep(50 * time.Millisecond)
+			for name, h := range all.byName {
+				c.Assert(h.lists("u1"), qt.IsTrue, qt.Commentf("%s, %d", name, n))
+			}
+		}
+	})
+}
+
 // loseStore cuts the host off from the store and waits until it has regained it.
 func (f *fixture) loseStore(cut time.Duration) {
 	f.client.SetPartitioned(true)
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -49,6 +49,7 @@
 	peerInterval          = 250 * time.Millisecond  // between checks for peers with newer data
 	expiryGracePeriod     = 2200 * time.Millisecond // after an outage of the store, live upstreams renew expired entries within two seconds
 	maxRemovalDelay       = 1700 * time.Millisecond // after an event; a removed upstream serves for two seconds from the acknowledgement on
+	maxConfirmationAge    = 2 * peerInterval        // of a list of upstreams by peers
 	pruneAfter            = 20 * time.Second        // without a heartbeat; the host was then removed for good
 	electionCheckInterval = 500 * time.Millisecond  // between checks whether this host has become a store poller
 	roleCheckInterval     = 40 * time.Millisecond   // between checks whether this host should watch the store
@@ -101,6 +102,7 @@
 
 	upstreamsListBegan      time.Time // the latest one
 	upstreamsListEndsOutage bool      // the latest one follows a failed list or watch of upstreams
+	upstreamsConfirmedAt    time.Time // when peers that reach the store last had no newer list
 }
 
 // NewSyncer returns a syncer that watches store, or shortPollStore while this
--- a/internal/knowledge/upstreams.go
+++ b/internal/knowledge/upstreams.go
@@ -25,10 +25,7 @@
 		s.upstreams.put(o.Name, s.decodeUpstream(o.Name, o.Value, before))
 		delete(s.pendingRemovals, o.Name)
 	}
-	until := s.graceEnd()
-	if !s.upstreamsListEndsOutage {
-		until = earlier(until, s.upstreamsListBegan.Add(maxRemovalDelay))
-	}
+	until := s.missingUntil()
 	for id, e := range before.entries {
 		if _, listed := s.upstreams.entries[id]; !listed && s.deferRemoval(id, until) {
 			s.upstreams.put(id, e)
@@ -76,6 +73,20 @@
 // caller holds mu.
 func (s *Syncer) graceEnd() time.Time { return s.storeRegainedAt.Add(expiryGracePeriod) }
 
+// missingUntil returns until when entries stay that the latest list lacks. The caller
+// holds mu.
+func (s *Syncer) missingUntil() time.Time {
+	until := s.graceEnd()
+	switch {
+	case !s.upstreamsListEndsOutage:
+		return earlier(until, s.upstreamsListBegan.Add(maxRemovalDelay))
+	case time.Since(s.upstreamsConfirmedAt) <= maxConfirmationAge:
+		return earlier(until, s.upstreamsConfirmedAt.Add(maxRemovalDelay))
+	default:
+		return until
+	}
+}
+
 // deferRemoval reports whether a removed entry stays, until the given time: upstreams
 // could not renew their entries during an outage of the store, and live ones renew
 // them soon after. The caller holds mu.
@@ -178,6 +189,9 @@
 	s.keepEarlierRemovals(ownPending)
 	s.upstreamsVersion = snapshot.Versions.Upstreams
 	s.upstreamsKnown = true
+	if s.core.Peers()[from].StoreReachable {
+		s.upstreamsConfirmedAt = time.Now()
+	}
 	changed := before.differing(s.upstreams)
 	s.upstreamsAdopted = s.upstreamsAdopted || len(changed) > 0
 	s.updateUpstreams(from, changed...)
