knowledge: a removal that the own watch shows isn't deferred by a peer's list

Callers saw: nothing yet; found by reading. A host that was in touch with the store all along could send requests to an upstream for 2.2 s after its removal was acknowledged.

Cause: a peer that regains the store just after the removal defers it for 2.2 s. If its list reaches a host before the event of that host's own watch, the host adopts the deferral, and the event (or the list that follows the adoption) found the removal pending and left its time alone.

A removal that the host's own watch or list shows now takes effect at the peer's time, but no later than 1.7 s after the host was shown it. In the host's own grace period a list still leaves pending removals alone, since live upstreams need that time to renew their entries.

Ruled out: to remove at once. The watch may have outlasted an outage unnoticed, and then the peer's deferral protects live upstreams.

Open: hosts that don't watch the store have only the lists of peers; the first one of a version counts.

--- a/internal/knowledge/removal_test.go
+++ b/internal/knowledge/removal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -350,6 +351,44 @@
 	})
 }
 
+// TestPeerDefersARemovalThatTheWatchDelivers guards against a host that was never without the
+// store and obeys a removal late, because the list of a peer that regained the store just
+// then, and defers the removal, arrives before the watch's event.
+func TestPeerDefersARemovalThatTheWatchDelivers(t *testing.T) {
+	for name, list := range map[string]map[string][]byte{
+		"the same upstreams": {"u1": upstreamAt("u1")},
+		"another one, too":   {"u1": upstreamAt("u1"), "u2": upstreamAt("u2")}, // so the host lists them again
+	} {
+		t.Run(name, func(t *testing.T) {
+			runSyncer(t, func(c *qt.C, f *fixture) {
+				version := f.writeUpstream(c, "u1")
+				f.writeConfig(c, 1, 0)
+				time.Sleep(10 * time.Second)
+				f.peers.set(mesh.Snapshot{
+					Versions:        mesh.Versions{Upstreams: 1000},
+					Upstreams:       list,
+					PendingRemovals: map[string]time.Duration{"u1": 2200 * time.Millisecond},
+				})
+				f.core.MergeState(mesh.State{Host: "h2", Incarnation: "i2", Address: "h2:1", UpstreamsVersion: 1000})
+				for f.core.State().UpstreamsVersion < 1000 {
+					time.Sleep(time.Millisecond)
+				}
+				c.Assert(f.writer.Delete(context.Background(), kindUpstreams, "u1", version), qt.IsNil)
+				deleted := time.Now()
+				for f.core.UpstreamAddresses()["u1"] {
+					time.Sleep(5 * time.Millisecond)
+				}
+				c.Assert(time.Since(deleted), qt.Satisfies, func(d time.Duration) bool { return d <= 1800*time.Millisecond })
+			})
+		})
+	}
+}
+
+// upstreamAt returns the entry of the upstream at the address.
+func upstreamAt(address string) []byte {
+	return fmt.Appendf(nil, `{"Service":"lm","Address":%q,"Slots":8}`, address)
+}
+
 // configlessStore fails lists of configurations while it is set to.
 type configlessStore struct {
 	*memstore.Client
--- a/internal/knowledge/upstreams.go
+++ b/internal/knowledge/upstreams.go
@@ -25,12 +25,8 @@
 		s.upstreams.put(o.Name, s.decodeUpstream(o.Name, o.Value, before))
 		delete(s.pendingRemovals, o.Name)
 	}
-	until := s.graceEnd()
-	if !s.upstreamsListEndsOutage {
-		until = earlier(until, s.upstreamsListBegan.Add(maxRemovalDelay))
-	}
 	for id, e := range before.entries {
-		if _, listed := s.upstreams.entries[id]; !listed && s.deferRemoval(id, until) {
+		if _, listed := s.upstreams.entries[id]; !listed && s.keepUnlisted(id) {
 			s.upstreams.put(id, e)
 		}
 	}
@@ -52,13 +48,34 @@
 	if e.Type == objstore.EventPut {
 		s.upstreams.put(id, s.decodeUpstream(id, e.Object.Value, s.upstreams))
 		delete(s.pendingRemovals, id)
-	} else if !s.deferRemoval(id, earlier(s.graceEnd(), time.Now().Add(maxRemovalDelay))) {
-		s.upstreams.remove(id)
+	} else {
+		s.applyRemoval(id, time.Now())
 	}
 	s.upstreamsVersion = max(s.upstreamsVersion, e.Object.Version)
 	s.updateUpstreams("store", id)
 }
 
+// keepUnlisted reports whether an entry stays that the store's list lacks. The caller holds mu.
+func (s *Syncer) keepUnlisted(id string) bool {
+	until := s.graceEnd()
+	if !s.upstreamsListEndsOutage {
+		until = earlier(until, s.upstreamsListBegan.Add(maxRemovalDelay))
+	}
+	if !time.Now().Before(s.graceEnd()) {
+		s.hastenRemoval(id, s.upstreamsListBegan)
+	}
+	return s.deferRemoval(id, until)
+}
+
+// applyRemoval removes an entry whose removal a watch delivered, or defers that. The caller
+// holds mu.
+func (s *Syncer) applyRemoval(id string, delivered time.Time) {
+	s.hastenRemoval(id, delivered)
+	if !s.deferRemoval(id, earlier(s.graceEnd(), delivered.Add(maxRemovalDelay))) {
+		s.upstreams.remove(id)
+	}
+}
+
 // decodeUpstream decodes an upstream's entry, unless it stands in the table already.
 func (s *Syncer) decodeUpstream(id string, raw json.RawMessage, known *upstreamTable) upstreamEntry {
 	if e, ok := known.entries[id]; ok && bytes.Equal(e.raw, raw) {
@@ -90,6 +107,15 @@
 	return true
 }
 
+// hastenRemoval lets a deferred removal take effect soon after the store has shown it to this
+// host. A peer whose list was adopted may have deferred it for longer, because it regained
+// the store just then. The caller holds mu.
+func (s *Syncer) hastenRemoval(id string, shown time.Time) {
+	if at, pending := s.pendingRemovals[id]; pending {
+		s.setPendingRemoval(id, earlier(at, shown.Add(maxRemovalDelay)))
+	}
+}
+
 // setPendingRemoval lets the removal of the entry take effect at the given time. The
 // caller holds mu.
 func (s *Syncer) setPendingRemoval(id string, at time.Time) {
