quarantine: copies of a trial don't take the room of the trials before

Callers saw: nothing yet; found by reading. A request that crashes each upstream could be tried again every 2.5 s without end, and each round ended an upstream per copy.

Cause: since failed trials are counted from the crashes in the table, which keeps 16 of a request. If callers send it through several hosts at the moment of each trial, which all of them are told as Retry-After, the crashes of the copies put out the oldest ones. Those had quarantined it, so the trials after them were no longer counted. With a counter, before, a request that never completed was tried twice at any number of copies.

The crash that gives way is now the first, in the same order as before, without which the level and the failed trials stay the same.

Ruled out: the counter (trials before a completed run would count again); more room (puts off the same end).

--- a/internal/quarantine/burst.go
+++ b/internal/quarantine/burst.go
@@ -45,7 +45,7 @@
 // returns false if it may not.
 func (t *Table) NextTrial(f Fingerprint) (time.Time, bool) {
 	delays := t.trialDelaysOf(f)
-	failed := t.countFailedTrials(f, delays)
+	failed := failedTrials(t.requests[f], delays, t.decidesFor(f))
 	if failed >= len(delays) {
 		return time.Time{}, false
 	}
@@ -101,14 +101,13 @@
 	return n
 }
 
-// countFailedTrials counts the trials that have failed since the crashes that quarantined
-// the request. A crash sooner than the next trial is due belongs to the runs before: hosts
-// may try a request at the same moment.
-func (t *Table) countFailedTrials(f Fingerprint, delays []time.Duration) int {
-	decides := t.decidesFor(f)
+// failedTrials counts the trials that have failed since the crashes that quarantined the
+// request. A crash sooner than the next trial is due belongs to the runs before: hosts may
+// try a request at the same moment. The function decides is that of levelWith.
+func failedTrials(crashes map[Instance]*crash, delays []time.Duration, decides func(Instance) bool) int {
 	before := map[Instance]*crash{}
 	failed, last := 0, time.Time{}
-	for _, c := range countingCrashes(t.requests[f]) {
+	for _, c := range countingCrashes(crashes) {
 		if failed == len(delays) {
 			break
 		}
--- a/internal/quarantine/burst_test.go
+++ b/internal/quarantine/burst_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -156,6 +157,53 @@
 	c.Assert(ok, qt.IsFalse)
 }
 
+// TestCopiesTakeTheRoomOfFailedTrials guards against a request that is tried again for good
+// because several hosts run each trial at the same moment, so that the table has no room for
+// the crashes before.
+func TestCopiesTakeTheRoomOfFailedTrials(t *testing.T) {
+	for _, completed := range []bool{false, true} {
+		for _, copies := range []int{1, 4, 5, 7, 8, 13, 16, 40} {
+			t.Run(fmt.Sprintf("%d copies, completed before: %t", copies, completed), func(t *testing.T) {
+				c := qt.New(t)
+				hosts := []*quarantine.Table{quarantine.NewTable(), quarantine.NewTable()}
+				f := quarantine.Fingerprint{1}
+				want, upstream := 2, 0
+				if completed {
+					hosts[0].Complete(f)
+					want = 3
+				}
+				crash := func(copies int, at time.Time) {
+					for n := range copies {
+						observeAt(hosts[n%2], upstream, at.Add(time.Duration(n)*5*time.Millisecond))
+						upstream++
+					}
+					for n, h := range hosts {
+						endsOf(h, at, 10_000+upstream, 20_000+upstream)
+						exchange(h, hosts[1-n])
+					}
+				}
+				crash(3, epoch)
+				for n, h := range hosts {
+					exchange(h, hosts[1-n])
+				}
+				trials := 0
+				for ; trials < 10; trials++ {
+					at, ok := hosts[trials%2].NextTrial(f)
+					if !ok {
+						break
+					}
+					crash(copies, at)
+				}
+				c.Assert(trials, qt.Equals, want)
+				for _, h := range hosts {
+					_, ok := h.NextTrial(f)
+					c.Check(ok, qt.IsFalse)
+				}
+			})
+		}
+	}
+}
+
 // TestRequestThatBeginsToCrashUpstreams checks that a request that has run to its end, and
 // crashes each upstream since, is refused after three trials.
 func TestRequestThatBeginsToCrashUpstreams(t *testing.T) {
--- a/internal/quarantine/level.go
+++ b/internal/quarantine/level.go
@@ -53,9 +53,12 @@
 // levelOf returns the level of a request with these crashes, whatever other requests
 // explain of them.
 func levelOf(crashes map[Instance]*crash) Level {
-	return levelWith(crashes, func(Instance) bool { return true })
+	return levelWith(crashes, always)
 }
 
+// always lets each isolated crash decide.
+func always(Instance) bool { return true }
+
 // levelWith is like levelOf, but only those isolated crashes decide for which decides
 // returns true.
 func levelWith(crashes map[Instance]*crash, decides func(Instance) bool) Level {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -147,31 +148,49 @@
 	return true
 }
 
-// makeRoom removes the oldest crash that doesn't count or, for an isolated one, the
-// oldest that wasn't isolated or else the oldest before it. It reports whether there was
-// one.
+// makeRoom removes the crash of a request that is least needed beside x. It reports whether
+// there was one: one that counts gives way only to an isolated one.
 func makeRoom(crashes map[Instance]*crash, x Crash) bool {
-	var victim *crash
-	for _, c := range crashes {
-		if victim == nil || isBetterVictim(c, victim) {
-			victim = c
-		}
-	}
-	if victim.Counts() && (!x.Isolated || victim.Isolated && !victim.At.Before(x.At)) {
+	all := maps.Clone(crashes)
+	all[x.Upstream] = &crash{Crash: x}
+	victim := leastNeeded(all)
+	if victim.Upstream == x.Upstream || victim.Counts() && !x.Isolated {
 		return false
 	}
 	delete(crashes, victim.Upstream)
 	return true
 }
 
-func isBetterVictim(c, than *crash) bool {
-	if c.Counts() != than.Counts() {
-		return !c.Counts()
+// leastNeeded returns the first crash in the order of compareVictims without which the level
+// and the failed trials stay the same, or else the first one.
+func leastNeeded(crashes map[Instance]*crash) *crash {
+	candidates := slices.SortedFunc(maps.Values(crashes), compareVictims)
+	level, failed := levelOf(crashes), failedTrials(crashes, completedTrialDelays, always)
+	for _, c := range candidates {
+		rest := maps.Clone(crashes)
+		delete(rest, c.Upstream)
+		if levelOf(rest) == level && failedTrials(rest, completedTrialDelays, always) == failed {
+			return c
+		}
 	}
-	if c.Counts() && c.Isolated != than.Isolated {
-		return !c.Isolated
+	return candidates[0]
+}
+
+// compareVictims puts crashes that don't count first, then those that were not isolated, and
+// older ones before later ones.
+func compareVictims(a, b *crash) int {
+	return cmp.Or(compareBool(a.Counts(), b.Counts()), compareBool(a.Isolated, b.Isolated), a.At.Compare(b.At))
+}
+
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
-	return c.At.Before(than.At)
+	return 1
 }
 
 // evict removes the request of the least weight, of these the one with the oldest crash.
