entry: queued requests of a full service cost one search among its upstreams

Operators saw: nothing yet; found by reading. Each of them searched among all upstreams of the fleet, with the core locked, though none of its service was free. The same search was made for each request that joined the queue.

Cause: schedule tried each waiter. If one that may use any upstream finds none, no other request for its service finds one in the same pass.

The tests of queues, waits, returns, cells and leaving upstreams of entry and slots pass with -race.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -263,9 +263,14 @@
 // overcommitted upstreams. The caller must hold mu.
 func (c *Core) schedule() {
 	now := time.Now()
+	full := map[string]bool{} // services none of whose upstreams takes a request
 	for _, w := range c.queue.Sorted(now) {
+		if full[w.Service] {
+			continue
+		}
 		id, ok := c.place(w, now)
 		if !ok {
+			full[w.Service] = w.MayUseAny()
 			continue
 		}
 		c.queue.Remove(w)
--- a/internal/slots/wait.go
+++ b/internal/slots/wait.go
@@ -21,6 +21,9 @@
 	Rejected func() // called when the request can't be served
 }
 
+// MayUseAny reports whether the request may use any upstream of its service.
+func (w *Waiter) MayUseAny() bool { return len(w.Excluded) == 0 && !w.Isolated }
+
 // Queue holds the waiting requests. During a peak that takes all slots for a few
 // hundred milliseconds, requests that can still meet their latency target go first,
 // then retries, then higher priorities, then earlier arrivals.
@@ -59,7 +62,7 @@
 // WaitsForAny reports whether requests wait for the service that may use any upstream.
 func (q *Queue) WaitsForAny(service string) bool {
 	return slices.ContainsFunc(q.waiting, func(w *Waiter) bool {
-		return w.Service == service && len(w.Excluded) == 0 && !w.Isolated
+		return w.Service == service && w.MayUseAny()
 	})
 }
 
