--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -115,7 +115,7 @@
 	isRetry  bool // the caller has spent part of its timeout elsewhere
 
 	excluded    map[string]bool // IDs of upstreams that have failed the request
-	barred      map[string]bool // those of them that aren't known to be alive
+	barred      map[string]bool // those of them that must not get it again, see SlotRequest
 	sends       int             // attempts
 	runs        int             // attempts that may have been run
 	waited      time.Duration   // total time in the slot queue
