quarantine: crashes that count go before withdrawn ones to peers

A host tells peers of up to 64 crashes, those of a higher level first, then the later ones. Withdrawn crashes of a request that is suspected again stand at its level. Since they are sent by every host that withdrew them, a few such requests could keep back a crash that counts, so that hosts which start later don't count it.

Of one level, crashes that count now go first. TestWithdrawnCrashesTakeTheRoomOfThoseThatCount failed before. Left: withdrawals beyond the 64 aren't sent.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -315,8 +315,9 @@
 
 // Shared returns the crashes to send to peers: those that this host has observed or
 // withdrawn, and those of requests from the level Isolated on, so that they outlast the host
-// that observed them. Requests of a higher level and later crashes come first, up to
-// maxShared. It also returns the version of the table, which rises with each change.
+// that observed them. Requests of a higher level come first, then crashes that count, then
+// later ones, up to maxShared. It also returns the version of the table, which rises with
+// each change.
 func (t *Table) Shared() ([]Crash, int64) {
 	if t.sharedAt != t.version {
 		t.shared, t.sharedAt = t.selectShared(), t.version
@@ -339,7 +340,7 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.level, a.level), b.At.Compare(a.At))
+		return cmp.Or(cmp.Compare(b.level, a.level), compareBool(b.Counts(), a.Counts()), b.At.Compare(a.At))
 	})
 	shared := make([]Crash, 0, min(len(all), maxShared))
 	for _, x := range all[:min(len(all), maxShared)] {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -315,3 +315,26 @@
 	exchange(peer, observer)
 	c.Assert(observer.Level(quarantine.Fingerprint{1}, epoch), qt.Equals, quarantine.Clear)
 }
+
+// TestWithdrawnCrashesTakeTheRoomOfThoseThatCount guards against a crash that peers aren't
+// told of because many others were withdrawn later.
+func TestWithdrawnCrashesTakeTheRoomOfThoseThatCount(t *testing.T) {
+	c := qt.New(t)
+	table := quarantine.NewTable()
+	observe(table, 1, 0) // the one that counts
+	later := epoch.Add(time.Minute)
+	for request := byte(2); request < 7; request++ {
+		for n := range 15 {
+			x := crashOf(request, n)
+			table.Observe(runOf(x), later)
+		}
+		table.Complete(quarantine.Fingerprint{request})
+		table.Observe(runOf(crashOf(request, 99)), later)
+	}
+	shared, _ := table.Shared()
+	found := false
+	for _, x := range shared {
+		found = found || x.Fingerprint == quarantine.Fingerprint{1}
+	}
+	c.Assert(found, qt.IsTrue)
+}
