A load report that was cut read as an idle upstream

A report of an upstream of the own API without one of its two counts was taken as zero running or waiting requests: empty, cut between two lines, or another server's. So were counts that the report declares as gauges. NaN and infinities became the lowest integer. Reports that failed left no log line.

Cause: parseLoad read each metric as untyped and gave zero for a missing one; the observer dropped the error. A report with either count missing, or with a value that is no number of requests, is now an error.

Ruled out: reports cut within a line or before their length (the parser and the transport return an error). The policy in use ignores reports of zero below the hosts' own requests, so that requests were sent to no upstream beyond its slots; load that others put there was not seen.

--- a/internal/dispatch/observer.go
+++ b/internal/dispatch/observer.go
@@ -32,6 +32,8 @@
 	members membership.View
 	log     logrus.FieldLogger
 	probes  chan upstream.ID
+
+	failedReports map[upstream.ID]error // of the last poll; used by readReports alone
 }
 
 // NewObserver returns an Observer that Run starts.
@@ -133,12 +135,34 @@
 }
 
 func (o *Observer) readReports(ctx context.Context) {
+	var mu sync.Mutex
+	failed := map[upstream.ID]error{}
 	o.forEachUpstream(o.polledUpstreams(), func(s Status) {
+		id := upstream.ID{Service: s.Service, Name: s.Name}
 		requestedAt := time.Now()
-		if load, err := o.engine.Load(ctx, s.Address); err == nil {
-			o.pool.RecordReport(upstream.ID{Service: s.Service, Name: s.Name}, load, requestedAt)
+		load, err := o.engine.Load(ctx, s.Address)
+		if err == nil {
+			o.pool.RecordReport(id, load, requestedAt)
+			return
 		}
+		mu.Lock()
+		defer mu.Unlock()
+		failed[id] = err
 	})
+	if ctx.Err() == nil {
+		o.logFailedReports(failed)
+	}
+}
+
+// logFailedReports logs the upstreams without a usable load report, each once until it has
+// one again.
+func (o *Observer) logFailedReports(failed map[upstream.ID]error) {
+	for id, err := range failed {
+		if o.failedReports[id] == nil {
+			o.log.WithError(err).WithFields(logrus.Fields{"event": "load_report_failed", "upstream": id.String()}).Warn("the upstream has no usable load report; its load is taken from the hosts' own requests")
+		}
+	}
+	o.failedReports = failed
 }
 
 func (o *Observer) checkHealth(ctx context.Context) {
--- a/internal/upstream/httpengine/httpengine.go
+++ b/internal/upstream/httpengine/httpengine.go
@@ -11,12 +11,14 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"time"
 
 	"github.com/go-faster/errors"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
@@ -156,14 +158,36 @@
 	if err != nil {
 		return upstream.Load{}, errors.Wrap(err, "parse load report")
 	}
-	value := func(name string) int {
-		family := families[name]
-		if family == nil || len(family.Metric) == 0 {
-			return 0
-		}
-		return int(family.Metric[0].GetUntyped().GetValue())
+	running, err := countOf(families, "engine_requests_running")
+	if err != nil {
+		return upstream.Load{}, err
+	}
+	waiting, err := countOf(families, "engine_requests_waiting")
+	if err != nil {
+		return upstream.Load{}, err
 	}
-	return upstream.Load{Running: value("engine_requests_running"), Waiting: value("engine_requests_waiting")}, nil
+	return upstream.Load{Running: running, Waiting: waiting}, nil
+}
+
+// countOf returns the number of requests that a load report gives under the name.
+func countOf(families map[string]*dto.MetricFamily, name string) (int, error) {
+	metrics := families[name].GetMetric()
+	if len(metrics) == 0 {
+		return 0, errors.Errorf("the load report lacks %s", name)
+	}
+	var value float64
+	switch metric := metrics[0]; {
+	case metric.Untyped != nil:
+		value = metric.Untyped.GetValue()
+	case metric.Gauge != nil:
+		value = metric.Gauge.GetValue()
+	default:
+		return 0, errors.Errorf("%s of the load report is not a gauge", name)
+	}
+	if !(value >= 0 && value <= math.MaxInt32) { // also excludes NaN
+		return 0, errors.Errorf("%s of the load report is %v, not a number of requests", name, value)
+	}
+	return int(value), nil
 }
 
 // CheckHealth implements upstream.Engine. It uses a new connection, because the
--- a/internal/upstream/httpengine/report_test.go
+++ b/internal/upstream/httpengine/report_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/masticscale/masticscale/internal/upstream"
 )
 
 // endlessReader repeats a text without end and counts the bytes read.
@@ -61,3 +63,37 @@
 	c.Assert(resp.Body.Close(), qt.IsNil)
 	c.Assert(sent.Err(), qt.Equals, context.Canceled)
 }
+
+// TestIncompleteReportReadsAsIdle guards against an upstream without a usable report that
+// seems to have no load.
+func TestIncompleteReportReadsAsIdle(t *testing.T) {
+	const running, waiting = "engine_requests_running 7\n", "engine_requests_waiting 2\n"
+	for name, report := range map[string]string{
+		"empty":               "",
+		"of another server":   "process_open_fds 9\n",
+		"cut before waiting":  running,
+		"running is missing":  waiting,
+		"cut in a number":     running + "engine_requests_waiting 2",
+		"cut after a comment": running + "# TYPE engine_requests_waiting gauge\n",
+		"not a number":        running + "engine_requests_waiting NaN\n",
+		"negative":            running + "engine_requests_waiting -1\n",
+		"infinite":            running + "engine_requests_waiting +Inf\n",
+		"of another type":     running + "# TYPE engine_requests_waiting counter\n" + waiting,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			load, err := parseLoad(strings.NewReader(report))
+			c.Assert(err, qt.IsNotNil, qt.Commentf("read as %+v", load))
+		})
+	}
+}
+
+// TestReportOfGaugesReadsAsIdle guards against values that are lost because the report
+// declares their type.
+func TestReportOfGaugesReadsAsIdle(t *testing.T) {
+	c := qt.New(t)
+	load, err := parseLoad(strings.NewReader("# TYPE engine_requests_running gauge\nengine_requests_running 7\n" +
+		"# TYPE engine_requests_waiting gauge\nengine_requests_waiting 2\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(load, qt.Equals, upstream.Load{Running: 7, Waiting: 2})
+}
