The load client counted streams with missing events as answered

A stream of which an event was missing, came twice or out of order counted as answered if its terminal event came, also when others followed it or its blank line was missing. So scenarios, the demo and measurements couldn't show such a fault of a host.

Cause: the client read lines and looked for the terminal one; the emulated engine's events had no ids. The client now reads events (eventstream.Reader), checks them with eventstream.Sequence up to the end of the response, and counts misordered answers as an outcome of their own, in reports, comparisons and the demo's check of visible ends. The emulated engine numbers its events, the terminal one too, so that the loss of any is seen. The scenario command "answered" checks the order of the words and of the events, where it looked for each word anywhere.

Streams of engines without ids can't be checked and count as before.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -94,13 +94,13 @@
 }
 
 func printLoadResult(c *cobra.Command, r *load.Result) error {
-	t := table{header: []string{"TEAM", "OFFERED", "ANSWERED", "REFUSED", "FAILED", "TRUNCATED", "CUT", "FIRST P50", "FIRST P99", "GAP P95", "TOTAL P99"}}
+	t := table{header: []string{"TEAM", "OFFERED", "ANSWERED", "REFUSED", "FAILED", "TRUNCATED", "MISORDERED", "CUT", "FIRST P50", "FIRST P99", "GAP P95", "TOTAL P99"}}
 	for _, row := range append(append([]load.TeamResult{}, r.Teams...), r.All) {
 		t.addRow(row.Name, row.Offered, row.Outcomes[load.Answered], row.Outcomes[load.Refused], row.Outcomes[load.Failed],
-			row.Outcomes[load.Truncated], row.Outcomes[load.Cut], formatMillis(row.First.P50), formatMillis(row.First.P99), formatMillis(row.Gap.P95), formatMillis(row.Total.P99))
+			row.Outcomes[load.Truncated], row.Outcomes[load.Misordered], row.Outcomes[load.Cut], formatMillis(row.First.P50), formatMillis(row.First.P99), formatMillis(row.Gap.P95), formatMillis(row.Total.P99))
 	}
 	if b := r.Batch; b != nil {
-		t.addRow("(batch)", b.Items, b.Completed, "", b.Failed, "", "", "", "", "", fmt.Sprintf("%.1f s", b.Seconds))
+		t.addRow("(batch)", b.Items, b.Completed, "", b.Failed, "", "", "", "", "", "", fmt.Sprintf("%.1f s", b.Seconds))
 	}
 	return printResult(c, r, t)
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -91,9 +91,9 @@
 	all := r.All
 	checks := []Check{{
 		Promise: "every request ends one way, visibly",
-		Seen: fmt.Sprintf("%d sent: %d answered, %d refused as not run, %d failed visibly, %d cut without an answer", all.Offered,
-			all.Outcomes[load.Answered], all.Outcomes[load.Refused], all.Outcomes[load.Failed]+all.Outcomes[load.Truncated], all.Outcomes[load.Cut]),
-		Held: all.Outcomes[load.Cut] == 0,
+		Seen: fmt.Sprintf("%d sent: %d answered, %d refused as not run, %d failed visibly, %d cut without an answer, %d out of order", all.Offered,
+			all.Outcomes[load.Answered], all.Outcomes[load.Refused], all.Outcomes[load.Failed]+all.Outcomes[load.Truncated], all.Outcomes[load.Cut], all.Outcomes[load.Misordered]),
+		Held: all.Outcomes[load.Cut]+all.Outcomes[load.Misordered] == 0,
 	}, {
 		Promise: "online first, over batch",
 		Seen:    fmt.Sprintf("first event p50 %.1f ms, p99 %.1f ms; %d batch items done meanwhile", all.First.P50, all.First.P99, r.Batch.During),
--- a/internal/emulator/engine/wire.go
+++ b/internal/emulator/engine/wire.go
@@ -63,6 +63,7 @@
 	promptTokens     int
 	completionTokens int
 	text             strings.Builder
+	events           int // sent; each has its number as its id, so that clients can check the order
 }
 
 func newCompletionWriter(w http.ResponseWriter, req request, name string, promptTokens int) *completionWriter {
@@ -105,7 +106,12 @@
 
 func (o *completionWriter) writeEvent(c completion) {
 	data, _ := json.Marshal(c)
-	_, _ = fmt.Fprintf(o.w, "data: %s\n\n", data)
+	o.writeData(data)
+}
+
+func (o *completionWriter) writeData(data []byte) {
+	o.events++
+	_, _ = fmt.Fprintf(o.w, "id: %d\ndata: %s\n\n", o.events, data)
 	_ = o.flush()
 }
 
@@ -118,8 +124,7 @@
 			c.Delta = &outputMessage{}
 		}
 		o.writeEvent(o.newCompletion(c, u, ".chunk"))
-		_, _ = fmt.Fprint(o.w, "data: [DONE]\n\n")
-		_ = o.flush()
+		o.writeData([]byte("[DONE]"))
 		return
 	}
 	c := choice{Text: o.text.String(), FinishReason: &stop}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -10,6 +9,10 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/masticscale/masticscale/internal/eventstream"
 )
 
 const (
@@ -22,12 +25,13 @@
 
 // Outcomes of a request.
 const (
-	Answered  Outcome = "answered"  // a complete response
-	Refused   Outcome = "refused"   // an error response that says that the request was not run
-	Failed    Outcome = "failed"    // an error response that leaves open whether the request was run
-	Truncated Outcome = "truncated" // an incomplete response that the caller can recognize as such
-	Cut       Outcome = "cut"       // the connection failed, or a stream ended without a terminal event
-	Dropped   Outcome = "dropped"   // not sent, because too many requests were in flight
+	Answered   Outcome = "answered"   // a complete response
+	Refused    Outcome = "refused"    // an error response that says that the request was not run
+	Failed     Outcome = "failed"     // an error response that leaves open whether the request was run
+	Truncated  Outcome = "truncated"  // an incomplete response that the caller can recognize as such
+	Misordered Outcome = "misordered" // a stream in which an event is missing, repeated, out of order, or after the end
+	Cut        Outcome = "cut"        // the connection failed, or a stream ended without a terminal event
+	Dropped    Outcome = "dropped"    // not sent, because too many requests were in flight
 )
 
 // sample holds the measurements of one request.
@@ -157,29 +161,63 @@
 	s.outcome = Answered
 }
 
-// readStream reads events up to the terminal one. An error event makes the
-// outcome Truncated. The outcome stays Cut if the stream ends without either.
+// readStream reads the events of a stream to its end. The outcome stays Cut if the stream
+// ends without its terminal event and without an error event.
 func readStream(body io.Reader, planned time.Time, s *sample) {
-	lines := bufio.NewScanner(body)
+	events := eventstream.NewReader(body)
+	order := eventstream.NewResumableSequence("")
 	previous := planned
-	for lines.Scan() {
-		line := lines.Text()
-		switch {
-		case line == "data: [DONE]":
-			s.outcome = Answered
-			return
-		case strings.HasPrefix(line, "event: error"):
-			s.outcome = Truncated
+	for {
+		read, err := events.Next()
+		if err != nil {
 			return
-		case strings.HasPrefix(line, "data: "):
-			now := time.Now()
-			if s.events == 0 {
-				s.first = now.Sub(planned)
-			} else {
-				s.gaps = append(s.gaps, now.Sub(previous))
+		}
+		for _, e := range read {
+			if isErrorEvent(e) {
+				s.outcome = Truncated
+				return
 			}
-			previous = now
-			s.events++
+			if err := checkOrder(&order, e, s.outcome); err != nil {
+				s.outcome, s.kind = Misordered, "event order"
+				return
+			}
+			switch {
+			case e.Data == nil: // a comment
+			case string(e.Data) == "[DONE]":
+				s.outcome = Answered
+			default:
+				previous = s.recordEvent(planned, previous)
+			}
+		}
+	}
+}
+
+// checkOrder returns an error if the event doesn't follow the ones before. Nothing follows
+// the terminal event.
+func checkOrder(order *eventstream.Sequence, e eventstream.Event, outcome Outcome) error {
+	if outcome == Answered && e.Data != nil {
+		return errors.New("an event follows the terminal one")
+	}
+	return order.Add(e)
+}
+
+func isErrorEvent(e eventstream.Event) bool {
+	for line := range bytes.Lines(e.Raw) {
+		if bytes.HasPrefix(line, []byte("event: error")) {
+			return true
 		}
 	}
+	return false
+}
+
+// recordEvent records an event that arrives now, and returns the time.
+func (s *sample) recordEvent(planned, previous time.Time) time.Time {
+	now := time.Now()
+	if s.events == 0 {
+		s.first = now.Sub(planned)
+	} else {
+		s.gaps = append(s.gaps, now.Sub(previous))
+	}
+	s.events++
+	return now
 }
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -21,6 +21,7 @@
 		{"refused", func(r *Result) float64 { return float64(r.Ended(Refused)) }},
 		{"failed", func(r *Result) float64 { return float64(r.Ended(Failed)) }},
 		{"truncated", func(r *Result) float64 { return float64(r.Ended(Truncated)) }},
+		{"misordered", func(r *Result) float64 { return float64(r.Ended(Misordered)) }},
 		{"cut", func(r *Result) float64 { return float64(r.Ended(Cut)) }},
 		{"first event p50 ms", func(r *Result) float64 { return r.All.First.P50 }},
 		{"first event p99 ms", func(r *Result) float64 { return r.All.First.P99 }},
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -94,3 +96,54 @@
 		server.Close()
 	}
 }
+
+// TestMisorderedStreamIsServed guards against answers whose events are not all there, each
+// once and in order, and that count as answered.
+func TestMisorderedStreamIsServed(t *testing.T) {
+	event := func(id int, data string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data) }
+	for name, tc := range map[string]struct {
+		stream string
+		want   string
+	}{
+		"in order":               {event(1, "a") + event(2, "b") + event(3, "[DONE]"), "answered"},
+		"without ids":            {"data: a\n\ndata: b\n\ndata: [DONE]\n\n", "answered"},
+		"with a comment":         {event(1, "a") + ": ping\n\n" + event(2, "[DONE]"), "answered"},
+		"first missing":          {event(2, "b") + event(3, "[DONE]"), "misordered"},
+		"one missing":            {event(1, "a") + event(3, "c") + event(4, "[DONE]"), "misordered"},
+		"last missing":           {event(1, "a") + event(3, "[DONE]"), "misordered"},
+		"one twice":              {event(1, "a") + event(1, "a") + event(2, "[DONE]"), "misordered"},
+		"two exchanged":          {event(1, "a") + event(3, "c") + event(2, "b") + event(4, "[DONE]"), "misordered"},
+		"begins again":           {event(1, "a") + event(2, "b") + event(1, "a") + event(2, "[DONE]"), "misordered"},
+		"terminal event twice":   {event(1, "a") + event(2, "[DONE]") + event(3, "[DONE]"), "misordered"},
+		"event after the end":    {event(1, "a") + event(2, "[DONE]") + "data: b\n\n", "misordered"},
+		"end missing":            {event(1, "a") + event(2, "b"), "cut"},
+		"cut in terminal event":  {event(1, "a") + "id: 2\ndata: [DONE]\n", "cut"},
+		"error after events":     {event(1, "a") + "event: error\ndata: {}\n\n", "truncated"},
+		"error in a cut message": {event(1, "a") + "id: 2\n\n\nevent: error\ndata: {}\n\n", "truncated"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := sample{outcome: Cut}
+			readStream(strings.NewReader(tc.stream), time.Now(), &s)
+			c.Assert(string(s.outcome), qt.Equals, tc.want)
+		})
+	}
+}
+
+// TestEngineNumbersItsEvents checks that the order of an emulated engine's events can be
+// checked, so that misordered answers in scenarios are seen.
+func TestEngineNumbersItsEvents(t *testing.T) {
+	c := qt.New(t)
+	w := httptest.NewRecorder()
+	body := strings.NewReader(`{"model":"m","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"x"}]}`)
+	engine.New(engine.Options{Name: "e", Slots: 1}).Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/chat/completions", body))
+	events := strings.SplitAfter(strings.TrimSuffix(w.Body.String(), "\n\n"), "\n\n")
+	c.Assert(events, qt.HasLen, 5) // three words, the reason of the end, and the end
+	for i, e := range events {
+		c.Assert(strings.HasPrefix(e, fmt.Sprintf("id: %d\ndata: ", i+1)), qt.IsTrue, qt.Commentf("%q", e))
+		skipped := sample{outcome: Cut}
+		without := slices.Concat(events[:i], events[i+1:])
+		readStream(strings.NewReader(strings.Join(without, "")), time.Now(), &skipped)
+		c.Assert(skipped.outcome, qt.Not(qt.Equals), Answered, qt.Commentf("without event %d", i+1))
+	}
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -100,8 +100,8 @@
 <h1>Load report</h1>
 <p>{{len .Result.Plan.Hosts}} hosts, {{.Result.Plan.Seconds}} s, seed {{.Result.Plan.Seed}}. Latency counts from the planned start of each request.</p>
 <h2>Teams</h2>
-<table><tr><th>team</th><th>offered</th><th>answered</th><th>refused</th><th>failed</th><th>truncated</th><th>cut</th><th>first p50 ms</th><th>first p99 ms</th><th>gap p95 ms</th><th>total p99 ms</th></tr>
-{{range .Rows}}<tr><td>{{.Name}}</td><td>{{.Offered}}</td><td>{{.Ended "answered"}}</td><td>{{.Ended "refused"}}</td><td>{{.Ended "failed"}}</td><td>{{.Ended "truncated"}}</td><td>{{.Ended "cut"}}</td><td>{{printf "%.1f" .First.P50}}</td><td>{{printf "%.1f" .First.P99}}</td><td>{{printf "%.1f" .Gap.P95}}</td><td>{{printf "%.1f" .Total.P99}}</td></tr>
+<table><tr><th>team</th><th>offered</th><th>answered</th><th>refused</th><th>failed</th><th>truncated</th><th>misordered</th><th>cut</th><th>first p50 ms</th><th>first p99 ms</th><th>gap p95 ms</th><th>total p99 ms</th></tr>
+{{range .Rows}}<tr><td>{{.Name}}</td><td>{{.Offered}}</td><td>{{.Ended "answered"}}</td><td>{{.Ended "refused"}}</td><td>{{.Ended "failed"}}</td><td>{{.Ended "truncated"}}</td><td>{{.Ended "misordered"}}</td><td>{{.Ended "cut"}}</td><td>{{printf "%.1f" .First.P50}}</td><td>{{printf "%.1f" .First.P99}}</td><td>{{printf "%.1f" .Gap.P95}}</td><td>{{printf "%.1f" .Total.P99}}</td></tr>
 {{end}}</table>
 {{with .Result.Batch}}<h2>Batch underneath</h2>
 <p>{{.Completed}} of {{.Items}} items completed, {{.Failed}} failed, {{.During}} while online load ran; state {{.Status}} after {{printf "%.1f" .Seconds}} s. {{.Error}}</p>{{end}}
--- a/internal/scenario/gateway_test.go
+++ b/internal/scenario/gateway_test.go
@@ -10,9 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/masticscale/masticscale/internal/emulator/engine"
+	"github.com/masticscale/masticscale/internal/eventstream"
 )
 
 func init() {
@@ -128,9 +130,36 @@
 		}
 		return
 	}
+	rest := text
 	for _, word := range engine.CompletionWords(args[2], tokens) {
-		if !strings.Contains(text, fmt.Sprintf(`"content":%q`, word)) {
-			ts.Fatalf("the answer lacks %q: %s", word, text)
+		_, after, found := strings.Cut(rest, fmt.Sprintf(`"content":%q`, word))
+		if !found {
+			ts.Fatalf("the answer lacks %q in its place: %s", word, text)
+		}
+		rest = after
+	}
+	ts.Check(checkEventOrder(text))
+}
+
+// checkEventOrder returns an error unless the stream's events follow each other and the
+// last one ends the answer.
+func checkEventOrder(stream string) error {
+	reader := eventstream.NewReader(strings.NewReader(stream))
+	order := eventstream.NewResumableSequence("")
+	var last string
+	for {
+		events, err := reader.Next()
+		if errors.Is(err, io.EOF) && last == "[DONE]" {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrapf(err, "after the event %q", last)
+		}
+		for _, e := range events {
+			if err := order.Add(e); err != nil {
+				return err
+			}
+			last = string(e.Data)
 		}
 	}
 }
