The answer of a wrong instance was an item's result

An item of a batch job of the own API ended with the first response of an upstream below 500, 408, 425 and 429 apart: a redirect, or a 404 or 421 of another process at the address, though other upstreams would have answered it.

Cause: resultFromResponse took every such status as the item's own. A 3xx, and 401, 403, 404, 405, 407, 410, 421 and 426, speak of the address, the credentials or the protocol of the call, which the hosts choose. They now count as answers like a 500: the item is run again, elsewhere if another upstream has room, and ends with the fifth. The caller then gets the 4xx as it is, since a 403 or a 404 can be of the item; a 3xx ends as item_failed. Statuses that the item's content causes (400, 413, 422 and others) stay results at once.

Ruled out: calls of the own API's online requests, whose responses are the caller's to judge. Left: where no other upstream has room for some six seconds, the item ends all the same.

--- a/internal/batch/executor.go
+++ b/internal/batch/executor.go
@@ -34,10 +34,20 @@
 // job was cancelled.
 var errNotPermitted = apierr.New(apierr.Unavailable, "this host may not dispatch the item now", "")
 
-// answerError means that the upstream ran the item and answered with an error.
+// answerError means that the upstream answered with an error that another upstream may not
+// have.
 type answerError struct {
-	code    string // of the item's result, if no other upstream has a better answer
-	message string
+	code     string // of the item's result, if no other upstream has a better answer
+	message  string
+	response *job.Response // the item's result instead, if set
+}
+
+// result returns the result of an item that got no better answer.
+func (e *answerError) result(item job.Item) job.ResultLine {
+	if e.response != nil {
+		return newResultLine(item, e.response)
+	}
+	return job.NewFailure(item.CustomID, e.code, e.message)
 }
 
 // Error implements error.
@@ -117,6 +127,8 @@
 		return job.ResultLine{}, errors.Errorf("the upstream answered %d", status)
 	case status >= 500:
 		return job.ResultLine{}, &answerError{code: job.CodeFailed, message: fmt.Sprintf("the upstream answered %d", status)}
+	case status < 200 || status >= 300 && status < 400:
+		return job.ResultLine{}, &answerError{code: job.CodeFailed, message: fmt.Sprintf("the upstream answered %d", status)}
 	case len(body) > maxResponseBytes: // a faulty upstream may send bytes without end
 		return job.ResultLine{}, &answerError{code: job.CodeTooLarge, message: "the answer exceeds a megabyte; ask for fewer tokens"}
 	}
@@ -127,8 +139,27 @@
 		}
 		body = text
 	}
-	return job.ResultLine{ID: job.NewItemID(), CustomID: item.CustomID,
-		Response: &job.Response{StatusCode: status, RequestID: "req_" + job.CompactUUID(), Body: body}}, nil
+	response := &job.Response{StatusCode: status, RequestID: "req_" + job.CompactUUID(), Body: body}
+	if rejectsCall(status) {
+		return job.ResultLine{}, &answerError{code: job.CodeFailed, message: fmt.Sprintf("the upstream answered %d", status), response: response}
+	}
+	return newResultLine(item, response), nil
+}
+
+func newResultLine(item job.Item, response *job.Response) job.ResultLine {
+	return job.ResultLine{ID: job.NewItemID(), CustomID: item.CustomID, Response: response}
+}
+
+// rejectsCall reports whether the status rejects the address, the credentials or the protocol
+// of a call. These are the same for all items of a job and aren't the caller's, so that
+// another upstream, or the right process at the address, may answer otherwise.
+func rejectsCall(status int) bool {
+	switch status {
+	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusMethodNotAllowed,
+		http.StatusProxyAuthRequired, http.StatusGone, http.StatusMisdirectedRequest, http.StatusUpgradeRequired:
+		return true
+	}
+	return false
 }
 
 // isBusy reports whether the status means that the upstream didn't take the item.
--- a/internal/batch/executor_test.go
+++ b/internal/batch/executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -116,3 +117,37 @@
 		})
 	}
 }
+
+// TestAnswerOfAWrongInstanceIsAnItemsResult guards against an item that ends with the
+// response of an upstream that isn't the one meant, while others would answer it.
+func TestAnswerOfAWrongInstanceIsAnItemsResult(t *testing.T) {
+	item := job.Item{CustomID: "a"}
+	for status, ended := range map[int]int{301: 0, 302: 0, 307: 0, 401: 401, 403: 403, 404: 404, 405: 405, 421: 421} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				c := qt.New(t)
+				var runs attempts
+				for n := 1; ; n++ {
+					_, err := executeOnce(t, &scriptedEngine{status: status, body: strings.NewReader("no such page")})
+					c.Assert(err, qt.IsNotNil)
+					line, wait := runs.recordFailure(item, err)
+					c.Assert(runs.failedAt.Name, qt.Equals, "u", qt.Commentf("the next run goes elsewhere"))
+					if n < maxErrorAnswers {
+						c.Assert(line, qt.IsNil)
+						c.Assert(wait >= failureBackoff, qt.IsTrue)
+						continue
+					}
+					c.Assert(line, qt.IsNotNil)
+					c.Assert(line.Failed(), qt.IsTrue)
+					if ended == 0 {
+						c.Assert(line.Error.Code, qt.Equals, job.CodeFailed)
+						return
+					}
+					c.Assert(line.Response.StatusCode, qt.Equals, ended)
+					c.Assert(string(line.Response.Body), qt.Equals, `"no such page"`)
+					return
+				}
+			})
+		})
+	}
+}
--- a/internal/batch/item.go
+++ b/internal/batch/item.go
@@ -54,7 +54,7 @@
 		return nil, retryBaseDelay
 	}
 	if a.answers >= maxErrorAnswers {
-		line := job.NewFailure(item.CustomID, answer.code, answer.message)
+		line := answer.result(item)
 		return &line, 0
 	}
 	a.failed++
