Admission: a test that queued requests end with the last upstream

The test takes the last upstream away in four ways while a request waits. Items of batch jobs wait: they are owed until their deadline.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -170,6 +170,36 @@
 	})
 }
 
+// TestQueuedRequestOutlastsTheLastUpstream guards against requests that wait until their
+// deadline for a slot that no upstream can free.
+func TestQueuedRequestOutlastsTheLastUpstream(t *testing.T) {
+	for name, end := range map[string]func(*dispatch.Pool, upstream.ID){
+		"down":              func(p *dispatch.Pool, id upstream.ID) { p.MarkDown(id) },
+		"leaves, in health": func(p *dispatch.Pool, id upstream.ID) { p.MarkDraining(id, true) },
+		"leaves, in list":   func(p *dispatch.Pool, id upstream.ID) { p.MarkLeaving(map[string]bool{id.Name: true}) },
+		"removed":           func(p *dispatch.Pool, _ upstream.ID) { p.Apply(&catalog.Snapshot{}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				f := newFixture(t, 1)
+				slot := f.mustAdmit(request("a", dispatch.Online))
+				defer slot.Release(false)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				waiting := f.admitAsync(ctx, request("a", dispatch.Online))
+				f.c.Assert(waiting, qt.HasLen, 0)
+				start := time.Now()
+				end(f.pool, upstream.ID{Service: testService, Name: "e1"})
+				d := <-waiting
+				f.c.Assert(apierr.IsKind(d.err, apierr.Unavailable), qt.IsTrue, qt.Commentf("%v", d.err))
+				f.c.Assert(apierr.From(d.err).Execution, qt.Equals, apierr.NotRun)
+				f.c.Assert(apierr.From(d.err).RetryAfter > 0, qt.IsTrue)
+				f.c.Assert(time.Since(start) <= pollInterval, qt.IsTrue, qt.Commentf("after %v", time.Since(start)))
+			})
+		})
+	}
+}
+
 func TestRejectsAtOnceWhenDeadlineCannotBeMet(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
 		f := newFixture(t, 1)
