--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -62,14 +62,14 @@
 // crash is a Crash with where this host knows it from.
 type crash struct {
 	Crash
-	own       bool // observed by this host
-	withdrawn bool // by this host
+	own           bool // observed by this host
+	withdrawnHere bool // withdrawn by this host
 }
 
 // withdraw has the crash no longer count, for a reason that this host knows.
 func (c *crash) withdraw() {
 	c.Withdrawn = c.Observed
-	c.withdrawn = true
+	c.withdrawnHere = true
 }
 
 // Table holds the crashes by request.
@@ -334,7 +334,7 @@
 	for _, crashes := range t.requests {
 		level := levelOf(crashes)
 		for _, c := range crashes {
-			if c.own || c.withdrawn || level >= Isolated {
+			if c.own || c.withdrawnHere || level >= Isolated {
 				all = append(all, ranked{c.Crash, level})
 			}
 		}
