--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -147,31 +148,49 @@
 	return true
 }
 
-// makeRoom removes the oldest crash that doesn't count or, for an isolated one, the
-// oldest that wasn't isolated or else the oldest before it. It reports whether there was
-// one.
+// makeRoom removes the crash of a request that is least needed beside x. It reports whether
+// there was one: one that counts gives way only to an isolated one.
 func makeRoom(crashes map[Instance]*crash, x Crash) bool {
-	var victim *crash
-	for _, c := range crashes {
-		if victim == nil || isBetterVictim(c, victim) {
-			victim = c
-		}
-	}
-	if victim.Counts() && (!x.Isolated || victim.Isolated && !victim.At.Before(x.At)) {
+	all := maps.Clone(crashes)
+	all[x.Upstream] = &crash{Crash: x}
+	victim := leastNeeded(all)
+	if victim.Upstream == x.Upstream || victim.Counts() && !x.Isolated {
 		return false
 	}
 	delete(crashes, victim.Upstream)
 	return true
 }
 
-func isBetterVictim(c, than *crash) bool {
-	if c.Counts() != than.Counts() {
-		return !c.Counts()
+// leastNeeded returns the first crash in the order of compareVictims without which the level
+// and the failed trials stay the same, or else the first one.
+func leastNeeded(crashes map[Instance]*crash) *crash {
+	candidates := slices.SortedFunc(maps.Values(crashes), compareVictims)
+	level, failed := levelOf(crashes), failedTrials(crashes, completedTrialDelays, always)
+	for _, c := range candidates {
+		rest := maps.Clone(crashes)
+		delete(rest, c.Upstream)
+		if levelOf(rest) == level && failedTrials(rest, completedTrialDelays, always) == failed {
+			return c
+		}
 	}
-	if c.Counts() && c.Isolated != than.Isolated {
-		return !c.Isolated
+	return candidates[0]
+}
+
+// compareVictims puts crashes that don't count first, then those that were not isolated, and
+// older ones before later ones.
+func compareVictims(a, b *crash) int {
+	return cmp.Or(compareBool(a.Counts(), b.Counts()), compareBool(a.Isolated, b.Isolated), a.At.Compare(b.At))
+}
+
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
-	return c.At.Before(than.At)
+	return 1
 }
 
 // evict removes the request of the least weight, of these the one with the oldest crash.
@@ -296,8 +315,9 @@
 
 // Shared returns the crashes to send to peers: those that this host has observed or
 // withdrawn, and those of requests from the level Isolated on, so that they outlast the host
-// that observed them. Requests of a higher level and later crashes come first, up to
-// maxShared. It also returns the version of the table, which rises with each change.
+// that observed them. Requests of a higher level come first, then crashes that count, then
+// later ones, up to maxShared. It also returns the version of the table, which rises with
+// each change.
 func (t *Table) Shared() ([]Crash, int64) {
 	if t.sharedAt != t.version {
 		t.shared, t.sharedAt = t.selectShared(), t.version
@@ -320,7 +340,7 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.level, a.level), b.At.Compare(a.At))
+		return cmp.Or(cmp.Compare(b.level, a.level), compareBool(b.Counts(), a.Counts()), b.At.Compare(a.At))
 	})
 	shared := make([]Crash, 0, min(len(all), maxShared))
 	for _, x := range all[:min(len(all), maxShared)] {
