--- /dev/null
+++ b/internal/entry/crashevidence_test.go
@@ -0,0 +1,131 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/entry"
+	"github.com/masticscale/masticscale/internal/quarantine"
+)
+
+// allowedLateSends is how often a request that crashes upstreams may be sent later than
+// contactTime after its third crash.
+const allowedLateSends = 3
+
+// sendBesideInnocents calls send once in each period, while innocent requests run, and
+// returns how many of these were refused as quarantined.
+func (f *crashFleet) sendBesideInnocents(times int, period time.Duration, send func(n int)) (refused int) {
+	var calls sync.WaitGroup
+	var mu sync.Mutex
+	stop := make(chan struct{})
+	calls.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(runTime / 2):
+			}
+			calls.Go(func() {
+				err := f.serve(n, "/safe/x", fmt.Sprint("prompt ", n%8))
+				mu.Lock()
+				defer mu.Unlock()
+				if apierr.IsKind(err, apierr.Quarantined) {
+					refused++
+				}
+			})
+		}
+	})
+	for n := range times {
+		calls.Go(func() { send(n) })
+		f.sleep(period)
+	}
+	close(stop)
+	calls.Wait()
+	return refused
+}
+
+func (f *crashFleet) assertContained(body string, refused int) {
+	f.c.Helper()
+	crashes, sends := f.counts()
+	late := f.lateSends(body)
+	f.c.Check(late <= allowedLateSends, qt.IsTrue, qt.Commentf("%d late sends; %d sends in all crashed %d upstreams", late, sends, crashes))
+	f.c.Check(refused, qt.Equals, 0, qt.Commentf("innocent requests refused"))
+}
+
+// TestCrashIsLostWhenTheCallerLeaves guards against a request that crashes one upstream
+// after the other because its caller leaves before the crash is seen.
+func TestCrashIsLostWhenTheCallerLeaves(t *testing.T) {
+	for _, after := range []time.Duration{8 * time.Millisecond, 15 * time.Millisecond, 30 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			runCrashFleet(t, 3, 15, func(c *qt.C, f *crashFleet) {
+				refused := f.sendBesideInnocents(60, time.Second, func(n int) { _ = f.abandon(n, "/safe/x", poisonBody, after) })
+				f.assertContained(poisonBody, refused)
+			})
+		})
+	}
+}
+
+// TestCrashIsLostWhenTheRequestMoves guards against a request that crashes upstreams after
+// it has left them because they were silent.
+func TestCrashIsLostWhenTheRequestMoves(t *testing.T) {
+	runCrashFleet(t, 3, 15, func(c *qt.C, f *crashFleet) {
+		f.crashDelay = 2500 * time.Millisecond
+		refused := f.sendBesideInnocents(20, 3*time.Second, func(n int) { _ = f.serve(n, "/safe/x", poisonBody) })
+		f.assertContained(poisonBody, refused)
+	})
+}
+
+// TestCrashIsWithdrawnByALingeringEntry guards against a crash that no longer counts
+// because the entry of the upstream outlives it.
+func TestCrashIsWithdrawnByALingeringEntry(t *testing.T) {
+	runCrashFleet(t, 3, 15, func(c *qt.C, f *crashFleet) {
+		f.entryLifetime = 9 * time.Second
+		refused := f.sendBesideInnocents(60, time.Second, func(n int) { _ = f.serve(n, "/safe/x", poisonBody) })
+		f.assertContained(poisonBody, refused)
+	})
+}
+
+// TestCrashIsWithdrawnByAnOldList guards against a host that hears of no change and
+// withdraws, for all hosts, the crashes of upstreams that have restarted since.
+func TestCrashIsWithdrawnByAnOldList(t *testing.T) {
+	runCrashFleet(t, 3, 15, func(c *qt.C, f *crashFleet) {
+		f.deafHost = 2
+		refused := f.sendBesideInnocents(60, time.Second, func(n int) { _ = f.serve(n, "/safe/x", poisonBody) })
+		f.assertContained(poisonBody, refused)
+	})
+}
+
+// TestCrashIsLostBesideManyBrokenRuns guards against crashes that are not counted because
+// many connections broke at the same moment.
+func TestCrashIsLostBesideManyBrokenRuns(t *testing.T) {
+	runCrashFleet(t, 1, 15, func(c *qt.C, f *crashFleet) {
+		var calls sync.WaitGroup
+		for n := range 15 * 8 {
+			calls.Go(func() { _ = f.serve(0, "/once/x", fmt.Sprint(longBody, n)) })
+		}
+		f.sleep(longRunTime / 2)
+		f.mu.Lock()
+		for _, e := range f.engines {
+			e.up = false
+			close(e.crashed)
+			e.crashed = make(chan struct{})
+		}
+		f.mu.Unlock()
+		calls.Wait()
+		f.sleep(runTime)
+		clear := 0
+		for n := range 15 * 8 {
+			content := entry.FingerprintOf("cafe", http.MethodPost, hostName, "/once/x", []byte(fmt.Sprint(longBody, n)))
+			if f.hosts[0].core.Suspicion(content) == quarantine.Clear {
+				clear++
+			}
+		}
+		c.Assert(clear, qt.Equals, 0, qt.Commentf("requests whose crash isn't counted"))
+	})
+}
--- a/internal/entry/crashfleet_test.go
+++ b/internal/entry/crashfleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -44,6 +45,17 @@
 	sends   int // of requests with poisonBody
 	hosts   []*crashHost
 	version int64
+
+	crashDelay    time.Duration // from the start of a run with poisonBody to its crash
+	entryLifetime time.Duration // of the registry entry of an upstream that has crashed
+	deafHost      int           // gets no list of upstreams after its first one; -1 for none
+	runs          []poisonRun
+}
+
+// poisonRun is a request that crashes the upstream that runs it.
+type poisonRun struct {
+	body            string
+	sentAt, endedAt time.Time // endedAt is zero if the upstream had already ended
 }
 
 type crashEngine struct {
@@ -65,7 +77,7 @@
 func runCrashFleet(t *testing.T, hosts, upstreams int, test func(c *qt.C, f *crashFleet)) {
 	bubbletest.Run(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		f := &crashFleet{c: qt.New(t), ctx: ctx, running: map[string]*crashEngine{}}
+		f := &crashFleet{c: qt.New(t), ctx: ctx, running: map[string]*crashEngine{}, crashDelay: runTime / 10, entryLifetime: entryLifetime, deafHost: -1}
 		for n := range upstreams {
 			f.engines = append(f.engines, &crashEngine{
 				Upstream: fleet.Upstream{ID: fmt.Sprint("u", n), Service: "lm", Address: fmt.Sprint("u", n), Slots: 8, Started: time.Now()},
@@ -119,8 +131,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
-	for _, h := range f.hosts {
-		h.core.SetUpstreams(f.registered(), f.version)
+	for n, h := range f.hosts {
+		if n != f.deafHost || f.version == 1 {
+			h.core.SetUpstreams(f.registered(), f.version)
+		}
 	}
 }
 
@@ -170,8 +184,11 @@
 	up, cut, crashed := e.up && !e.cut, e.cut, e.crashed
 	f.running[string(call.Body)] = e
 	isPoison := strings.HasPrefix(string(call.Body), poisonBody)
+	run := -1
 	if up && isPoison {
 		f.sends++
+		f.runs = append(f.runs, poisonRun{body: string(call.Body), sentAt: time.Now()})
+		run = len(f.runs) - 1
 	}
 	f.mu.Unlock()
 	if !up && (!cut || call.NewConnection) {
@@ -184,8 +201,14 @@
 		return noResponse(call)
 	}
 	if isPoison {
-		time.Sleep(runTime / 10)
-		f.crash(e)
+		f.wg.Go(func() {
+			f.sleep(f.crashDelay)
+			f.crash(e, run)
+		})
+		select {
+		case <-crashed:
+		case <-ctx.Done():
+		}
 		return noResponse(call)
 	}
 	duration := runTime
@@ -224,12 +247,13 @@
 	e.cut = false
 }
 
-// crash ends the upstream's process and starts it again later.
-func (f *crashFleet) crash(e *crashEngine) {
+// crash ends the upstream's process, because of the run, and starts it again later.
+func (f *crashFleet) crash(e *crashEngine, run int) {
 	f.mu.Lock()
 	if e.up {
 		e.up = false
 		f.crashes++
+		f.runs[run].endedAt = time.Now()
 		close(e.crashed)
 		f.wg.Go(func() { f.restart(e) })
 	}
@@ -237,9 +261,9 @@
 }
 
 func (f *crashFleet) restart(e *crashEngine) {
-	f.sleep(entryLifetime)
+	f.sleep(f.entryLifetime)
 	f.setListed(e, false)
-	f.sleep(restartTime - entryLifetime)
+	f.sleep(max(restartTime-f.entryLifetime, restartTime/10))
 	f.mu.Lock()
 	e.up, e.cut, e.crashed, e.Started = true, false, make(chan struct{}), time.Now()
 	f.mu.Unlock()
@@ -270,6 +294,45 @@
 	}, httptest.NewRecorder())
 }
 
+// abandon sends a request through host n for a caller that leaves after the given time.
+func (f *crashFleet) abandon(n int, path, body string, after time.Duration) error {
+	f.mu.Lock()
+	h := f.hosts[n%len(f.hosts)]
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(f.ctx, after)
+	defer cancel()
+	return h.handler.Serve(ctx, entry.Request{
+		ID: "r", Method: http.MethodPost, Target: path, Path: path, Host: hostName, Key: "k", Body: []byte(body), TimeLeft: 5 * time.Second,
+	}, httptest.NewRecorder())
+}
+
+// contactTime is how long hosts may take to learn of a crash.
+const contactTime = 3 * time.Second
+
+// lateSends returns how often a request was sent later than contactTime after it had
+// crashed its third upstream.
+func (f *crashFleet) lateSends(body string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ends []time.Time
+	for _, r := range f.runs {
+		if r.body == body && !r.endedAt.IsZero() {
+			ends = append(ends, r.endedAt)
+		}
+	}
+	if len(ends) < 3 {
+		return 0
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	late := 0
+	for _, r := range f.runs {
+		if r.body == body && r.sentAt.After(ends[2].Add(contactTime)) {
+			late++
+		}
+	}
+	return late
+}
+
 func (f *crashFleet) counts() (crashes, sends int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
