Logs: what a crash, a withdrawal and a configuration rest on, and how old that is

Nothing told whether the host itself had ended a run, how old a crash or the list behind a withdrawal was, or which configuration a request was handled by. attempt_failed and stream_broke_off say ended_by and ran_ms, also when a request moves away from a silent upstream; break_checked says ran_ms, request_suspected and crash_withdrawn age_ms and list_version, request_ended config_version, config_in_force what it replaced and after how long. No decision changes.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -118,6 +118,7 @@
 func (h *Handler) handleSendError(ctx context.Context, r *request, slot *Slot, err error) (bool, error) {
 	var send *SendError
 	notRun := errors.As(err, &send) && send.NotRun
+	h.log.WithFields(logrus.Fields{"event": "attempt_failed", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "not_run": notRun, "ended_by": r.endedBy(ctx), "ran_ms": time.Since(r.attemptAt).Milliseconds(), "error": err}).Info("an attempt failed")
 	if r.watch.hasMoved() && !notRun {
 		r.runs++
 		h.metrics.Attempts.WithLabelValues("silent").Inc()
@@ -127,7 +128,6 @@
 		slot.ReportUnreachable()
 	}
 	h.metrics.Attempts.WithLabelValues("failed").Inc()
-	h.log.WithFields(logrus.Fields{"event": "attempt_failed", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "not_run": notRun, "error": err}).Info("an attempt failed")
 	if notRun {
 		r.barred[slot.Upstream.ID] = true
 		return true, apierr.New(apierr.Unavailable, "the upstreams can't be reached", "send the request again after the stated time").
@@ -142,6 +142,17 @@
 		MayHaveRun().WithCause(err)
 }
 
+// endedBy names who ended the last attempt, for logs.
+func (r *request) endedBy(ctx context.Context) string {
+	switch {
+	case r.watch.hasMoved():
+		return "silence"
+	case ctx.Err() != nil:
+		return "caller_or_deadline"
+	}
+	return "upstream"
+}
+
 // reportBreak reports that the connection of the last attempt broke. The request doesn't
 // go back to an upstream that may have crashed.
 func (r *request) reportBreak(ctx context.Context, slot *Slot, wasAlive bool) {
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -45,6 +45,7 @@
 // brokenRun is a run whose connection broke, until its cause is known.
 type brokenRun struct {
 	upstream fleet.Upstream
+	started  time.Time             // zero for an item of a job
 	request  *quarantine.BrokenRun // that a crash counts against; nil for an item of a job
 	item     string                // id, unless request is set
 	cause    chan BreakCause
@@ -146,7 +147,7 @@
 // ended, the crash counts against the request. It waits only for a short time, so that
 // a silent upstream doesn't delay a retry elsewhere; the check goes on without it.
 func (s *Slot) ReportBrokenRun(ctx context.Context, b RunBreak) BreakCause {
-	return s.findBreakCause(ctx, brokenRun{request: &quarantine.BrokenRun{
+	return s.findBreakCause(ctx, brokenRun{started: b.Started, request: &quarantine.BrokenRun{
 		Fingerprint: b.Fingerprint, Upstream: instanceOf(s.Upstream),
 		Isolated: s.run.Isolated, Unproven: !b.WasAlive, Late: time.Since(b.Started) > earlyCrashTime,
 	}})
@@ -186,6 +187,7 @@
 	}
 	fields["fingerprint"] = r.request.Fingerprint
 	fields["isolated"], fields["unproven"], fields["late"] = r.request.Isolated, r.request.Unproven, r.request.Late
+	fields["ran_ms"] = time.Since(r.started).Milliseconds()
 	return fields
 }
 
@@ -257,7 +259,7 @@
 	if !c.crashes.Observe(run, time.Now()) {
 		return
 	}
-	c.logSuspicion(run.Fingerprint, run.Upstream, "here")
+	c.logSuspicion(run.Fingerprint, run.Upstream, "here", 0)
 	c.notifyUrgentChange()
 }
 
@@ -284,18 +286,20 @@
 		}
 		c.stateDirty = true
 		if x.Counts() {
-			c.logSuspicion(x.Fingerprint, x.Upstream, host)
+			c.logSuspicion(x.Fingerprint, x.Upstream, host, time.Since(x.At))
 		} else {
 			c.logWithdrawal(x, host)
 		}
 	}
 }
 
-// logSuspicion logs a new crash, and a request that is quarantined as a consequence. The
-// caller must hold mu.
-func (c *Core) logSuspicion(f quarantine.Fingerprint, upstream quarantine.Instance, from string) {
+// logSuspicion logs a crash that was observed some time ago, and a request that is
+// quarantined as a consequence. The caller must hold mu.
+func (c *Core) logSuspicion(f quarantine.Fingerprint, upstream quarantine.Instance, from string, age time.Duration) {
 	level := c.crashes.Level(f, time.Now())
-	line := c.log.WithFields(logrus.Fields{"fingerprint": f, "upstream": upstream.ID, "from": from, "crashes": c.crashes.Crashes(f), "suspicion": level})
+	line := c.log.WithFields(logrus.Fields{
+		"fingerprint": f, "upstream": upstream.ID, "from": from, "age_ms": age.Milliseconds(), "crashes": c.crashes.Crashes(f), "suspicion": level,
+	})
 	if level == quarantine.Quarantined {
 		line.WithField("event", "request_quarantined").Error("request quarantined: upstreams ended each time they ran it; it is refused from now on")
 		return
@@ -306,7 +310,8 @@
 // logWithdrawal logs a crash that no longer counts. The caller must hold mu.
 func (c *Core) logWithdrawal(x quarantine.Crash, from string) {
 	c.log.WithFields(logrus.Fields{
-		"event": "crash_withdrawn", "fingerprint": x.Fingerprint, "upstream": x.Upstream.ID, "from": from, "suspicion": c.crashes.Level(x.Fingerprint, time.Now()),
+		"event": "crash_withdrawn", "fingerprint": x.Fingerprint, "upstream": x.Upstream.ID, "from": from,
+		"age_ms": time.Since(x.At).Milliseconds(), "list_version": c.versions.Upstreams, "suspicion": c.crashes.Level(x.Fingerprint, time.Now()),
 	}).Info("a crash no longer counts against a request")
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -88,7 +88,7 @@
 		r.reportBreak(ctx, slot, true)
 	}
 	h.metrics.Attempts.WithLabelValues("broken_off").Inc()
-	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "after_event": r.answer.events.LastID(), "error": err}).Info("upstream truncated a response")
+	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "after_event": r.answer.events.LastID(), "ended_by": r.endedBy(ctx), "ran_ms": time.Since(r.attemptAt).Milliseconds(), "error": err}).Info("upstream truncated a response")
 }
 
 // handleTruncation records a truncated response. It reports whether the request may be
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -110,6 +110,9 @@
 	team     fleet.Team
 	service  string
 	priority int
+
+	configVersion int64 // in force when the request was authorized
+
 	started  time.Time
 	deadline time.Time
 	isRetry  bool // the caller has spent part of its timeout elsewhere
@@ -184,6 +187,7 @@
 	r.deadline = r.started.Add(TimeLimit(route, in.TimeLeft))
 	r.isRetry = in.TimeLeft > 0 && in.TimeLeft < h.core.firstAttemptThreshold(route.Name, in.TimeLeft)
 	config := h.core.Config()
+	r.configVersion = config.Version
 	r.priority = config.PriorityOf(route, team.Name)
 	r.service = route.PickTarget(h.core.Random())
 	if r.service == "" {
@@ -244,6 +248,7 @@
 		class = r.route.Kind.String()
 		took := time.Since(r.started)
 		fields["route"], fields["team"], fields["service"] = r.route.Name, r.team.Name, r.service
+		fields["config_version"] = r.configVersion
 		fields["upstream"], fields["sends"], fields["runs"] = r.upstream, r.sends, r.runs
 		fields["waited_ms"], fields["first_ms"], fields["took_ms"] = r.waited.Milliseconds(), r.answer.firstByte.Milliseconds(), took.Milliseconds()
 		fields["left_ms"], fields["last_event"] = in.TimeLeft.Milliseconds(), r.answer.events.LastID()
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -80,6 +80,7 @@
 	mu                sync.Mutex
 	config            json.RawMessage
 	configVersion     int64
+	configSince       time.Time // when the configuration came into force
 	upstreams         *upstreamTable
 	upstreamsVersion  int64
 	upstreamsKnown    bool
@@ -360,10 +361,16 @@
 	if !s.core.SetConfig(config) {
 		return
 	}
+	now := time.Now()
 	s.mu.Lock()
-	s.config, s.configVersion = raw, config.Version
+	replaced, since := s.configVersion, s.configSince
+	s.config, s.configVersion, s.configSince = raw, config.Version, now
 	s.mu.Unlock()
-	s.log.WithFields(logrus.Fields{"event": "config_in_force", "version": config.Version, "from": from, "routes": len(config.Routes), "teams": len(config.Teams)}).Info("new configuration in force")
+	fields := logrus.Fields{"event": "config_in_force", "version": config.Version, "from": from, "routes": len(config.Routes), "teams": len(config.Teams)}
+	if replaced > 0 {
+		fields["replaced"], fields["replaced_after_ms"] = replaced, now.Sub(since).Milliseconds()
+	}
+	s.log.WithFields(fields).Info("new configuration in force")
 }
 
 // versions returns the versions of what this host knows. The caller holds mu.
