entry: count crashes of upstreams at which this host has ended a run

Cause: evidence was lost. A broken connection was reported only while the caller was there; a run that the host had cancelled was never looked at again. Change: such runs are remembered (quarantine.AbandonedRuns, no I/O) and their upstream is checked, unless it sends bytes meanwhile. An end that is found counts against them. Ruled out: to count an abandoned isolated run as isolated; then TestInnocentRequestsThatWereAbandonedAreQuarantined fails, because another request may run there after it. So an isolated run keeps its slot until its upstream was checked.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -83,6 +83,9 @@
 		relay = h.relayEvents
 	}
 	retry, err := relay(ctx, r, slot, resp, w)
+	if apierr.IsKind(err, apierr.Cancelled) {
+		r.reportAbandoned(ctx, slot, true)
+	}
 	if err == nil && !failed {
 		slot.ReportRunResult(false)
 	}
@@ -118,9 +121,11 @@
 func (h *Handler) handleSendError(ctx context.Context, r *request, slot *Slot, err error) (bool, error) {
 	var send *SendError
 	notRun := errors.As(err, &send) && send.NotRun
+	wasNew := send != nil && send.NewConnection
 	h.log.WithFields(logrus.Fields{"event": "attempt_failed", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "not_run": notRun, "ended_by": r.endedBy(ctx), "ran_ms": time.Since(r.attemptAt).Milliseconds(), "error": err}).Info("an attempt failed")
 	if r.watch.hasMoved() && !notRun {
 		r.runs++
+		r.reportAbandoned(ctx, slot, wasNew)
 		h.metrics.Attempts.WithLabelValues("silent").Inc()
 		return true, silenceError(err)
 	}
@@ -136,7 +141,9 @@
 	r.runs++
 	if ctx.Err() == nil {
 		slot.ReportRunResult(true)
-		r.reportBreak(ctx, slot, send != nil && send.NewConnection)
+		r.reportBreak(ctx, slot, wasNew)
+	} else {
+		r.reportAbandoned(ctx, slot, wasNew)
 	}
 	return r.route.Repeatable(), apierr.New(apierr.Unknown, "the upstream did not answer, and the request may have run", "send it again only if it may run twice").
 		MayHaveRun().WithCause(err)
@@ -161,6 +168,11 @@
 	}
 }
 
+// reportAbandoned reports that this host ended the last attempt.
+func (r *request) reportAbandoned(ctx context.Context, slot *Slot, wasAlive bool) {
+	slot.ReportAbandonedRun(ctx, r.brokenRun(wasAlive), r.watch.hasMoved())
+}
+
 func (h *Handler) reportRejection(r *request, slot *Slot, resp *Response) {
 	if resp.Moved {
 		r.barred[slot.Upstream.ID] = true
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -52,6 +52,7 @@
 	cancelledJobs       []string                  // IDs of jobs
 	outcomes            map[string]slots.Outcomes // as last published to peers, by upstream
 	crashes             *quarantine.Table
+	abandonedRuns       *quarantine.AbandonedRuns
 	brokenRuns          chan brokenRun // to be checked by Run
 	versions            mesh.Versions
 	state               mesh.State // as last built for peers
@@ -86,6 +87,7 @@
 		stateDirty:      true,
 		longestTimeouts: map[string]time.Duration{},
 		crashes:         quarantine.NewTable(),
+		abandonedRuns:   quarantine.NewAbandonedRuns(),
 		brokenRuns:      make(chan brokenRun, breakQueueSize),
 		random:          rand.New(rand.NewPCG(seed, 1)),
 		onStateChange:   func() {},
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -15,8 +15,9 @@
 	breakQueueSize  = 64                     // broken runs that wait for their check
 	crashSettleTime = 10 * time.Millisecond  // an ending process closes its connections and its listener one after the other
 	maxBreakWait    = 100 * time.Millisecond // a crashed upstream refuses connections within milliseconds; a silent one is found later
-	earlyCrashTime  = time.Second            // after the start of a run; later crashes are less likely due to the request
 	registrationTTL = 6 * time.Second        // a crashed upstream has lost its registration by then
+
+	abandonedHoldTime = 250 * time.Millisecond // from the end of an isolated run by this host to the check of its upstream
 )
 
 // BreakCause is why the connection of a run broke before the response was complete.
@@ -149,10 +150,30 @@
 func (s *Slot) ReportBrokenRun(ctx context.Context, b RunBreak) BreakCause {
 	return s.findBreakCause(ctx, brokenRun{started: b.Started, request: &quarantine.BrokenRun{
 		Fingerprint: b.Fingerprint, Upstream: instanceOf(s.Upstream),
-		Isolated: s.run.Isolated, Unproven: !b.WasAlive, Late: time.Since(b.Started) > earlyCrashTime,
+		Isolated: s.run.Isolated, Unproven: !b.WasAlive, Late: quarantine.IsLate(b.Started, time.Now()),
 	}})
 }
 
+// ReportAbandonedRun records that this host ended the run before its response was complete.
+// If the upstream ends soon after, the crash counts against the request. The argument silent
+// tells that the run was ended because the upstream was silent. An isolated run keeps its
+// slot for a while, so that nothing else explains such an end.
+func (s *Slot) ReportAbandonedRun(ctx context.Context, b RunBreak, silent bool) {
+	ended := time.Now()
+	if s.run.Isolated {
+		time.Sleep(abandonedHoldTime)
+		if s.ReportBrokenRun(context.WithoutCancel(ctx), b) == UpstreamEnded {
+			return
+		}
+	}
+	s.core.mu.Lock()
+	defer s.core.mu.Unlock()
+	s.core.abandonedRuns.Add(quarantine.AbandonedRun{
+		Fingerprint: b.Fingerprint, Upstream: instanceOf(s.Upstream), Started: b.Started, Ended: ended,
+		Silent: silent, Unproven: !b.WasAlive,
+	})
+}
+
 // ReportBrokenItemRun is ReportBrokenRun for an item of a job. No crash counts against
 // an item: it is owed until the job's deadline.
 func (s *Slot) ReportBrokenItemRun(ctx context.Context, item string) BreakCause {
@@ -193,11 +214,7 @@
 
 // checkBrokenRun finds the cause of a break and counts a crash.
 func (c *Core) checkBrokenRun(ctx context.Context, run brokenRun) {
-	cause := c.registeredCause(run.upstream)
-	var err error
-	if cause == BreakUnknown {
-		cause, err = c.probedCause(ctx, run.upstream)
-	}
+	cause, err := c.findCause(ctx, run.upstream)
 	line := c.log.WithFields(run.logFields()).WithFields(logrus.Fields{"event": "break_checked", "cause": cause})
 	if err != nil {
 		line = line.WithField("error", err)
@@ -212,6 +229,39 @@
 	run.cause <- cause
 }
 
+// findCause returns why connections to the upstream broke.
+func (c *Core) findCause(ctx context.Context, u fleet.Upstream) (BreakCause, error) {
+	if cause := c.registeredCause(u); cause != BreakUnknown {
+		return cause, nil
+	}
+	return c.probedCause(ctx, u)
+}
+
+// checkAbandonedUpstreams starts the due checks of upstreams at which this host has ended
+// runs, except of those that have sent bytes since.
+func (c *Core) checkAbandonedUpstreams(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abandonedRuns.Expire(now)
+	for _, due := range c.abandonedRuns.TakeDue(now) {
+		u, registered := c.balancer.Upstream(due.Upstream.ID)
+		if registered && instanceOf(u) == due.Upstream && !c.balancer.SentBytesSince(u.ID, due.Since.Add(crashSettleTime)) {
+			c.probes.Go(func() { c.checkAbandonedUpstream(ctx, u) })
+		}
+	}
+}
+
+// checkAbandonedUpstream records the end of an upstream at which this host has ended runs.
+func (c *Core) checkAbandonedUpstream(ctx context.Context, u fleet.Upstream) {
+	cause, err := c.findCause(ctx, u)
+	if cause != UpstreamEnded {
+		return
+	}
+	c.log.WithFields(logrus.Fields{"event": "abandoned_upstream_ended", "upstream": u.ID, "error": err}).
+		Info("an upstream has ended after this host had ended runs there")
+	c.reportEnd(u)
+}
+
 // registeredCause returns the cause of a break as far as the registry shows it.
 func (c *Core) registeredCause(u fleet.Upstream) BreakCause {
 	c.mu.Lock()
@@ -249,13 +299,29 @@
 func (c *Core) reportEnd(u fleet.Upstream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.crashes.ReportEnd(instanceOf(u), time.Now())
+	c.recordEnd(u)
+}
+
+// recordEnd records the end of an upstream, and counts it against the requests whose runs
+// there this host has ended shortly before. The caller must hold mu.
+func (c *Core) recordEnd(u fleet.Upstream) {
+	now := time.Now()
+	c.crashes.ReportEnd(instanceOf(u), now)
+	sentBytesSince := func(t time.Time) bool { return c.balancer.SentBytesSince(u.ID, t) }
+	for _, run := range c.abandonedRuns.TakeCrashed(instanceOf(u), sentBytesSince, now) {
+		c.addCrash(run)
+	}
 }
 
 // countCrash counts the end of the run's upstream against the request and tells peers.
 func (c *Core) countCrash(run quarantine.BrokenRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.addCrash(run)
+}
+
+// addCrash is countCrash for callers that hold mu.
+func (c *Core) addCrash(run quarantine.BrokenRun) {
 	if !c.crashes.Observe(run, time.Now()) {
 		return
 	}
@@ -355,7 +421,7 @@
 func (c *Core) recordUpstreamEnd(u fleet.Upstream, restarted bool) {
 	leaving := c.isLeaving(u)
 	if !leaving {
-		c.crashes.ReportEnd(instanceOf(u), time.Now())
+		c.recordEnd(u)
 	}
 	c.log.WithFields(logrus.Fields{
 		"event": "upstream_ended", "upstream": u.ID, "address": u.Address, "was_leaving": leaving,
--- a/internal/entry/crashevidence_test.go
+++ b/internal/entry/crashevidence_test.go
@@ -129,3 +129,31 @@
 		c.Assert(clear, qt.Equals, 0, qt.Commentf("requests whose crash isn't counted"))
 	})
 }
+
+// TestInnocentRequestsThatWereAbandonedAreQuarantined guards against requests that are
+// refused because their callers left shortly before another request crashed the upstream.
+// None of them ever runs to its end before.
+func TestInnocentRequestsThatWereAbandonedAreQuarantined(t *testing.T) {
+	runCrashFleet(t, 3, 15, func(c *qt.C, f *crashFleet) {
+		var calls sync.WaitGroup
+		refused := f.sendBesideInnocents(80, 250*time.Millisecond, func(n int) {
+			for innocent := range 4 {
+				calls.Go(func() {
+					err := f.abandon(n+innocent, "/safe/x", fmt.Sprint(longBody, innocent), runTime/2)
+					c.Check(apierr.IsKind(err, apierr.Quarantined), qt.IsFalse, qt.Commentf("%v", err))
+				})
+			}
+			if n%8 == 7 {
+				_ = f.abandon(n, "/safe/x", fmt.Sprint(poisonBody, n/32), 15*time.Millisecond)
+			}
+		})
+		calls.Wait()
+		c.Check(refused, qt.Equals, 0)
+		for innocent := range 4 {
+			c.Check(f.serve(0, "/safe/x", fmt.Sprint(longBody, innocent)), qt.IsNil)
+		}
+		for n := range 3 {
+			c.Check(f.lateSends(fmt.Sprint(poisonBody, n)) <= allowedLateSends, qt.IsTrue)
+		}
+	})
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -56,6 +56,14 @@
 	Late        bool
 }
 
+// earlyCrashTime is the time after the start of a run in which a request crashes its upstream
+// if it does; later crashes are less likely due to the request.
+const earlyCrashTime = time.Second
+
+// IsLate reports whether an upstream that ended at the given time did so long after the start
+// of the run.
+func IsLate(started, ended time.Time) bool { return ended.Sub(started) > earlyCrashTime }
+
 // Counts reports whether the crash counts against the request.
 func (x Crash) Counts() bool { return x.Observed > x.Withdrawn }
 
