entry: one check for all runs that broke at an upstream

Cause: each run had a check of its own, and evidence was dropped when many connections broke at once. Now the runs at one upstream share one check and up to 4,096 may wait.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -53,7 +53,8 @@
 	outcomes            map[string]slots.Outcomes // as last published to peers, by upstream
 	crashes             *quarantine.Table
 	abandonedRuns       *quarantine.AbandonedRuns
-	brokenRuns          chan brokenRun // to be checked by Run
+	brokenRuns          []brokenRun   // to be checked by Run
+	breakWake           chan struct{} // signals Run that there are broken runs
 	versions            mesh.Versions
 	state               mesh.State // as last built for peers
 	stateDirty          bool       // state must be rebuilt
@@ -88,7 +89,7 @@
 		longestTimeouts: map[string]time.Duration{},
 		crashes:         quarantine.NewTable(),
 		abandonedRuns:   quarantine.NewAbandonedRuns(),
-		brokenRuns:      make(chan brokenRun, breakQueueSize),
+		breakWake:       make(chan struct{}, 1),
 		random:          rand.New(rand.NewPCG(seed, 1)),
 		onStateChange:   func() {},
 		onUrgentChange:  func() {},
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	breakQueueSize  = 64                     // broken runs that wait for their check
+	maxBrokenRuns   = 4096                   // that wait for their check
 	crashSettleTime = 10 * time.Millisecond  // an ending process closes its connections and its listener one after the other
 	maxBreakWait    = 100 * time.Millisecond // a crashed upstream refuses connections within milliseconds; a silent one is found later
 	registrationTTL = 6 * time.Second        // a crashed upstream has lost its registration by then
@@ -182,9 +182,7 @@
 
 func (s *Slot) findBreakCause(ctx context.Context, run brokenRun) BreakCause {
 	run.upstream, run.cause = s.Upstream, make(chan BreakCause, 1)
-	select {
-	case s.core.brokenRuns <- run:
-	default:
+	if !s.core.queueBrokenRun(run) {
 		s.core.log.WithFields(run.logFields()).WithField("event", "break_not_checked").
 			Warn("too many connections broke at once; it isn't checked whether this upstream crashed")
 		return BreakUnknown
@@ -212,17 +210,55 @@
 	return fields
 }
 
-// checkBrokenRun finds the cause of a break and counts a crash.
-func (c *Core) checkBrokenRun(ctx context.Context, run brokenRun) {
-	cause, err := c.findCause(ctx, run.upstream)
+// queueBrokenRun hands a run to Run for its check. It returns false if too many wait.
+func (c *Core) queueBrokenRun(run brokenRun) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.brokenRuns) >= maxBrokenRuns {
+		return false
+	}
+	c.brokenRuns = append(c.brokenRuns, run)
+	select {
+	case c.breakWake <- struct{}{}:
+	default: // a notification is pending
+	}
+	return true
+}
+
+// checkBrokenRuns starts a check of each upstream of the runs that wait for one.
+func (c *Core) checkBrokenRuns(ctx context.Context) {
+	c.mu.Lock()
+	waiting := c.brokenRuns
+	c.brokenRuns = nil
+	c.mu.Unlock()
+	byUpstream := map[quarantine.Instance][]brokenRun{}
+	for _, run := range waiting {
+		instance := instanceOf(run.upstream)
+		byUpstream[instance] = append(byUpstream[instance], run)
+	}
+	for _, runs := range byUpstream {
+		c.probes.Go(func() { c.checkUpstreamOf(ctx, runs) })
+	}
+}
+
+// checkUpstreamOf finds the cause of the breaks of runs at one upstream.
+func (c *Core) checkUpstreamOf(ctx context.Context, runs []brokenRun) {
+	cause, err := c.findCause(ctx, runs[0].upstream)
+	if cause == UpstreamEnded {
+		c.reportEnd(runs[0].upstream)
+	}
+	for _, run := range runs {
+		c.concludeBreak(run, cause, err)
+	}
+}
+
+// concludeBreak logs the cause of a break, counts a crash and tells the run.
+func (c *Core) concludeBreak(run brokenRun, cause BreakCause, err error) {
 	line := c.log.WithFields(run.logFields()).WithFields(logrus.Fields{"event": "break_checked", "cause": cause})
 	if err != nil {
 		line = line.WithField("error", err)
 	}
 	line.Info("checked an upstream after the connection of a run broke")
-	if cause == UpstreamEnded {
-		c.reportEnd(run.upstream)
-	}
 	if cause == UpstreamEnded && run.request != nil {
 		c.countCrash(*run.request)
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -155,8 +155,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case run := <-c.brokenRuns:
-			c.probes.Go(func() { c.checkBrokenRun(ctx, run) })
+		case <-c.breakWake:
+			c.checkBrokenRuns(ctx)
 			continue
 		case now := <-review.C:
 			c.reviewCrashes(now)
