entry: withdraw a crash only if the upstream shows that it lives

Cause: a crash was taken back because the upstream still stood in this host's list of upstreams. A list says what was true when it was made: a host may hear of no change, and the entry of a crashed upstream may outlive it. One host's withdrawal goes to all. Now a host asks the upstream on a new connection and then reads its entry anew, with its start time. Only requests from the level Isolated on are verified, first by hosts that observed the crash, others at different moments from 8 to 12 s on. While an upstream may yet turn out to live, callers are told to come back in six seconds, not in an hour. Innocents: 0 refused before and after; TestCutUpstreamIsTakenForACrash, where a cut upstream lives on, passes as before.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -72,6 +72,9 @@
 	onPeerChange        func(PeerChange)
 	onJobsCancelled     func(jobs []string)
 	connector           Connector
+	registry            Registry
+	verifiedAt          map[quarantine.Instance]time.Time // latest verification of upstreams that are listed and count as crashed
+	peerVerifyDelay     time.Duration                     // from the crash that a peer observed to its verification
 	probes              sync.WaitGroup
 }
 
@@ -96,6 +99,9 @@
 		onPeerChange:    func(PeerChange) {},
 		onJobsCancelled: func([]string) {},
 		connector:       noopConnector{},
+		registry:        noRegistry{},
+		verifiedAt:      map[quarantine.Instance]time.Time{},
+		peerVerifyDelay: peerVerifyDelay + rand.N(peerVerifySpread),
 		cells:           fleet.NewCellIndex(self.Name, map[string]string{self.Name: self.DataCentre}),
 		cellUpstreams:   (*fleet.CellIndex).Upstreams,
 		batchWake:       make(chan struct{}, 1),
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -120,18 +121,31 @@
 	switch {
 	case undecided > 0:
 		return undecided
-	case !c.isRegistryCurrent(now):
+	case !c.isRegistryCurrent(now) || c.hasListedCrash(f):
 		return registrationTTL
 	}
 	return c.crashes.Remaining(f, now)
 }
 
-// isRegistryCurrent reports whether the list of upstreams lacks those that crashed more
+// isRegistryCurrent reports whether the list of upstreams should lack those that crashed more
 // than registrationTTL ago. The caller must hold mu.
 func (c *Core) isRegistryCurrent(now time.Time) bool {
 	return c.storeReachable && now.Sub(c.storeReachableSince) >= registrationTTL
 }
 
+// hasListedCrash reports whether an upstream is still listed that counts as crashed under the
+// request. The caller must hold mu.
+func (c *Core) hasListedCrash(f quarantine.Fingerprint) bool {
+	return slices.ContainsFunc(c.crashes.CrashedUpstreams(f), c.isListed)
+}
+
+// isListed reports whether the list of upstreams has the process lifetime. The caller must
+// hold mu.
+func (c *Core) isListed(instance quarantine.Instance) bool {
+	u, registered := c.balancer.Upstream(instance.ID)
+	return registered && instanceOf(u) == instance
+}
+
 // ReportCompletedRun records that an upstream ran the request to its end, so that crashes
 // under it have probably had another cause.
 func (c *Core) ReportCompletedRun(f quarantine.Fingerprint) {
@@ -413,30 +427,10 @@
 func (c *Core) logWithdrawal(x quarantine.Crash, from string) {
 	c.log.WithFields(logrus.Fields{
 		"event": "crash_withdrawn", "fingerprint": x.Fingerprint, "upstream": x.Upstream.ID, "from": from,
-		"age_ms": time.Since(x.At).Milliseconds(), "list_version": c.versions.Upstreams, "suspicion": c.crashes.Level(x.Fingerprint, time.Now()),
+		"age_ms": time.Since(x.At).Milliseconds(), "suspicion": c.crashes.Level(x.Fingerprint, time.Now()),
 	}).Info("a crash no longer counts against a request")
 }
 
-// reviewCrashes withdraws the crashes of upstreams that turn out to be alive, and
-// removes expired ones. An upstream that could only not be reached keeps its
-// registration, or gets it back, with the start time that it had.
-func (c *Core) reviewCrashes(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.crashes.Expire(now)
-	if c.crashes.Empty() || !c.isRegistryCurrent(now) {
-		return
-	}
-	registered := map[quarantine.Instance]bool{}
-	for _, u := range c.balancer.Upstreams() {
-		registered[instanceOf(u)] = true
-	}
-	for _, x := range c.crashes.WithdrawLive(now.Add(-registrationTTL), registered) {
-		c.stateDirty = true
-		c.logWithdrawal(x, "registry")
-	}
-}
-
 // recordEndedUpstreams records the upstreams that the new list lacks or lists with another
 // start time. The caller must hold mu.
 func (c *Core) recordEndedUpstreams(list []fleet.Upstream) {
--- a/internal/entry/crashfleet_test.go
+++ b/internal/entry/crashfleet_test.go
@@ -103,6 +103,7 @@
 	core := entry.NewCore(entry.Identity{Name: fmt.Sprint("h", n), Incarnation: fmt.Sprint(n, time.Now()), DataCentre: "dc"}, log)
 	core.SetConfig(newCore(0).Config())
 	core.SetConnector(f)
+	core.SetRegistry(f)
 	ctx, stop := context.WithCancel(f.ctx)
 	f.wg.Go(func() { core.Run(ctx) })
 	f.mu.Lock()
@@ -177,6 +178,18 @@
 	return nil
 }
 
+// ReadUpstream implements entry.Registry.
+func (f *crashFleet) ReadUpstream(_ context.Context, id string) (fleet.Upstream, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, u := range f.registered() {
+		if u.ID == id {
+			return u, true, nil
+		}
+	}
+	return fleet.Upstream{}, false, nil
+}
+
 // Do implements entry.UpstreamClient.
 func (f *crashFleet) Do(ctx context.Context, call entry.Call) (*entry.Response, error) {
 	e := f.engine(call.Upstream)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -159,7 +159,7 @@
 			c.checkBrokenRuns(ctx)
 			continue
 		case now := <-review.C:
-			c.reviewCrashes(now)
+			c.reviewCrashes(ctx, now)
 			c.forgetAnnouncements(now)
 			continue
 		case <-tick.C:
--- a/internal/fleethost/providers.go
+++ b/internal/fleethost/providers.go
@@ -63,5 +63,7 @@
 // newSyncer returns a syncer that watches the store directly. It needs no relay,
 // because it fetches the snapshots of peers while the store is unavailable.
 func newSyncer(s Settings, self entry.Identity, core *entry.Core, direct *platform.Store, m *telemetry.Metrics, log logrus.FieldLogger) *knowledge.Syncer {
-	return knowledge.NewSyncer(self, newStoreClient(s, direct, m), newShortPollStoreClient(s, direct, m), platform.Decoder{}, core, s.Seeds, log)
+	syncer := knowledge.NewSyncer(self, newStoreClient(s, direct, m), newShortPollStoreClient(s, direct, m), platform.Decoder{}, core, s.Seeds, log)
+	core.SetRegistry(syncer)
+	return syncer
 }
--- a/internal/knowledge/upstreams.go
+++ b/internal/knowledge/upstreams.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/fleet"
@@ -55,6 +56,19 @@
 	s.updateUpstreams("store", id)
 }
 
+// ReadUpstream implements entry.Registry.
+func (s *Syncer) ReadUpstream(ctx context.Context, id string) (fleet.Upstream, bool, error) {
+	o, err := s.store.Get(ctx, s.decoder.UpstreamKind(), id)
+	if errors.Is(err, objstore.ErrNotFound) {
+		return fleet.Upstream{}, false, nil
+	}
+	if err != nil {
+		return fleet.Upstream{}, false, err
+	}
+	u, err := s.decoder.DecodeUpstream(id, o.Value)
+	return u, err == nil, err
+}
+
 // keepUnlisted reports whether an entry stays that the store's list lacks. The caller holds mu.
 func (s *Syncer) keepUnlisted(id string) bool {
 	if !time.Now().Before(s.graceEnd()) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -269,6 +269,37 @@
 	return changed
 }
 
+// Doubtful returns the upstreams whose crashes count against a request that isn't run like
+// others, and are old enough to be verified: those that this host has observed since the
+// first time, others since the second one.
+func (t *Table) Doubtful(own, others time.Time) []Instance {
+	found := map[Instance]bool{}
+	for _, crashes := range t.requests {
+		if levelOf(crashes) < Isolated {
+			continue
+		}
+		for upstream, c := range crashes {
+			before := others
+			if c.own {
+				before = own
+			}
+			if c.Counts() && !c.At.After(before) {
+				found[upstream] = true
+			}
+		}
+	}
+	return slices.Collect(maps.Keys(found))
+}
+
+// CrashedUpstreams returns the upstreams whose crashes count against the request.
+func (t *Table) CrashedUpstreams(f Fingerprint) []Instance {
+	var upstreams []Instance
+	for _, c := range countingCrashes(t.requests[f]) {
+		upstreams = append(upstreams, c.Upstream)
+	}
+	return upstreams
+}
+
 // WithdrawLive withdraws the crashes before the given time whose upstream lives on, and
 // returns them.
 func (t *Table) WithdrawLive(before time.Time, live map[Instance]bool) []Crash {
