knowledge: put a configuration in force and keep it for peers in one step

Found by reading for what is old and taken for current. Cause: a configuration came into force under the core's lock and was kept for peers under another one. If one came from the store and the next from a peer at that moment, a host could run the newer one and go on passing the older one to peers, which would ask it again and again.

--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -358,14 +358,14 @@
 		s.log.WithFields(logrus.Fields{"event": "config_unreadable", "from": from, "error": err}).Error("ignoring an invalid configuration; the previous one stays in force")
 		return
 	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !s.core.SetConfig(config) {
 		return
 	}
-	now := time.Now()
-	s.mu.Lock()
 	replaced, since := s.configVersion, s.configSince
 	s.config, s.configVersion, s.configSince = raw, config.Version, now
-	s.mu.Unlock()
 	fields := logrus.Fields{"event": "config_in_force", "version": config.Version, "from": from, "routes": len(config.Routes), "teams": len(config.Teams)}
 	if replaced > 0 {
 		fields["replaced"], fields["replaced_after_ms"] = replaced, now.Sub(since).Milliseconds()
