entry: an isolated run that this host has ended keeps its slot for two seconds

There an isolated run was checked once, 250 ms after its end; an upstream that crashes later, 300 ms after the start of a run, went on without end: a trial of callers that leave after 8 ms, once a second for a minute, had 50 sends later than 3 s after the third crash. Now the slot is kept and the upstream checked every 250 ms; the same trial has at most 3, and is a case of TestCrashIsLostWhenTheCallerLeaves.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -17,12 +17,20 @@
 	Waited   time.Duration // time in the queue
 	core     *Core
 	run      *slots.Run
+	isHeld   bool // until its upstream was checked; guarded by core.mu
 }
 
-// Release returns the slot. Further calls have no effect.
+// Release returns the slot, unless ReportAbandonedRun keeps it. Further calls have no effect.
 func (s *Slot) Release() {
 	s.core.mu.Lock()
 	defer s.core.mu.Unlock()
+	if !s.isHeld {
+		s.release()
+	}
+}
+
+// release returns the slot. The caller must hold mu.
+func (s *Slot) release() {
 	s.core.balancer.Finish(s.run)
 	s.core.notifyChange()
 	s.core.schedule()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -84,7 +84,7 @@
 	}
 	retry, err := relay(ctx, r, slot, resp, w)
 	if apierr.IsKind(err, apierr.Cancelled) {
-		r.reportAbandoned(ctx, slot, true)
+		r.reportAbandoned(slot, true)
 	}
 	if err == nil && !failed {
 		slot.ReportRunResult(false)
@@ -125,7 +125,7 @@
 	h.log.WithFields(logrus.Fields{"event": "attempt_failed", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "not_run": notRun, "ended_by": r.endedBy(ctx), "ran_ms": time.Since(r.attemptAt).Milliseconds(), "error": err}).Info("an attempt failed")
 	if r.watch.hasMoved() && !notRun {
 		r.runs++
-		r.reportAbandoned(ctx, slot, wasNew)
+		r.reportAbandoned(slot, wasNew)
 		h.metrics.Attempts.WithLabelValues("silent").Inc()
 		return true, silenceError(err)
 	}
@@ -143,7 +143,7 @@
 		slot.ReportRunResult(true)
 		r.reportBreak(ctx, slot, wasNew)
 	} else {
-		r.reportAbandoned(ctx, slot, wasNew)
+		r.reportAbandoned(slot, wasNew)
 	}
 	return r.route.Repeatable(), apierr.New(apierr.Unknown, "the upstream did not answer, and the request may have run", "send it again only if it may run twice").
 		MayHaveRun().WithCause(err)
@@ -169,8 +169,8 @@
 }
 
 // reportAbandoned reports that this host ended the last attempt.
-func (r *request) reportAbandoned(ctx context.Context, slot *Slot, wasAlive bool) {
-	slot.ReportAbandonedRun(ctx, r.brokenRun(wasAlive), r.watch.hasMoved())
+func (r *request) reportAbandoned(slot *Slot, wasAlive bool) {
+	slot.ReportAbandonedRun(r.brokenRun(wasAlive), r.watch.hasMoved())
 }
 
 func (h *Handler) reportRejection(r *request, slot *Slot, resp *Response) {
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -53,6 +53,7 @@
 	outcomes            map[string]slots.Outcomes // as last published to peers, by upstream
 	crashes             *quarantine.Table
 	abandonedRuns       *quarantine.AbandonedRuns
+	heldSlots           []*heldSlot   // of isolated runs that this host has ended
 	brokenRuns          []brokenRun   // to be checked by Run
 	breakWake           chan struct{} // signals Run that there are broken runs
 	versions            mesh.Versions
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -17,8 +17,6 @@
 	crashSettleTime = 10 * time.Millisecond  // an ending process closes its connections and its listener one after the other
 	maxBreakWait    = 100 * time.Millisecond // a crashed upstream refuses connections within milliseconds; a silent one is found later
 	registrationTTL = 6 * time.Second        // a crashed upstream has lost its registration by then
-
-	abandonedHoldTime = 250 * time.Millisecond // from the end of an isolated run by this host to the check of its upstream
 )
 
 // BreakCause is why the connection of a run broke before the response was complete.
@@ -162,30 +160,16 @@
 // ended, the crash counts against the request. It waits only for a short time, so that
 // a silent upstream doesn't delay a retry elsewhere; the check goes on without it.
 func (s *Slot) ReportBrokenRun(ctx context.Context, b RunBreak) BreakCause {
-	return s.findBreakCause(ctx, brokenRun{started: b.Started, request: &quarantine.BrokenRun{
+	request := s.brokenRun(b)
+	return s.findBreakCause(ctx, brokenRun{started: b.Started, request: &request})
+}
+
+// brokenRun describes a run that broke now.
+func (s *Slot) brokenRun(b RunBreak) quarantine.BrokenRun {
+	return quarantine.BrokenRun{
 		Fingerprint: b.Fingerprint, Upstream: instanceOf(s.Upstream),
 		Isolated: s.run.Isolated, Unproven: !b.WasAlive, Late: quarantine.IsLate(b.Started, time.Now()),
-	}})
-}
-
-// ReportAbandonedRun records that this host ended the run before its response was complete.
-// If the upstream ends soon after, the crash counts against the request. The argument silent
-// tells that the run was ended because the upstream was silent. An isolated run keeps its
-// slot for a while, so that nothing else explains such an end.
-func (s *Slot) ReportAbandonedRun(ctx context.Context, b RunBreak, silent bool) {
-	ended := time.Now()
-	if s.run.Isolated {
-		time.Sleep(abandonedHoldTime)
-		if s.ReportBrokenRun(context.WithoutCancel(ctx), b) == UpstreamEnded {
-			return
-		}
 	}
-	s.core.mu.Lock()
-	defer s.core.mu.Unlock()
-	s.core.abandonedRuns.Add(quarantine.AbandonedRun{
-		Fingerprint: b.Fingerprint, Upstream: instanceOf(s.Upstream), Started: b.Started, Ended: ended,
-		Silent: silent, Unproven: !b.WasAlive,
-	})
 }
 
 // ReportBrokenItemRun is ReportBrokenRun for an item of a job. No crash counts against
@@ -287,31 +271,6 @@
 	return c.probedCause(ctx, u)
 }
 
-// checkAbandonedUpstreams starts the due checks of upstreams at which this host has ended
-// runs, except of those that have sent bytes since.
-func (c *Core) checkAbandonedUpstreams(ctx context.Context, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.abandonedRuns.Expire(now)
-	for _, due := range c.abandonedRuns.TakeDue(now) {
-		u, registered := c.balancer.Upstream(due.Upstream.ID)
-		if registered && instanceOf(u) == due.Upstream && !c.balancer.SentBytesSince(u.ID, due.Since.Add(crashSettleTime)) {
-			c.probes.Go(func() { c.checkAbandonedUpstream(ctx, u) })
-		}
-	}
-}
-
-// checkAbandonedUpstream records the end of an upstream at which this host has ended runs.
-func (c *Core) checkAbandonedUpstream(ctx context.Context, u fleet.Upstream) {
-	cause, err := c.findCause(ctx, u)
-	if cause != UpstreamEnded {
-		return
-	}
-	c.log.WithFields(logrus.Fields{"event": "abandoned_upstream_ended", "upstream": u.ID, "error": err}).
-		Info("an upstream has ended after this host had ended runs there")
-	c.reportEnd(u)
-}
-
 // registeredCause returns the cause of a break as far as the registry shows it.
 func (c *Core) registeredCause(u fleet.Upstream) BreakCause {
 	c.mu.Lock()
--- a/internal/entry/crashevidence_test.go
+++ b/internal/entry/crashevidence_test.go
@@ -61,10 +61,16 @@
 // TestCrashIsLostWhenTheCallerLeaves guards against a request that crashes one upstream
 // after the other because its caller leaves before the crash is seen.
 func TestCrashIsLostWhenTheCallerLeaves(t *testing.T) {
-	for _, after := range []time.Duration{8 * time.Millisecond, 15 * time.Millisecond, 30 * time.Millisecond} {
-		t.Run(after.String(), func(t *testing.T) {
+	for _, tc := range []struct{ after, crashDelay time.Duration }{
+		{8 * time.Millisecond, 10 * time.Millisecond},
+		{15 * time.Millisecond, 10 * time.Millisecond},
+		{30 * time.Millisecond, 10 * time.Millisecond},
+		{8 * time.Millisecond, 300 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprint(tc.after, " ", tc.crashDelay), func(t *testing.T) {
 			runCrashFleet(t, 3, 15, func(c *qt.C, f *crashFleet) {
-				refused := f.sendBesideInnocents(60, time.Second, func(n int) { _ = f.abandon(n, "/safe/x", poisonBody, after) })
+				f.crashDelay = tc.crashDelay
+				refused := f.sendBesideInnocents(60, time.Second, func(n int) { _ = f.abandon(n, "/safe/x", poisonBody, tc.after) })
 				f.assertContained(poisonBody, refused)
 			})
 		})
@@ -157,3 +163,25 @@
 		}
 	})
 }
+
+// TestSeveralRequestsCrashUpstreamsAtOnce guards against requests that crash upstreams and
+// hide each other, because each explains what happened to the others.
+func TestSeveralRequestsCrashUpstreamsAtOnce(t *testing.T) {
+	for contents := 2; contents <= 5; contents++ {
+		t.Run(fmt.Sprint(contents), func(t *testing.T) {
+			runCrashFleet(t, 6, 15, func(c *qt.C, f *crashFleet) {
+				body := func(n int) string { return fmt.Sprint(poisonBody, n) }
+				refused := f.sendBesideInnocents(60, time.Second, func(n int) {
+					var calls sync.WaitGroup
+					for content := range contents {
+						calls.Go(func() { _ = f.serve(n+content, "/safe/x", body(content)) })
+					}
+					calls.Wait()
+				})
+				for content := range contents {
+					f.assertContained(body(content), refused)
+				}
+			})
+		})
+	}
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -166,6 +166,7 @@
 		}
 		c.probeDueUpstreams(ctx, time.Now())
 		c.checkAbandonedUpstreams(ctx, time.Now())
+		c.reviewHeldSlots(ctx, time.Now())
 		c.pingSilentUpstreams(ctx, time.Now())
 		c.releaseLostRuns(time.Now())
 		for _, change := range c.checkPeers(time.Now()) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -87,7 +87,7 @@
 		slot.ReportRunResult(true)
 		r.reportBreak(ctx, slot, true)
 	} else {
-		r.reportAbandoned(ctx, slot, true)
+		r.reportAbandoned(slot, true)
 	}
 	h.metrics.Attempts.WithLabelValues("broken_off").Inc()
 	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "after_event": r.answer.events.LastID(), "ended_by": r.endedBy(ctx), "ran_ms": time.Since(r.attemptAt).Milliseconds(), "error": err}).Info("upstream truncated a response")
@@ -97,7 +97,7 @@
 // retried at another upstream.
 func (h *Handler) handleTruncation(ctx context.Context, r *request, slot *Slot, err error) (bool, error) {
 	if r.watch.hasMoved() {
-		r.reportAbandoned(ctx, slot, true)
+		r.reportAbandoned(slot, true)
 		h.metrics.Attempts.WithLabelValues("silent").Inc()
 		return ctx.Err() == nil, silenceError(err)
 	}
