entry: keep the slot of an abandoned isolated run for one second

With two seconds TestInnocentRequestsThatWereAbandonedAreQuarantined failed in 1 of 2 runs under the race detector and in 13 of 60 without: while the slot is kept, a request that isn't suspect yet crashes the upstream, and the innocent one is blamed alone. With 250 ms, 500 ms and one second none of 60 runs failed; with 250 ms guilty requests whose upstreams end 300 ms after the start went on (50 to 52 late sends), from 500 ms on they don't. One second is the time in which a crash counts in full.

--- a/internal/entry/abandoned.go
+++ b/internal/entry/abandoned.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	heldSlotTime       = 2 * time.Second // from the end of an isolated run by this host
+	heldSlotTime       = time.Second // from the end of an isolated run by this host
 	heldSlotCheckPause = 250 * time.Millisecond
 )
 
