dispatch: suspect requests whose upstream ends after the caller left

After an attempt without a response the upstream is asked 100 ms later, after a response that had begun at once. Items of jobs take no part, as before. The gateway's fake engine of abort_test.go answers health checks from now on, as every engine must; no check changed. Ruled out: to wait 100 ms after a begun response too; the handler then outlives a closed server, which TestSlowReader notices.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -109,10 +109,14 @@
 // its upstream died in the middle of the response. The response is not retried, since the caller may
 // already have received a part of it.
 func (d *Dispatcher) handleBrokenResponse(ctx context.Context, r *requestState, slot *Slot, broken bool) {
-	if !broken || ctx.Err() != nil {
-		return
+	isGone := false
+	switch {
+	case ctx.Err() != nil:
+		isGone = !slot.Preempted() && r.mayBeQuarantined() && d.probe(ctx, slot) == upstream.Gone
+	case broken:
+		isGone = d.probe(ctx, slot) == upstream.Gone
 	}
-	if d.probe(ctx, slot) == upstream.Gone {
+	if isGone {
 		d.suspect(ctx, r)
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	maxAttempts   = 3
-	probeTimeout  = 2 * time.Second
-	retryInterval = 50 * time.Millisecond
-	maxRetryWait  = 2 * time.Second
+	maxAttempts  = 3
+	probeTimeout = 2 * time.Second
+
+	abandonedCheckDelay = 100 * time.Millisecond // from the end of an attempt by its caller to the check of its upstream
+	retryInterval       = 50 * time.Millisecond
+	maxRetryWait        = 2 * time.Second
 )
 
 // ErrPreempted is returned by a batch attempt, or by reading its response, after
@@ -213,6 +215,9 @@
 func (d *Dispatcher) handleFailure(ctx context.Context, r *requestState, slot *Slot, failure *apierr.Error) bool {
 	if ctx.Err() != nil {
 		slot.Release(false)
+		if failure.Execution != apierr.NotRun && d.endsAfter(ctx, r, slot) {
+			d.suspect(ctx, r)
+		}
 		return false
 	}
 	r.avoid[slot.ID] = true
@@ -225,6 +230,16 @@
 	return true
 }
 
+// endsAfter reports whether the upstream ends soon after the caller left, before it had
+// responded. It doesn't ask for a request against which crashes don't count.
+func (d *Dispatcher) endsAfter(ctx context.Context, r *requestState, slot *Slot) bool {
+	if !r.mayBeQuarantined() {
+		return false
+	}
+	sleep(context.WithoutCancel(ctx), abandonedCheckDelay)
+	return d.probe(ctx, slot) == upstream.Gone
+}
+
 // probe checks the upstream's health and records the result in the pool.
 func (d *Dispatcher) probe(ctx context.Context, slot *Slot) upstream.Health {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -162,6 +162,9 @@
 	}
 	failure := classify(ctx, err)
 	if ctx.Err() != nil {
+		if failure.Execution != apierr.NotRun && d.endsAfter(ctx, r, slot) {
+			d.suspects.Quarantine(ctx, r.fingerprint)
+		}
 		slot.Release(false)
 		return failure
 	}
@@ -176,6 +179,8 @@
 // finishTrial sets the request's level after a trial whose response had begun.
 func (d *Dispatcher) finishTrial(ctx context.Context, r *requestState, slot *Slot, broken, failed bool) {
 	switch {
+	case ctx.Err() != nil && !slot.Preempted() && d.probe(ctx, slot) == upstream.Gone:
+		d.suspects.Quarantine(ctx, r.fingerprint)
 	case broken && ctx.Err() == nil && d.probe(ctx, slot) == upstream.Gone:
 		d.suspects.Quarantine(ctx, r.fingerprint)
 	case !failed && ctx.Err() == nil && !slot.Preempted():
--- a/internal/gateway/abort_test.go
+++ b/internal/gateway/abort_test.go
@@ -30,6 +30,9 @@
 	return &upstream.Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/plain"}}, Body: io.NopCloser(body)}, nil
 }
 
+// CheckHealth implements upstream.Engine: the engine outlives its callers.
+func (*longEngine) CheckHealth(context.Context, string) error { return nil }
+
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
