--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -122,7 +122,7 @@
 	var send *SendError
 	notRun := errors.As(err, &send) && send.NotRun
 	wasNew := send != nil && send.NewConnection
-	h.log.WithFields(logrus.Fields{"event": "attempt_failed", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "not_run": notRun, "ended_by": r.endedBy(ctx), "ran_ms": time.Since(r.attemptAt).Milliseconds(), "error": err}).Info("an attempt failed")
+	h.log.WithFields(r.endFields(ctx, "attempt_failed", err)).WithField("not_run", notRun).Info("an attempt failed")
 	if r.watch.hasMoved() && !notRun {
 		r.runs++
 		r.reportAbandoned(slot, wasNew)
@@ -149,7 +149,15 @@
 		MayHaveRun().WithCause(err)
 }
 
-// endedBy names who ended the last attempt, for logs.
+// endFields describes the end of the last attempt for logs.
+func (r *request) endFields(ctx context.Context, event string, err error) logrus.Fields {
+	return logrus.Fields{
+		"event": event, "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream,
+		"ended_by": r.endedBy(ctx), "ran_ms": time.Since(r.attemptAt).Milliseconds(), "error": err,
+	}
+}
+
+// endedBy names who ended the last attempt.
 func (r *request) endedBy(ctx context.Context) string {
 	switch {
 	case r.watch.hasMoved():
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/eventstream"
@@ -90,7 +89,7 @@
 		r.reportAbandoned(slot, true)
 	}
 	h.metrics.Attempts.WithLabelValues("broken_off").Inc()
-	h.log.WithFields(logrus.Fields{"event": "stream_broke_off", "id": r.ID, "fingerprint": r.fingerprint(), "upstream": r.upstream, "after_event": r.answer.events.LastID(), "ended_by": r.endedBy(ctx), "ran_ms": time.Since(r.attemptAt).Milliseconds(), "error": err}).Info("upstream truncated a response")
+	h.log.WithFields(r.endFields(ctx, "stream_broke_off", err)).WithField("after_event", r.answer.events.LastID()).Info("upstream truncated a response")
 }
 
 // handleTruncation records a truncated response. It reports whether the request may be
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -110,13 +110,12 @@
 	team     fleet.Team
 	service  string
 	priority int
-
-	configVersion int64 // in force when the request was authorized
-
 	started  time.Time
 	deadline time.Time
 	isRetry  bool // the caller has spent part of its timeout elsewhere
 
+	configVersion int64 // in force when the request was authorized
+
 	excluded    map[string]bool // IDs of upstreams that have failed the request
 	barred      map[string]bool // those of them that must not get it again, see SlotRequest
 	sends       int             // attempts
--- a/internal/entry/verify.go
+++ b/internal/entry/verify.go
@@ -53,7 +53,7 @@
 	if c.crashes.Empty() || !c.isRegistryCurrent(now) {
 		return
 	}
-	for _, instance := range c.crashes.Doubtful(now.Add(-registrationTTL), now.Add(-c.peerVerifyDelay)) {
+	for _, instance := range c.crashes.Unverified(now.Add(-registrationTTL), now.Add(-c.peerVerifyDelay)) {
 		_, recently := c.verifiedAt[instance]
 		if recently || !c.isListed(instance) || len(c.verifiedAt) >= maxVerifications {
 			continue
@@ -69,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
 	began := time.Now()
-	if err := c.findLife(ctx, u); err != nil {
+	if err := c.confirmAlive(ctx, u); err != nil {
 		c.log.WithFields(logrus.Fields{"event": "crash_upheld", "upstream": u.ID, "error": err}).Info("an upstream that is listed doesn't show that it lives; its crash still counts")
 		return
 	}
@@ -82,9 +82,9 @@
 	}
 }
 
-// findLife returns nil if the upstream responds, and is registered with the start time that
-// it had. Both are asked now.
-func (c *Core) findLife(ctx context.Context, u fleet.Upstream) error {
+// confirmAlive returns nil if the upstream responds now, and is registered now with the start
+// time that it had.
+func (c *Core) confirmAlive(ctx context.Context, u fleet.Upstream) error {
 	if err := c.askUpstream(ctx, u); err != nil {
 		return errors.Wrap(err, "ask the upstream")
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -269,10 +269,10 @@
 	return changed
 }
 
-// Doubtful returns the upstreams whose crashes count against a request that isn't run like
-// others, and are old enough to be verified: those that this host has observed since the
-// first time, others since the second one.
-func (t *Table) Doubtful(own, others time.Time) []Instance {
+// Unverified returns the upstreams whose crashes count against a request from the level
+// Isolated on and are old enough to be verified: observed by this host before the first time,
+// or by another one before the second.
+func (t *Table) Unverified(own, others time.Time) []Instance {
 	found := map[Instance]bool{}
 	for _, crashes := range t.requests {
 		if levelOf(crashes) < Isolated {
