--- a/internal/entry/crashevidence_test.go
+++ b/internal/entry/crashevidence_test.go
@@ -185,3 +185,13 @@
 		})
 	}
 }
+
+// TestCrashIsLostWhenTheUpstreamIsReplacedAtOnce guards against a crash that isn't counted
+// because the next process at the address accepts the connection that is to show it.
+func TestCrashIsLostWhenTheUpstreamIsReplacedAtOnce(t *testing.T) {
+	runCrashFleet(t, 3, 15, func(c *qt.C, f *crashFleet) {
+		f.restartsAtOnce = true
+		refused := f.sendBesideInnocents(60, time.Second, func(n int) { _ = f.serve(n, "/safe/x", poisonBody) })
+		f.assertContained(poisonBody, refused)
+	})
+}
--- a/internal/entry/crashfleet_test.go
+++ b/internal/entry/crashfleet_test.go
@@ -46,10 +46,11 @@
 	hosts   []*crashHost
 	version int64
 
-	crashDelay    time.Duration // from the start of a run with poisonBody to its crash
-	entryLifetime time.Duration // of the registry entry of an upstream that has crashed
-	deafHost      int           // gets no list of upstreams after its first one; -1 for none
-	runs          []poisonRun
+	crashDelay     time.Duration // from the start of a run with poisonBody to its crash
+	entryLifetime  time.Duration // of the registry entry of an upstream that has crashed
+	restartsAtOnce bool          // under another id, at the same address
+	deafHost       int           // gets no list of upstreams after its first one; -1 for none
+	runs           []poisonRun
 }
 
 // poisonRun is a request that crashes the upstream that runs it.
@@ -160,7 +161,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range f.engines {
-		if e.ID == u.ID {
+		if e.Address == u.Address {
 			return e
 		}
 	}
@@ -194,6 +195,10 @@
 func (f *crashFleet) Do(ctx context.Context, call entry.Call) (*entry.Response, error) {
 	e := f.engine(call.Upstream)
 	f.mu.Lock()
+	if e.up && e.ID != call.Upstream.ID {
+		f.mu.Unlock()
+		return &entry.Response{Status: http.StatusMisdirectedRequest, NotRun: true, Moved: true, Header: http.Header{}, Body: http.NoBody}, nil
+	}
 	up, cut, crashed := e.up && !e.cut, e.cut, e.crashed
 	f.running[string(call.Body)] = e
 	isPoison := strings.HasPrefix(string(call.Body), poisonBody)
@@ -274,6 +279,10 @@
 }
 
 func (f *crashFleet) restart(e *crashEngine) {
+	if f.restartsAtOnce {
+		f.replace(e)
+		return
+	}
 	f.sleep(f.entryLifetime)
 	f.setListed(e, false)
 	f.sleep(max(restartTime-f.entryLifetime, restartTime/10))
@@ -283,6 +292,16 @@
 	f.setListed(e, true)
 }
 
+// replace starts the upstream's process again within milliseconds, under another id.
+func (f *crashFleet) replace(e *crashEngine) {
+	f.sleep(gossipPeriod)
+	f.mu.Lock()
+	e.up, e.crashed, e.Started = true, make(chan struct{}), time.Now()
+	e.ID = fmt.Sprint(e.Address, "-", e.Started.UnixMilli())
+	f.mu.Unlock()
+	f.publish()
+}
+
 func (f *crashFleet) setListed(e *crashEngine, listed bool) {
 	f.mu.Lock()
 	e.listed = listed
