--- a/internal/entry/crashfleet_test.go
+++ b/internal/entry/crashfleet_test.go
@@ -46,10 +46,11 @@
 	hosts   []*crashHost
 	version int64
 
-	crashDelay     time.Duration // from the start of a run with poisonBody to its crash
-	entryLifetime  time.Duration // of the registry entry of an upstream that has crashed
-	restartsAtOnce bool          // under another id, at the same address
-	deafHost       int           // gets no list of upstreams after its first one; -1 for none
+	crashDelay     time.Duration    // from the start of a run with poisonBody to its crash
+	entryLifetime  time.Duration    // of the registry entry of an upstream that has crashed
+	restartsAtOnce bool             // under another id, at the same address; the old entry lingers
+	lingering      []fleet.Upstream // entries of upstreams that have ended
+	deafHost       int              // gets no list of upstreams after its first one; -1 for none
 	runs           []poisonRun
 }
 
@@ -119,7 +120,7 @@
 
 // registered returns the registry's entries. The caller holds mu.
 func (f *crashFleet) registered() []fleet.Upstream {
-	var list []fleet.Upstream
+	list := slices.Clone(f.lingering)
 	for _, e := range f.engines {
 		if e.listed {
 			list = append(list, e.Upstream)
@@ -296,10 +297,17 @@
 func (f *crashFleet) replace(e *crashEngine) {
 	f.sleep(gossipPeriod)
 	f.mu.Lock()
+	ended := e.Upstream
+	f.lingering = append(f.lingering, ended)
 	e.up, e.crashed, e.Started = true, make(chan struct{}), time.Now()
 	e.ID = fmt.Sprint(e.Address, "-", e.Started.UnixMilli())
 	f.mu.Unlock()
 	f.publish()
+	f.sleep(2 * restartTime)
+	f.mu.Lock()
+	f.lingering = slices.DeleteFunc(f.lingering, func(u fleet.Upstream) bool { return u.ID == ended.ID })
+	f.mu.Unlock()
+	f.publish()
 }
 
 func (f *crashFleet) setListed(e *crashEngine, listed bool) {
@@ -318,24 +326,23 @@
 
 // serve sends a request through host n.
 func (f *crashFleet) serve(n int, path, body string) error {
+	return f.serveWithin(f.ctx, n, path, body)
+}
+
+func (f *crashFleet) serveWithin(ctx context.Context, n int, path, body string) error {
 	f.mu.Lock()
 	h := f.hosts[n%len(f.hosts)]
 	f.mu.Unlock()
-	return h.handler.Serve(f.ctx, entry.Request{
+	return h.handler.Serve(ctx, entry.Request{
 		ID: "r", Method: http.MethodPost, Target: path, Path: path, Host: hostName, Key: "k", Body: []byte(body), TimeLeft: 5 * time.Second,
 	}, httptest.NewRecorder())
 }
 
 // abandon sends a request through host n for a caller that leaves after the given time.
 func (f *crashFleet) abandon(n int, path, body string, after time.Duration) error {
-	f.mu.Lock()
-	h := f.hosts[n%len(f.hosts)]
-	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(f.ctx, after)
 	defer cancel()
-	return h.handler.Serve(ctx, entry.Request{
-		ID: "r", Method: http.MethodPost, Target: path, Path: path, Host: hostName, Key: "k", Body: []byte(body), TimeLeft: 5 * time.Second,
-	}, httptest.NewRecorder())
+	return f.serveWithin(ctx, n, path, body)
 }
 
 // contactTime is how long hosts may take to learn of a crash.
