jobs, slots: plan batch items, so that floods leave online requests their slots

Cause: items were ordered by due time among those that weren't late yet. Under a flood all become nearly due together, some 18 s after it began; each of them ran without preemption at any free slot, and most ended late.

Change: each host plans its unfinished items on the slots that online load leaves (jobs.planItems); what can't be in time is deferred: it runs last, is preempted first and yields to planned items. Protected items are counted over the hosts of a cell and bounded by what online peaks leave. Hosts preempt in an order that differs between upstreams: the first by name lost its items at each peak. Placement goes by the order of ids, so that a seed decides it (TestPartlyFailingUpstreamsAreEjected depended on the order of a map). The run time of items is learnt from resumed ones too.

Tests changed: PlaceBatch takes an urgency instead of a flag, with the same checks.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -302,15 +302,16 @@
 
 // BatchSlotRequest describes the slot that a batch item needs.
 type BatchSlotRequest struct {
-	Service   string
-	Due       time.Time
-	NearlyDue bool     // counts as online and isn't preempted
-	Avoid     []string // IDs of upstreams to use last, because they failed runs of the item; the latest last
-	Pause     func()   // called when the item must return the slot, unless it is nearly due
+	Service string
+	Due     time.Time // the item with the latest one is preempted first
+	Urgency slots.Urgency
+	Avoid   []string // IDs of upstreams to use last, because they failed runs of the item; the latest last
+	Pause   func()   // called when the item must return the slot, unless it is protected
 }
 
 // AcquireBatch returns a slot for a batch item, or false if none is available or
-// online requests that may use any upstream are queued for the service.
+// online requests that may use any upstream are queued for the service. An item that is
+// nearly due is protected from preemption as far as online load leaves slots for that.
 func (c *Core) AcquireBatch(req BatchSlotRequest) (*Slot, bool) {
 	now := time.Now()
 	c.mu.Lock()
@@ -318,17 +319,57 @@
 	if c.hasEarlierWaiters(req.Service) {
 		return nil, false
 	}
-	id, ok := c.balancer.PlaceBatch(req.Service, req.NearlyDue, req.Avoid, now)
+	urgency := req.Urgency
+	if urgency == slots.NearlyDue && !c.balancer.MayProtect(req.Service) {
+		urgency = slots.InTime
+	}
+	id, ok := c.balancer.PlaceBatch(req.Service, urgency, req.Avoid, now)
 	if !ok {
 		return nil, false
 	}
 	u, _ := c.balancer.Upstream(id)
-	s := &Slot{Upstream: u, core: c, run: &slots.Run{Upstream: id, Batch: !req.NearlyDue, Due: req.Due, Pause: req.Pause}}
+	protected := urgency == slots.NearlyDue
+	s := &Slot{Upstream: u, core: c, run: &slots.Run{Upstream: id, Batch: !protected, Protected: protected, Due: req.Due, Pause: req.Pause}}
 	c.balancer.Start(s.run)
 	c.notifyChange()
 	return s, true
 }
 
+// Defer makes the slot of a batch item preemptible, with the due time that decides the order
+// of preemption.
+func (s *Slot) Defer(due time.Time) {
+	s.core.mu.Lock()
+	defer s.core.mu.Unlock()
+	s.core.balancer.MakePreemptible(s.run, due)
+	s.core.notifyChange()
+	s.core.schedule()
+}
+
+// BatchShare estimates how many slots this host's batch items get on average in the next
+// seconds: what online load leaves in the cell, divided among its hosts by their waiting
+// tokens.
+func (c *Core) BatchShare(service string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own, all := int64(0), int64(0)
+	for _, tokens := range c.waitingTokens {
+		own += tokens
+	}
+	for name, p := range c.peers {
+		if !c.cellHosts[name] || p.unresponsive {
+			continue
+		}
+		for _, tokens := range p.state.Waiting {
+			all += tokens
+		}
+	}
+	all += own
+	if own == 0 || all == 0 {
+		return c.balancer.BatchSlots(service)
+	}
+	return c.balancer.BatchSlots(service) * float64(own) / float64(all)
+}
+
 // Admit charges one request to the team's rate limit.
 func (c *Core) Admit(team fleet.Team) error {
 	c.mu.Lock()
--- a/internal/entry/acquire_test.go
+++ b/internal/entry/acquire_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"time"
 
@@ -47,8 +46,8 @@
 // TestBatchItemIsPlacedBesideWaitersForOtherUpstreams guards against items that wait
 // before free slots, because the requests that wait for the service can't use them.
 func TestBatchItemIsPlacedBesideWaitersForOtherUpstreams(t *testing.T) {
-	for _, nearlyDue := range []bool{false, true} {
-		t.Run(fmt.Sprint("nearly due ", nearlyDue), func(t *testing.T) {
+	for name, urgency := range map[string]slots.Urgency{"in time": slots.InTime, "nearly due": slots.NearlyDue, "deferred": slots.Deferred} {
+		t.Run(name, func(t *testing.T) {
 			bubbletest.Run(t, func(t *testing.T) {
 				c := qt.New(t)
 				core := newCore(1)
@@ -62,7 +61,7 @@
 					c.Check(err, qt.IsNotNil)
 				}()
 				time.Sleep(300 * time.Millisecond)
-				slot, ok := core.AcquireBatch(entry.BatchSlotRequest{Service: "lm", Due: time.Now(), NearlyDue: nearlyDue, Pause: func() {}})
+				slot, ok := core.AcquireBatch(entry.BatchSlotRequest{Service: "lm", Due: time.Now(), Urgency: urgency, Pause: func() {}})
 				<-done
 				c.Assert(ok, qt.IsTrue, qt.Commentf("8 of 9 slots are free"))
 				c.Assert(slot.Upstream.ID, qt.Equals, "u0")
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -203,6 +203,7 @@
 	}
 	c.updateOutdatedCell(now)
 	c.publishOutcomes(now)
+	c.balancer.ObserveLoad(now)
 	c.schedule() // the back-off of upstreams may have expired
 	return changes
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -140,6 +140,17 @@
 	return r.Priority
 }
 
+// MainTarget returns the service with the greatest weight, or "" if the route has no targets.
+func (r *Route) MainTarget() string {
+	service, weight := "", 0
+	for _, t := range r.Targets {
+		if service == "" || t.Weight > weight {
+			service, weight = t.Service, t.Weight
+		}
+	}
+	return service
+}
+
 // PickTarget maps a point of the unit interval to a service by the targets'
 // weights. It returns "" if the route has no targets.
 func (r *Route) PickTarget(point float64) string {
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -88,7 +88,6 @@
 func (r *Runner) runItem(ctx context.Context, i *item, route *fleet.Route, slot *entry.Slot) {
 	r.mu.Lock()
 	p := progress{output: i.output, events: i.events, lastID: i.lastID}
-	resumed := i.lastID != ""
 	idleTimeout := i.idleTimeout()
 	r.mu.Unlock()
 	started := time.Now()
@@ -105,12 +104,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	i.cancelRun = nil
+	i.cancelRun, i.slot = nil, nil
 	if i.state != itemRunning {
 		return // cancelled, or finished by another host
 	}
-	if outcome == runDone && !resumed {
-		r.stats.observe(took, p.events)
+	if p.events > i.events {
+		i.ranFor += took
+	}
+	if outcome == runDone {
+		r.stats.observe(i.ranFor, p.events)
 	}
 	r.recordOutcome(i, route, outcome, cause, p)
 	if outcome.interrupted() {
@@ -184,6 +186,7 @@
 	}
 	if outcome == runUnresumable || i.unresumed >= maxUnresumed {
 		i.output, i.events, i.lastID, i.unresumed = nil, 0, "", 0
+		i.ranFor = 0
 		return false
 	}
 	if outcome == runMalformed {
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -134,14 +134,21 @@
 	output     []byte
 	events     int
 	lastID     string
-	failures   int       // responses of 500
-	failedAt   []string  // IDs of upstreams that failed runs since the last new event, the latest last
-	breaks     int       // consecutive runs that broke off without a new event or had an unexpected response
-	silences   int       // of those, runs that were silent; the idle timeout grows with them
-	unresumed  int       // consecutive unexpected responses to runs that were to resume the item
-	notBefore  time.Time // earliest start of the next run
-	cancelRun  func()    // nil while the item isn't running
-	runStarted time.Time // of the last run
+	failures   int           // responses of 500
+	failedAt   []string      // IDs of upstreams that failed runs since the last new event, the latest last
+	breaks     int           // consecutive runs that broke off without a new event or had an unexpected response
+	silences   int           // of those, runs that were silent; the idle timeout grows with them
+	unresumed  int           // consecutive unexpected responses to runs that were to resume the item
+	notBefore  time.Time     // earliest start of the next run
+	cancelRun  func()        // nil while the item isn't running
+	runStarted time.Time     // of the last run
+	ranFor     time.Duration // sum over the runs that added the present events
+
+	deferred    bool        // by the last plan; runs after the items that can be in time
+	contested   bool        // the last plan has deferred items of the item's team
+	slot        *entry.Slot // nil while the item isn't running
+	preemptible bool        // the run was made preemptible, since the item is deferred
+	yielding    bool        // the run was stopped for an item that can be in time
 
 	content *quarantine.Fingerprint // nil until it is needed
 }
--- a/internal/jobs/order.go
+++ b/internal/jobs/order.go
@@ -2,11 +2,13 @@
 
 import (
 	"time"
+
+	"github.com/masticscale/masticscale/internal/slots"
 )
 
 // runStats estimates how long items run, from the runs on this host.
 type runStats struct {
-	duration time.Duration // moving average over uninterrupted runs
+	duration time.Duration // moving average over finished items
 	events   float64       // moving average of the events per item
 }
 
@@ -20,7 +22,7 @@
 
 func newRunStats() runStats { return runStats{duration: initialDuration, events: initialEvents} }
 
-// observe adds an uninterrupted run to the averages.
+// observe adds an item that took this long in all its runs to the averages.
 func (s *runStats) observe(took time.Duration, events int) {
 	s.duration += time.Duration(smoothingFactor * float64(took-s.duration))
 	s.events += smoothingFactor * (float64(events) - s.events)
@@ -43,17 +45,35 @@
 	return due.Sub(now) < needed
 }
 
-// runsBefore orders waiting items: items that aren't late come first, then items
-// with the earlier due time, then items with more progress.
+// urgency returns how soon a waiting item must run.
+func (s *runStats) urgency(i *item, now time.Time) slots.Urgency {
+	switch {
+	case i.deferred || now.After(i.job.due):
+		return slots.Deferred
+	case !i.contested && s.isNearlyDue(i.job.due, i.events, now):
+		return slots.NearlyDue
+	}
+	return slots.InTime
+}
+
+// runsBefore orders waiting items: items that can be in time come first, then those of
+// teams all of whose items can, then items with the earlier due time, then items with more
+// progress.
 func runsBefore(a, b *item, now time.Time) bool {
-	lateA, lateB := now.After(a.job.due), now.After(b.job.due)
+	lateA, lateB := a.deferred || now.After(a.job.due), b.deferred || now.After(b.job.due)
 	if lateA != lateB {
 		return lateB
 	}
+	if a.contested != b.contested {
+		return b.contested
+	}
 	if !a.job.due.Equal(b.job.due) {
 		return a.job.due.Before(b.job.due)
 	}
-	return a.events > b.events
+	if a.events != b.events {
+		return a.events > b.events
+	}
+	return a.job.id < b.job.id
 }
 
 // nextItem returns the waiting item to run next, or nil. Jobs of the excluded routes are
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -10,6 +10,7 @@
 	"github.com/masticscale/masticscale/internal/entry"
 	"github.com/masticscale/masticscale/internal/mesh"
 	"github.com/masticscale/masticscale/internal/objstore"
+	"github.com/masticscale/masticscale/internal/slots"
 	"github.com/masticscale/masticscale/internal/telemetry"
 )
 
@@ -54,6 +55,7 @@
 	adopting  map[string]adoption  // jobs that peers have transferred and that aren't claimed yet
 	cancelled map[string]time.Time // time at which this host stored each cancellation
 	stats     runStats
+	plan      planState
 	stopping  bool
 	ttl       time.Duration // of a job and its results, counted from submission
 	work      chan struct{} // signals that an item may be waiting
@@ -148,6 +150,7 @@
 func (r *Runner) startItems(ctx context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.replan(time.Now())
 	full := map[string]bool{} // routes, whose services differ
 	for !r.stopping {
 		now := time.Now()
@@ -157,6 +160,9 @@
 		}
 		if !r.startItem(ctx, i, now) {
 			full[i.job.record.Route] = true
+			if !i.deferred {
+				r.yieldDeferred()
+			}
 		}
 	}
 }
@@ -183,16 +189,18 @@
 		return true
 	}
 	runCtx, cancel := context.WithDeadline(ctx, i.job.deadline)
-	nearlyDue := r.stats.isNearlyDue(i.job.due, i.events, now)
-	slot, ok := r.core.AcquireBatch(entry.BatchSlotRequest{
-		Service: service, Due: i.job.due, NearlyDue: nearlyDue, Avoid: i.failedAt, Pause: cancel,
-	})
+	urgency, due := r.stats.urgency(i, now), i.job.due
+	if urgency == slots.Deferred {
+		due = i.job.deadline
+	}
+	slot, ok := r.core.AcquireBatch(entry.BatchSlotRequest{Service: service, Due: due, Urgency: urgency, Avoid: i.failedAt, Pause: cancel})
 	if !ok {
 		cancel()
 		return false
 	}
 	i.state = itemRunning
-	i.cancelRun = cancel
+	i.cancelRun, i.slot = cancel, slot
+	i.preemptible, i.yielding = urgency == slots.Deferred, false
 	i.runStarted = now
 	r.runs.Go(func() {
 		defer cancel()
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -78,7 +78,7 @@
 		Jobs: s.Jobs, Watching: s.Watching,
 	}
 	for id, c := range s.Running {
-		m.Running = append(m.Running, &peerv1.Running{Upstream: id, Online: int32(c.Online), Batch: int32(c.Batch), Isolated: int32(c.Isolated)})
+		m.Running = append(m.Running, &peerv1.Running{Upstream: id, Online: int32(c.Online), Batch: int32(c.Batch), Isolated: int32(c.Isolated), Protected: int32(c.Protected)})
 	}
 	if s.CrashesVersion != sent.crashesVersion {
 		m.Crashes = encodeCrashes(s.Crashes, sent, now)
@@ -144,7 +144,7 @@
 		Crashes: decodeCrashes(m.Crashes, now),
 	}
 	for _, r := range m.Running {
-		s.Running[r.Upstream] = slots.Counts{Online: int(r.Online), Batch: int(r.Batch), Isolated: int(r.Isolated)}
+		s.Running[r.Upstream] = slots.Counts{Online: int(r.Online), Batch: int(r.Batch), Isolated: int(r.Isolated), Protected: int(r.Protected)}
 	}
 	for _, o := range m.Outcomes {
 		if s.Outcomes == nil {
--- a/internal/slots/balancer.go
+++ b/internal/slots/balancer.go
@@ -11,27 +11,35 @@
 package slots
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/masticscale/masticscale/internal/fleet"
 )
 
 // Counts are the numbers of requests that run at one upstream.
 type Counts struct {
-	Online   int // online requests, and batch items that are nearly due
-	Batch    int // batch items that can be preempted
-	Isolated int // of both, those that don't share an upstream with each other
+	Online    int // online requests, and batch items that are protected
+	Batch     int // batch items that can be preempted
+	Isolated  int // of both, those that don't share an upstream with each other
+	Protected int // of Online, batch items that are nearly due and can't be preempted
 }
 
 // Run is a request of this host that runs at an upstream.
 type Run struct {
 	Upstream  string
 	Batch     bool      // can be preempted
+	Protected bool      // a batch item that can't be preempted
 	Isolated  bool      // must not share an upstream with another isolated run
-	Due       time.Time // deadline of a batch item
+	Due       time.Time // deadline of a batch item; the latest is preempted first
 	Pause     func()    // stops a batch item; the events received so far are kept
+	number    uint64    // of the start on this host
 	preempted bool
 	lost      bool // its connection was lost, and it no longer counts
 	activity  activity
@@ -66,12 +74,15 @@
 type Balancer struct {
 	dataCentre    string
 	upstreams     map[string]*upstream
+	inOrder       []*upstream                  // by id; nil when it must be built anew
 	cellUpstreams map[string]bool              // upstreams of this host's cell; nil means all
 	spillTo       map[string]bool              // upstreams of other cells that this host may use; nil means all
 	announced     announcements                // of processes that leave
 	runs          map[string]map[*Run]bool     // by upstream
 	peerCounts    map[string]map[string]Counts // latest report of each peer, by upstream
 	unresponsive  map[string]bool              // data centres
+	onlineLoad    map[string]*onlineLoad       // by service
+	started       uint64                       // runs on this host
 	random        *rand.Rand
 }
 
@@ -83,6 +94,7 @@
 		announced:  announcements{},
 		runs:       map[string]map[*Run]bool{},
 		peerCounts: map[string]map[string]Counts{},
+		onlineLoad: map[string]*onlineLoad{},
 		random:     rand.New(rand.NewPCG(seed, 0)),
 	}
 }
@@ -97,7 +109,7 @@
 	}
 	for id := range b.upstreams {
 		if !registered[id] {
-			delete(b.upstreams, id)
+			b.RemoveUpstream(id)
 		}
 	}
 }
@@ -119,11 +131,26 @@
 }
 
 // RemoveUpstream removes an upstream. Requests that run there continue.
-func (b *Balancer) RemoveUpstream(id string) { delete(b.upstreams, id) }
+func (b *Balancer) RemoveUpstream(id string) {
+	if _, registered := b.upstreams[id]; registered {
+		delete(b.upstreams, id)
+		b.inOrder = nil
+	}
+}
+
+// ordered returns the upstreams by id, so that the choice among equal ones depends on the
+// seed alone.
+func (b *Balancer) ordered() []*upstream {
+	if b.inOrder == nil {
+		b.inOrder = slices.SortedFunc(maps.Values(b.upstreams), func(x, y *upstream) int { return strings.Compare(x.ID, y.ID) })
+	}
+	return b.inOrder
+}
 
 // addUpstream registers an upstream. Requests may already run there if the
 // upstream was registered before and its entry was missing for a while.
 func (b *Balancer) addUpstream(u fleet.Upstream) {
+	b.inOrder = nil
 	b.upstreams[u.ID] = &upstream{Upstream: u, announcedLeaving: b.HasAnnouncedLeaving(u), peers: map[string]Counts{}}
 	for r := range b.runs[u.ID] {
 		b.countOwn(r, 1)
@@ -159,7 +186,7 @@
 // Upstreams returns the registered upstreams.
 func (b *Balancer) Upstreams() []fleet.Upstream {
 	list := make([]fleet.Upstream, 0, len(b.upstreams))
-	for _, u := range b.upstreams {
+	for _, u := range b.ordered() {
 		list = append(list, u.Upstream)
 	}
 	return list
@@ -194,6 +221,7 @@
 	u.total.Online += now.Online - before.Online
 	u.total.Batch += now.Batch - before.Batch
 	u.total.Isolated += now.Isolated - before.Isolated
+	u.total.Protected += now.Protected - before.Protected
 	u.noteLeast()
 }
 
@@ -213,6 +241,8 @@
 	if b.runs[r.Upstream] == nil {
 		b.runs[r.Upstream] = map[*Run]bool{}
 	}
+	b.started++
+	r.number = b.started
 	b.runs[r.Upstream][r] = true
 	b.countOwn(r, 1)
 }
@@ -244,6 +274,10 @@
 		u.own.Isolated = max(u.own.Isolated+change, 0)
 		u.total.Isolated = max(u.total.Isolated+change, 0)
 	}
+	if r.Protected {
+		u.own.Protected = max(u.own.Protected+change, 0)
+		u.total.Protected = max(u.total.Protected+change, 0)
+	}
 	if r.Batch {
 		u.own.Batch = max(u.own.Batch+change, 0)
 		u.total.Batch = max(u.total.Batch+change, 0)
@@ -330,7 +364,8 @@
 // Capacity returns the slots of a service at the upstreams of this host's cell.
 func (b *Balancer) Capacity(service string, now time.Time) Capacity {
 	var sum Capacity
-	for id, u := range b.upstreams {
+	for _, u := range b.ordered() {
+		id := u.ID
 		if !u.isAvailable(service, now) || !b.inCell(id) || u.outlier.isEjected(now) {
 			continue
 		}
@@ -345,7 +380,8 @@
 // HasRegistered reports whether an upstream of the service is registered that isn't about
 // to leave, other than the given ones.
 func (b *Balancer) HasRegistered(service string, except map[string]bool) bool {
-	for id, u := range b.upstreams {
+	for _, u := range b.ordered() {
+		id := u.ID
 		if u.Service == service && !u.isLeaving() && !except[id] {
 			return true
 		}
@@ -355,8 +391,9 @@
 
 // PreemptBatch returns the batch items of this host to preempt at upstreams that
 // have more requests than slots, and removes them from the counts. Hosts preempt
-// in the order of their names, so that no two of them do so for the same request.
-// Items with the latest deadlines are preempted first.
+// in an order that differs between upstreams, so that no two of them do so for the same
+// request and no host always comes first. Items with the latest deadlines are preempted
+// first.
 func (b *Balancer) PreemptBatch(self string) []*Run {
 	var preempted []*Run
 	for id := range b.runs {
@@ -366,7 +403,7 @@
 		}
 		excess := u.total.Online + u.total.Batch - u.Slots
 		for host, c := range u.peers {
-			if host < self {
+			if c.Batch > 0 && preemptsBefore(host, self, id) {
 				excess -= c.Batch
 			}
 		}
@@ -377,6 +414,13 @@
 	return preempted
 }
 
+// preemptsBefore reports whether one host preempts its items at the upstream before another
+// one does.
+func preemptsBefore(host, other, upstream string) bool {
+	a, b := xxhash.Sum64String(host+"\x00"+upstream), xxhash.Sum64String(other+"\x00"+upstream)
+	return a < b || a == b && host < other
+}
+
 // preemptAt removes up to n batch items at the upstream from the counts and
 // returns them.
 func (b *Balancer) preemptAt(id string, n int) []*Run {
@@ -386,7 +430,7 @@
 			runs = append(runs, r)
 		}
 	}
-	sort.Slice(runs, func(i, j int) bool { return runs[i].Due.After(runs[j].Due) })
+	slices.SortFunc(runs, func(x, y *Run) int { return cmp.Or(y.Due.Compare(x.Due), cmp.Compare(y.number, x.number)) })
 	runs = runs[:min(n, len(runs))]
 	for _, r := range runs {
 		r.preempted = true
@@ -398,7 +442,7 @@
 // Addresses returns the set of the registered upstreams' addresses.
 func (b *Balancer) Addresses() map[string]bool {
 	addresses := map[string]bool{}
-	for _, u := range b.upstreams {
+	for _, u := range b.ordered() {
 		addresses[u.Address] = true
 	}
 	return addresses
--- a/internal/slots/balancer_test.go
+++ b/internal/slots/balancer_test.go
@@ -39,7 +39,7 @@
 }
 
 func startBatch(b *slots.Balancer, due time.Time, now time.Time) (*slots.Run, bool) {
-	id, ok := b.PlaceBatch("lm", false, nil, now)
+	id, ok := b.PlaceBatch("lm", slots.InTime, nil, now)
 	if !ok {
 		return nil, false
 	}
@@ -119,7 +119,7 @@
 func TestNearlyDueItemKeepsItsSlot(t *testing.T) {
 	c := qt.New(t)
 	b := newBalancer(1, 1)
-	id, ok := b.PlaceBatch("lm", true, nil, epoch)
+	id, ok := b.PlaceBatch("lm", slots.NearlyDue, nil, epoch)
 	c.Assert(ok, qt.IsTrue)
 	b.Start(&slots.Run{Upstream: id})
 	_, ok = startOnline(b, epoch)
--- a/internal/slots/batch_test.go
+++ b/internal/slots/batch_test.go
@@ -69,19 +69,19 @@
 	}
 	b.ReportFailure("u1", epoch)
 	for range 4 { // until half of the slots are taken
-		id, ok := b.PlaceBatch("lm", true, nil, epoch)
+		id, ok := b.PlaceBatch("lm", slots.NearlyDue, nil, epoch)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(id, qt.Equals, "u2", qt.Commentf("the only one of another cell that this host may use"))
 		b.Start(&slots.Run{Upstream: id})
 	}
-	_, ok := b.PlaceBatch("lm", true, nil, epoch)
+	_, ok := b.PlaceBatch("lm", slots.NearlyDue, nil, epoch)
 	c.Assert(ok, qt.IsFalse)
 	for range 8 {
 		b.ReportRunResult("u3", true, epoch)
 	}
 	c.Assert(b.EjectedUntil("u3").After(epoch), qt.IsTrue)
 	b.SetCell(map[string]bool{"u0": true, "u1": true}, map[string]bool{"u2": true, "u3": true})
-	_, ok = b.PlaceBatch("lm", true, nil, epoch)
+	_, ok = b.PlaceBatch("lm", slots.NearlyDue, nil, epoch)
 	c.Assert(ok, qt.IsFalse, qt.Commentf("placed at an ejected upstream of another cell"))
 }
 
@@ -107,10 +107,10 @@
 			b.SetUpstreams(list)
 			b.SetCell(map[string]bool{"own": true}, map[string]bool{"other": true})
 			occupy(b)
-			id, ok := b.PlaceBatch("lm", false, nil, epoch)
+			id, ok := b.PlaceBatch("lm", slots.InTime, nil, epoch)
 			c.Assert(ok, qt.IsFalse, qt.Commentf("placed at %s", id))
 			b.ReportUnreachable("own", epoch.Add(time.Millisecond))
-			id, ok = b.PlaceBatch("lm", false, nil, epoch.Add(time.Millisecond))
+			id, ok = b.PlaceBatch("lm", slots.InTime, nil, epoch.Add(time.Millisecond))
 			c.Assert(ok, qt.IsTrue, qt.Commentf("the cell has no upstream left"))
 			c.Assert(id, qt.Equals, "other")
 		})
--- a/internal/slots/isolation.go
+++ b/internal/slots/isolation.go
@@ -11,7 +11,8 @@
 	if all == nil {
 		all = map[string]bool{}
 	}
-	for id, u := range b.upstreams {
+	for _, u := range b.ordered() {
+		id := u.ID
 		if u.total.Isolated > 0 {
 			all[id] = true
 		}
--- a/internal/slots/leaving_test.go
+++ b/internal/slots/leaving_test.go
@@ -35,8 +35,8 @@
 		prepare(b)
 		placed := map[string]bool{}
 		_, placed["online"] = b.PlaceOnline(list[0].Service, nil, now)
-		_, placed["batch"] = b.PlaceBatch(list[0].Service, false, nil, now)
-		_, placed["batch, nearly due"] = b.PlaceBatch(list[0].Service, true, nil, now)
+		_, placed["batch"] = b.PlaceBatch(list[0].Service, slots.InTime, nil, now)
+		_, placed["batch, nearly due"] = b.PlaceBatch(list[0].Service, slots.NearlyDue, nil, now)
 		_, placed["move"] = b.PlaceMove(list[0].Service, nil, 2*time.Second, now)
 		for kind, ok := range placed {
 			c.Check(ok, qt.IsFalse, qt.Commentf("%s: %s", name, kind))
@@ -62,10 +62,10 @@
 	list := upstreams(2, 8)
 	b.SetCell(map[string]bool{list[0].ID: true}, nil)
 	b.ReportFull(list[0].ID, now)
-	_, ok := b.PlaceBatch(list[0].Service, false, nil, now)
+	_, ok := b.PlaceBatch(list[0].Service, slots.InTime, nil, now)
 	c.Assert(ok, qt.IsFalse)
 	b.ReportLeaving(list[0], now)
-	id, ok := b.PlaceBatch(list[0].Service, false, nil, now)
+	id, ok := b.PlaceBatch(list[0].Service, slots.InTime, nil, now)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(id, qt.Equals, list[1].ID)
 }
--- a/internal/slots/outlier.go
+++ b/internal/slots/outlier.go
@@ -96,7 +96,8 @@
 // of any host has failed.
 func (b *Balancer) Outcomes(now time.Time) map[string]Outcomes {
 	var all map[string]Outcomes
-	for id, u := range b.upstreams {
+	for _, u := range b.ordered() {
+		id := u.ID
 		own := u.outlier.ownOutcomes(now)
 		if own.Failed == 0 && len(u.outlier.peers) == 0 || own.Ended == 0 {
 			continue
@@ -113,7 +114,8 @@
 // upstreams that are ejected as a consequence.
 func (b *Balancer) SetPeerOutcomes(host string, sameDataCentre bool, reported map[string]Outcomes, now time.Time) []string {
 	var ejected []string
-	for id, u := range b.upstreams {
+	for _, u := range b.ordered() {
+		id := u.ID
 		o, ok := reported[id]
 		if !ok {
 			delete(u.outlier.peers, host)
@@ -156,7 +158,7 @@
 // mayEject reports whether one more upstream of the service may be ejected.
 func (b *Balancer) mayEject(service string, now time.Time) bool {
 	ejected, all := 1, 0
-	for _, u := range b.upstreams {
+	for _, u := range b.ordered() {
 		if u.Service != service || u.isLeaving() {
 			continue
 		}
--- a/internal/slots/placement.go
+++ b/internal/slots/placement.go
@@ -19,7 +19,8 @@
 func (b *Balancer) placeOnline(service string, now time.Time, isFit func(*upstream) bool) (string, bool) {
 	var best *upstream
 	var bestScore float64
-	for id, u := range b.upstreams {
+	for _, u := range b.ordered() {
+		id := u.ID
 		if !u.isAvailable(service, now) || !b.mayUse(id) || u.total.Online+u.unaccountedAt(now) >= u.Slots || !isFit(u) {
 			continue
 		}
@@ -76,13 +77,24 @@
 	return score + float64(free)*scorePerFreeSlot
 }
 
+// Urgency is how soon a batch item must run.
+type Urgency int
+
+const (
+	InTime    Urgency = iota // is expected to end in time
+	NearlyDue                // must run from now on without preemption to end in time
+	Deferred                 // can't end in time any more, or only at the cost of another item
+)
+
 // PlaceBatch picks the upstream for a batch item. Batch items fill the slots that
 // online load leaves free, except for a reserve: online load swings from second
 // to second, and the next online requests take the reserve without preempting an
-// item. Items that are nearly due may use the reserve, and where no slot of the cell is
+// item. Deferred items leave more free, for other hosts' items that can be in time.
+// Items that are nearly due may use the reserve, and where no slot of the cell is
 // free, the upstreams of other cells that are open to this host's online requests.
 // The upstreams to avoid are used last, and among them the first ones first.
-func (b *Balancer) PlaceBatch(service string, nearlyDue bool, avoid []string, now time.Time) (string, bool) {
+func (b *Balancer) PlaceBatch(service string, urgency Urgency, avoid []string, now time.Time) (string, bool) {
+	nearlyDue := urgency == NearlyDue
 	capacity := b.Capacity(service, now)
 	if capacity.Upstreams == 0 && !b.cellBacksOff(service, now) {
 		return b.placeBatchElsewhere(service, func(*upstream) bool { return true }, now)
@@ -91,15 +103,18 @@
 		return b.placeBatchElsewhere(service, func(u *upstream) bool { return b.mayUse(u.ID) && !u.outlier.isEjected(now) }, now)
 	}
 	reserve := onlineReserve(capacity.Slots)
-	if nearlyDue {
+	switch urgency {
+	case NearlyDue:
 		reserve = 0
+	case Deferred:
+		reserve = int(deferredReserveFraction * float64(capacity.Slots))
 	}
 	if capacity.Free <= reserve {
 		return "", false
 	}
 	var best *upstream
 	var bestScore float64
-	for _, u := range b.upstreams {
+	for _, u := range b.ordered() {
 		if !u.isAvailable(service, now) || u.freeSlots(now) <= 0 || !b.inCell(u.ID) || u.outlier.isEjected(now) {
 			continue
 		}
@@ -124,7 +139,7 @@
 // cellBacksOff reports whether an upstream of this host's cell is out of use only for a
 // moment, after a failure or a rejection for lack of slots.
 func (b *Balancer) cellBacksOff(service string, now time.Time) bool {
-	for _, u := range b.upstreams {
+	for _, u := range b.ordered() {
 		if u.Service == service && b.inCell(u.ID) && !u.isLeaving() && !u.unreachable && !u.outlier.isEjected(now) && !u.isAvailable(service, now) {
 			return true
 		}
@@ -138,7 +153,7 @@
 func (b *Balancer) placeBatchElsewhere(service string, mayUse func(*upstream) bool, now time.Time) (string, bool) {
 	var best *upstream
 	var bestScore float64
-	for _, u := range b.upstreams {
+	for _, u := range b.ordered() {
 		free := u.freeSlots(now)
 		if !u.isAvailable(service, now) || !mayUse(u) || 2*free <= u.Slots {
 			continue
@@ -165,4 +180,7 @@
 // in about 50 ms, by which time other hosts have received the new counts.
 const reserveFraction = 0.04
 
+// deferredReserveFraction is the part of a service's slots that deferred items leave free.
+const deferredReserveFraction = 0.125
+
 func onlineReserve(slots int) int { return int(float64(slots)*reserveFraction + 0.5) }
--- a/internal/slots/reach.go
+++ b/internal/slots/reach.go
@@ -37,7 +37,7 @@
 // upstreams get no requests until a connection succeeds, and are probed at once
 // when hosts there respond again.
 func (b *Balancer) SetUnresponsiveDataCentres(dataCentres map[string]bool) {
-	for _, u := range b.upstreams {
+	for _, u := range b.ordered() {
 		was, is := b.unresponsive[u.DataCentre], dataCentres[u.DataCentre]
 		if is && !was {
 			u.unreachable = true
@@ -54,7 +54,7 @@
 // before.
 func (b *Balancer) DueProbes(now time.Time, interval time.Duration) []fleet.Upstream {
 	var due []fleet.Upstream
-	for _, u := range b.upstreams {
+	for _, u := range b.ordered() {
 		if u.unreachable && !u.isLeaving() && !now.Before(u.backoffUntil) {
 			u.backoffUntil = now.Add(interval)
 			due = append(due, u.Upstream)
--- a/internal/slots/silence.go
+++ b/internal/slots/silence.go
@@ -122,7 +122,7 @@
 // RequestPings marks the silent upstreams of the service to be pinged. Connections to all
 // upstreams can be lost at once; only a response on a new one tells that from a pause.
 func (b *Balancer) RequestPings(service string, excluded map[string]bool, silence time.Duration, now time.Time) {
-	for _, u := range b.upstreams {
+	for _, u := range b.ordered() {
 		if !u.pingRequested && u.Service == service && !excluded[u.ID] && u.isSilent(b.recentActivity(u, now), silence, now) {
 			u.pingRequested = true
 		}
@@ -133,7 +133,7 @@
 // a run still wants to move.
 func (b *Balancer) DuePings(now time.Time) []fleet.Upstream {
 	var due []fleet.Upstream
-	for _, u := range b.upstreams {
+	for _, u := range b.ordered() {
 		if u.pingRequested && now.Sub(u.pingedAt) >= pingInterval {
 			u.pingRequested, u.pingedAt = false, now
 			u.leastSincePing = u.total.Online + u.total.Batch
@@ -166,7 +166,8 @@
 // all. It returns the number of slots given back.
 func (b *Balancer) ReviewLostRuns(now time.Time) int {
 	released := 0
-	for id, u := range b.upstreams {
+	for _, u := range b.ordered() {
+		id := u.ID
 		b.recountRuns(id, u)
 		settled := !u.healthyAt.IsZero() && now.Sub(u.healthyAt) >= pingSettleTime
 		if settled && u.excessAtPing() > 0 && !b.sentRunsBytesSince(u, u.healthyAt) {
--- a/internal/slots/silence_test.go
+++ b/internal/slots/silence_test.go
@@ -92,7 +92,7 @@
 	}
 	_, ok := b.PlaceOnline("s", nil, now)
 	c.Assert(ok, qt.IsTrue)
-	_, ok = b.PlaceBatch("s", false, nil, now)
+	_, ok = b.PlaceBatch("s", slots.InTime, nil, now)
 	c.Assert(ok, qt.IsTrue)
 }
 
@@ -108,7 +108,7 @@
 		seen := map[string]bool{}
 		for range 50 {
 			online, _ := b.PlaceOnline("s", nil, now)
-			batch, _ := b.PlaceBatch("s", false, nil, now)
+			batch, _ := b.PlaceBatch("s", slots.InTime, nil, now)
 			moved, _ := b.PlaceMove("s", nil, 2*time.Second, now)
 			seen[online], seen[batch], seen[moved] = true, true, true
 		}
