entry: ask who responds at the address of an upstream whose connections broke

Cause: the check after a broken connection took whoever accepted one for the upstream. Where the next process took the address within milliseconds, under another id or the same, no crash was counted, and a request went on to end upstreams.

Change: after the connection a health check or load report is asked for, with the expected instance; a response of another upstream, or one that states another start time, shows the end. No response in time shows nothing, as before.

The tests' fleet can now answer a health check; its checks and bounds are unchanged.

--- a/internal/entry/connect.go
+++ b/internal/entry/connect.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/fleet"
@@ -19,18 +20,22 @@
 	Connect(ctx context.Context, u fleet.Upstream) error
 }
 
+// ErrReplaced says that another process responds at the address of an upstream.
+var ErrReplaced = errors.New("another upstream responds at the address")
+
 // Pinger is a Connector that can also ask an upstream for a response.
 type Pinger interface {
 	// Ping sends a health check over a new connection, and returns what the upstream
 	// responded. Any response of the upstream is a success, since it shows that the
-	// upstream sends bytes.
+	// upstream sends bytes. That of another one is an ErrReplaced.
 	Ping(ctx context.Context, u fleet.Upstream, healthPath string) (Health, error)
 }
 
 // Health is an upstream's response to a health check.
 type Health struct {
 	Healthy bool
-	Leaving bool // the upstream announces that it shuts down
+	Leaving bool      // the upstream announces that it shuts down
+	Started time.Time // of the process that responded; zero if it doesn't tell
 }
 
 // noopConnector is the default Connector and treats every upstream as reachable.
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/apierr"
@@ -25,7 +26,7 @@
 // The causes of a broken connection.
 const (
 	BreakUnknown    BreakCause = iota // not known yet
-	UpstreamAlive                     // the upstream accepts connections
+	UpstreamAlive                     // the upstream accepts connections, and no other process responds there
 	UpstreamLeaving                   // the upstream had announced that it leaves, or had left the registry
 	UpstreamEnded                     // the upstream accepts no connection, or another process has taken its place
 )
@@ -296,7 +297,7 @@
 	err := c.connector.Connect(bounded, u)
 	switch {
 	case err == nil:
-		return UpstreamAlive, nil
+		return c.respondentCause(bounded, u)
 	case ctx.Err() != nil: // this host is shutting down
 		return BreakUnknown, err
 	}
@@ -304,6 +305,25 @@
 	return UpstreamEnded, err
 }
 
+// respondentCause returns the cause of a break at an upstream whose address accepts
+// connections: another process may have taken it at once. An upstream that doesn't respond
+// in time is alive as far as this shows.
+func (c *Core) respondentCause(ctx context.Context, u fleet.Upstream) (BreakCause, error) {
+	pinger, ok := c.connector.(Pinger)
+	path := c.healthPath(u.Service)
+	if !ok || path == "" {
+		return UpstreamAlive, nil
+	}
+	health, err := pinger.Ping(ctx, u, path)
+	switch {
+	case errors.Is(err, ErrReplaced):
+		return UpstreamEnded, err
+	case err == nil && !health.Started.IsZero() && health.Started.UnixMilli() != u.Started.UnixMilli():
+		return UpstreamEnded, errors.New("the upstream has restarted")
+	}
+	return UpstreamAlive, err
+}
+
 // reportEnd records the end of an upstream, which may belong to a burst.
 func (c *Core) reportEnd(u fleet.Upstream) {
 	c.mu.Lock()
--- a/internal/entry/crashevidence_test.go
+++ b/internal/entry/crashevidence_test.go
@@ -195,3 +195,13 @@
 		f.assertContained(poisonBody, refused)
 	})
 }
+
+// TestCrashIsLostWhenTheUpstreamRestartsAtOnce guards against a crash that isn't counted
+// because the process is back within milliseconds under the id that it had.
+func TestCrashIsLostWhenTheUpstreamRestartsAtOnce(t *testing.T) {
+	runCrashFleet(t, 3, 15, func(c *qt.C, f *crashFleet) {
+		f.restartsAtOnce, f.keepsID = true, true
+		refused := f.sendBesideInnocents(60, time.Second, func(n int) { _ = f.serve(n, "/safe/x", poisonBody) })
+		f.assertContained(poisonBody, refused)
+	})
+}
--- a/internal/entry/crashfleet_test.go
+++ b/internal/entry/crashfleet_test.go
@@ -49,6 +49,7 @@
 	crashDelay     time.Duration    // from the start of a run with poisonBody to its crash
 	entryLifetime  time.Duration    // of the registry entry of an upstream that has crashed
 	restartsAtOnce bool             // under another id, at the same address; the old entry lingers
+	keepsID        bool             // restartsAtOnce, but under the same id
 	lingering      []fleet.Upstream // entries of upstreams that have ended
 	deafHost       int              // gets no list of upstreams after its first one; -1 for none
 	runs           []poisonRun
@@ -103,7 +104,10 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	core := entry.NewCore(entry.Identity{Name: fmt.Sprint("h", n), Incarnation: fmt.Sprint(n, time.Now()), DataCentre: "dc"}, log)
-	core.SetConfig(newCore(0).Config())
+	config := *newCore(0).Config()
+	config.Version++
+	config.Services = map[string]fleet.Service{"lm": {Name: "lm", HealthPath: "/health"}}
+	core.SetConfig(&config)
 	core.SetConnector(f)
 	core.SetRegistry(f)
 	ctx, stop := context.WithCancel(f.ctx)
@@ -180,6 +184,20 @@
 	return nil
 }
 
+// Ping implements entry.Pinger.
+func (f *crashFleet) Ping(ctx context.Context, u fleet.Upstream, _ string) (entry.Health, error) {
+	if err := f.Connect(ctx, u); err != nil {
+		return entry.Health{}, err
+	}
+	e := f.engine(u)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.ID != u.ID {
+		return entry.Health{}, entry.ErrReplaced
+	}
+	return entry.Health{Healthy: true, Started: e.Started}, nil
+}
+
 // ReadUpstream implements entry.Registry.
 func (f *crashFleet) ReadUpstream(_ context.Context, id string) (fleet.Upstream, bool, error) {
 	f.mu.Lock()
@@ -296,6 +314,12 @@
 // replace starts the upstream's process again within milliseconds, under another id.
 func (f *crashFleet) replace(e *crashEngine) {
 	f.sleep(gossipPeriod)
+	if f.keepsID {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		e.up, e.crashed, e.Started = true, make(chan struct{}), time.Now()
+		return // its entry changes with the next list
+	}
 	f.mu.Lock()
 	ended := e.Upstream
 	f.lingering = append(f.lingering, ended)
