entry, mesh, fleet: pass states between cells through two relays for each pair

Cause: every host streamed its state to every other; 295 hosts of the large deployment took 14.8 GB, 50 MB a host, most of it for 588 HTTP/2 connections a host.

Change: fleet.CellIndex.Links deals two relays for each pair of cells over the hosts of both. A relay passes on the states of its cell, a receiver those from outside to its own cell. A relayed state carries its age, its incarnation and a number; streams carry only what changed; idle connections to peers are closed after 10 s; a host fetches lists from its own cell where one has them. Incarnations are ordered by the time of the start. A fleet of one cell sends what it sent before.

A process of an older build hears only its cell and the relays that send to it: both builds beside each other were not tried in a fleet of several cells.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -40,12 +40,19 @@
 	queue               slots.Queue
 	limiter             *replicated.Limiter
 	peers               map[string]*peerRecord
-	unresponsiveDCs     map[string]bool     // other data centres with no live host
-	members             map[string]HostInfo // hosts registered in the store, by name
-	cells               *fleet.CellIndex    // of all known hosts and upstreams
-	cellHosts           map[string]bool     // hosts of this host's cell, by name
-	cellUpdatedAt       time.Time           // when the upstreams of the cell were computed
-	cellOutdated        bool                // hosts or upstreams have changed since then
+	peerKeys            map[uint64]string // names of the peers by mesh.PeerKey
+	links               []string          // hosts of other cells to which this host streams its state
+	linksAt             time.Time         // when they were chosen
+	linksOutdated       bool
+	urgent              int64 // changes that all hosts need at once
+	startedAt           time.Time
+	unresponsiveDCs     map[string]bool      // other data centres with no live host
+	members             map[string]HostInfo  // hosts registered in the store, by name
+	cells               *fleet.CellIndex     // of all known hosts and upstreams
+	cellHosts           map[string]bool      // hosts of this host's cell, by name
+	cellSince           map[string]time.Time // when each of them came into the cell
+	cellUpdatedAt       time.Time            // when the upstreams of the cell were computed
+	cellOutdated        bool                 // hosts or upstreams have changed since then
 	cellUpstreams       cellUpstreamsFunc
 	jobs                []string // IDs of the jobs that this host runs or has run
 	waitingTokens       map[mesh.Backlog]int64
@@ -69,6 +76,7 @@
 	longestTimeouts     map[string]time.Duration // longest timeout seen in requests, by route
 	onStateChange       func()
 	onUrgentChange      func()
+	onRelayedChange     func(toCell bool)
 	batchWake           chan struct{}
 	onPeerChange        func(PeerChange)
 	onJobsCancelled     func(jobs []string)
@@ -87,6 +95,9 @@
 		balancer:        slots.NewBalancer(self.DataCentre, seed),
 		limiter:         replicated.New(time.Now()),
 		peers:           map[string]*peerRecord{},
+		peerKeys:        map[uint64]string{},
+		startedAt:       time.Now(),
+		onRelayedChange: func(bool) {},
 		members:         map[string]HostInfo{},
 		waitingTokens:   map[mesh.Backlog]int64{},
 		stateDirty:      true,
@@ -230,13 +241,18 @@
 		admitted[team] = n
 	}
 	crashes, crashesVersion := c.crashes.Shared()
-	return mesh.State{
+	next := mesh.State{
 		Host: c.self.Name, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
 		Address: c.self.PeerAddress, Leaving: c.leaving, Running: c.balancer.OwnCounts(), Outcomes: c.outcomes, Admitted: admitted,
 		Waiting: c.waitingTokens, EndedJobs: c.cancelledJobs, Jobs: c.jobs, Watching: c.watching, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams, HostsVersion: c.versions.Hosts,
 		Crashes: crashes, CrashesVersion: crashesVersion,
 		StoreReachable: c.storeReachable && (c.watching || !c.storeCallFailed),
+		Number:         c.state.Number + 1, Details: c.state.Details, Urgent: c.urgent,
 	}
+	if !next.SameDetails(&c.state) {
+		next.Details = next.Number
+	}
+	return next
 }
 
 // SetCancelledJobs replaces the recently cancelled jobs that are shared with peers.
@@ -257,6 +273,7 @@
 // notifyUrgentChange reports a change of the shared state to all cells. The caller must
 // hold mu.
 func (c *Core) notifyUrgentChange() {
+	c.urgent++
 	c.stateDirty = true
 	c.onUrgentChange()
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -24,6 +24,10 @@
 	state         mesh.State
 	lastHeartbeat time.Time
 	unresponsive  bool
+	key           uint64       // mesh.PeerKey of the host and its incarnation
+	directAt      time.Time    // when the peer last sent its state to this host
+	outsideAt     time.Time    // when a host of another cell last passed its state on to this host
+	admitted      admissionLog // of the incarnation
 }
 
 // HostInfo is a host's registration in the store.
@@ -52,6 +56,7 @@
 		if _, listed := hosts[name]; !listed && p.unresponsive {
 			c.balancer.SetPeerCounts(name, nil)
 			c.limiter.ForgetPeer(p.state.Incarnation)
+			delete(c.peerKeys, p.key)
 			delete(c.peers, name)
 		}
 	}
@@ -107,20 +112,71 @@
 	if s.Host == c.self.Name || s.Host == "" {
 		return
 	}
+	now := time.Now()
 	c.mu.Lock()
+	before := c.urgentOf(s.Host)
+	c.mergeCrashes(s.Host, s.Crashes)
+	s.Crashes = nil
+	if p, known := c.peers[s.Host]; known && p.state.Incarnation == s.Incarnation && s.Number < p.state.Number {
+		s = p.state // a relay was faster
+		s.Admitted = nil
+	}
+	joined := c.mergePeer(s, now)
+	p := c.peers[s.Host]
+	p.directAt = now
+	fromCell := c.cellHosts[s.Host]
+	if !fromCell {
+		p.outsideAt = now
+	}
+	urgent := s.Urgent != before && c.hasOtherCells()
+	c.mu.Unlock()
+	if urgent {
+		c.onRelayedChange(!fromCell)
+	}
+	if len(s.EndedJobs) > 0 {
+		c.onJobsCancelled(s.EndedJobs)
+	}
+	if joined != nil {
+		c.reportJoined([]PeerChange{*joined})
+	}
+}
+
+// reportJoined logs and reports peers that started, restarted or recovered.
+func (c *Core) reportJoined(changes []PeerChange) {
+	for _, change := range changes {
+		c.log.WithFields(logrus.Fields{"event": "peer_heard", "peer": change.Host, "incarnation": change.Incarnation}).Info("peer started, restarted or recovered")
+		c.onPeerChange(change)
+	}
+}
+
+// mergePeer replaces the state of a peer that was heard at the time. It returns a change if
+// the peer started, restarted or recovered. The caller must hold mu.
+func (c *Core) mergePeer(s mesh.State, heard time.Time) *PeerChange {
 	p, known := c.peers[s.Host]
-	joined := !known || p.unresponsive || p.state.Incarnation != s.Incarnation
+	restarted := known && p.state.Incarnation != s.Incarnation
+	joined := !known || p.unresponsive || restarted
 	if !known {
 		p = &peerRecord{}
 		c.peers[s.Host] = p
 	}
-	if known && p.state.Incarnation != s.Incarnation {
+	if restarted {
 		c.limiter.ForgetPeer(p.state.Incarnation)
+		p.admitted, p.lastHeartbeat = nil, time.Time{}
+	}
+	if !known || restarted {
+		delete(c.peerKeys, p.key)
+		p.key = mesh.PeerKey(s.Host, s.Incarnation)
+		c.peerKeys[p.key] = s.Host
 	}
 	countsChanged := joined || !maps.Equal(p.state.Running, s.Running)
 	outcomesChanged := !maps.Equal(p.state.Outcomes, s.Outcomes)
-	p.state, p.lastHeartbeat, p.unresponsive = s, time.Now(), false
+	p.state, p.unresponsive = s, false
+	if heard.After(p.lastHeartbeat) {
+		p.lastHeartbeat = heard
+	}
+	p.admitted.put(s.Admitted, s.Number)
 	if joined {
+		c.linksOutdated = true
 		c.updateCell()
 		c.updateUnresponsiveDCs()
 	}
@@ -128,19 +184,14 @@
 	if outcomesChanged {
 		c.mergePeerOutcomes(s, time.Now())
 	}
-	c.mergeCrashes(s.Host, s.Crashes)
 	if countsChanged {
 		c.balancer.SetPeerCounts(s.Host, s.Running)
 		c.schedule()
 	}
-	c.mu.Unlock()
-	if len(s.EndedJobs) > 0 {
-		c.onJobsCancelled(s.EndedJobs)
-	}
-	if joined {
-		c.log.WithFields(logrus.Fields{"event": "peer_heard", "peer": s.Host, "incarnation": s.Incarnation}).Info("peer started, restarted or recovered")
-		c.onPeerChange(PeerChange{Host: s.Host, Address: s.Address, Incarnation: s.Incarnation})
+	if !joined {
+		return nil
 	}
+	return &PeerChange{Host: s.Host, Address: s.Address, Incarnation: s.Incarnation}
 }
 
 // Run detects unresponsive peers, probes unreachable upstreams and checks broken runs
@@ -180,15 +231,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var changes []PeerChange
-	remoteTimeout := time.Duration(remoteMissedIntervals * float64(mesh.CrossCellInterval(c.countRemotePeers())))
+	remoteTimeout := c.remoteTimeout()
 	for name, p := range c.peers {
 		age := now.Sub(p.lastHeartbeat)
-		timeout := remoteTimeout
-		if c.cellHosts[name] {
-			timeout = heartbeatTimeout
-		}
+		timeout := c.silenceLimit(name, now, remoteTimeout)
 		if !p.unresponsive && age > timeout {
 			p.unresponsive = true
+			c.linksOutdated = true
 			p.state.Outcomes = nil
 			c.balancer.SetPeerOutcomes(name, false, nil, now)
 			c.limiter.ForgetPeer(p.state.Incarnation)
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -81,11 +81,27 @@
 // peers, and its upstreams if they may be computed again. The caller must hold mu.
 func (c *Core) updateCell() {
 	c.cells.SetHosts(c.dataCentres())
+	before := c.cellHosts
 	c.cellHosts = c.cells.Hosts()
+	c.noteCellHosts(before, time.Now())
+	c.crashes.ShareAll(c.hasOtherCells())
+	c.linksOutdated = true
 	c.cellOutdated = true
 	c.updateOutdatedCell(time.Now())
 }
 
+// noteCellHosts records when hosts came into this host's cell. The caller must hold mu.
+func (c *Core) noteCellHosts(before map[string]bool, now time.Time) {
+	since := make(map[string]time.Time, len(c.cellHosts))
+	for name := range c.cellHosts {
+		since[name] = now
+		if before[name] {
+			since[name] = c.cellSince[name]
+		}
+	}
+	c.cellSince = since
+}
+
 // updateOutdatedCell computes the upstreams of this host's cell again, but not more often
 // than each cellUpdateInterval. The caller must hold mu.
 func (c *Core) updateOutdatedCell(now time.Time) {
--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -128,6 +128,7 @@
 	h.Syncer.SetPeerClient(peers)
 	h.Core.OnStateChange(peers.NotifyCell)
 	h.Core.OnUrgentChange(peers.NotifyAll)
+	h.Core.OnRelayedChange(peers.NotifyRelayed)
 	h.Core.OnPeerChange(h.Runner.PeerChanged)
 	h.Core.OnJobsCancelled(h.Runner.StopCancelled)
 	h.Core.SetConnector(h.Connector)
--- a/internal/fleethost/providers.go
+++ b/internal/fleethost/providers.go
@@ -17,8 +17,12 @@
 	"github.com/masticscale/masticscale/platform"
 )
 
+// newIncarnation returns a name of this process that is greater than those of earlier ones, as
+// far as the clock has not gone back.
+func newIncarnation() string { return uuid.Must(uuid.NewV7()).String() }
+
 func newIdentity(s Settings) entry.Identity {
-	return entry.Identity{Name: s.Name, Incarnation: uuid.NewString(), DataCentre: s.DataCentre, PeerAddress: s.Listen.PeersAt}
+	return entry.Identity{Name: s.Name, Incarnation: newIncarnation(), DataCentre: s.DataCentre, PeerAddress: s.Listen.PeersAt}
 }
 
 func newPlatformStore(s Settings, log logrus.FieldLogger) *platform.Store {
--- a/internal/knowledge/hosts.go
+++ b/internal/knowledge/hosts.go
@@ -74,23 +74,19 @@
 	}
 }
 
-// connectPeers connects to the listed hosts and the peers that have sent a state.
-// The seeds are used until a list of hosts is known.
+// connectPeers connects to the hosts that the core names. The seeds are used until a list of
+// hosts is known.
 func (s *Syncer) connectPeers() {
-	addresses := map[string]bool{}
+	addresses := s.core.PeerAddresses(time.Now())
 	s.mu.Lock()
-	for name, h := range s.hosts {
-		addresses[h.Address] = s.core.InCell(name)
-	}
 	if !s.hostsKnown {
 		for _, seed := range s.seeds {
-			addresses[seed] = true
+			if _, named := addresses[seed]; !named {
+				addresses[seed] = false
+			}
 		}
 	}
 	s.mu.Unlock()
-	for name, p := range s.core.Peers() {
-		addresses[p.Address] = s.core.InCell(name)
-	}
 	delete(addresses, s.self.PeerAddress)
 	s.peers.SetPeers(addresses)
 }
@@ -170,9 +166,25 @@
 	}
 	s.mu.Unlock()
 	maps.DeleteFunc(peers, func(_ string, p mesh.State) bool { return !newer(p) })
+	peers = s.nearest(peers)
 	s.fetchFromFirst(ctx, peers, known)
 }
 
+// nearest returns the peers that are in this host's cell, or all if none is: hosts keep
+// connections to those of their cell.
+func (s *Syncer) nearest(peers map[string]mesh.State) map[string]mesh.State {
+	inCell := map[string]mesh.State{}
+	for name, p := range peers {
+		if s.core.InCell(name) {
+			inCell[name] = p
+		}
+	}
+	if len(inCell) > 0 {
+		return inCell
+	}
+	return peers
+}
+
 // confirmUpstreams records that a peer reaches the store and none has a newer list of
 // upstreams than this host. The caller holds mu.
 func (s *Syncer) confirmUpstreams(peers map[string]mesh.State) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -23,6 +24,8 @@
 	minCrossCellHeartbeat = 500 * time.Millisecond  // shortest interval between unchanged states to a host of another cell
 	maxCrossCellHeartbeat = 2 * time.Second         // longest interval; bounds the time to detect a lost host
 	crossCellStateRate    = 70                      // states per second to all hosts of other cells, while the interval is below its upper bound
+	cellRelayInterval     = 500 * time.Millisecond  // between states of other cells to hosts of the cell
+	idleConnTimeout       = 10 * time.Second        // of connections to peers
 	crossCellCoalesce     = 150 * time.Millisecond  // least time between two states to a host of another cell
 	coalesce              = 5 * time.Millisecond    // in which changes are combined into one state
 	dialTimeout           = 500 * time.Millisecond  // the round trip between hosts takes milliseconds
@@ -50,6 +53,11 @@
 	State() State
 	// MergeState replaces the state of the peer that sent it.
 	MergeState(State)
+	// VisitRelayed calls visit for each peer whose state this host passes on: to the hosts of
+	// its own cell, or to those of others. Both must not be kept after the call.
+	VisitRelayed(toCell bool, visit func(KnownPeer))
+	// MergeRelayed adopts what is newer of the states that the sender passes on.
+	MergeRelayed(sender string, states []RelayedState)
 }
 
 // Mesh exchanges states and calls with the other hosts.
@@ -75,6 +83,7 @@
 	address   string
 	otherCell bool
 	changed   chan struct{}
+	relayDue  atomic.Bool // states of other hosts are to be passed on with the next message
 	stop      context.CancelFunc
 }
 
@@ -102,6 +111,7 @@
 		Protocols:   link.Protocols(),
 
 		MaxResponseHeaderBytes: link.MaxHeadBytes,
+		IdleConnTimeout:        idleConnTimeout,
 		HTTP2:                  &http.HTTP2Config{SendPingTimeout: idle, PingTimeout: pingTimeout},
 	}}
 }
@@ -148,6 +158,18 @@
 // NotifyAll sends the state to all hosts, to those of other cells after a short delay.
 func (m *Mesh) NotifyAll() { m.notify(func(*sender) bool { return true }) }
 
+// NotifyRelayed passes on states of other hosts: to the hosts of this host's cell at once, or
+// to those of other cells after a short delay.
+func (m *Mesh) NotifyRelayed(toCell bool) {
+	m.notify(func(s *sender) bool {
+		if s.otherCell == toCell {
+			return false
+		}
+		s.relayDue.Store(true)
+		return true
+	})
+}
+
 func (m *Mesh) notify(selects func(*sender) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -206,10 +228,11 @@
 	stream := peerv1connect.NewFleetServiceClient(client, "http://"+s.address, withMaxMessageBytes).ShareState(ctx)
 	tick := time.NewTicker(interval())
 	defer tick.Stop()
-	sent := newSentState()
+	outbox := NewOutbox(m.delegate, !s.otherCell)
 	for {
+		message := outbox.Next(time.Now(), s.relayDue.Swap(false))
 		sendTimer := time.AfterFunc(sendTimeout, cancel)
-		err := stream.Send(encodeState(m.delegate.State(), sent, time.Now()))
+		err := stream.Send(message)
 		sendTimer.Stop()
 		tick.Reset(interval())
 		if err != nil {
@@ -240,7 +263,7 @@
 // states until the stream ends.
 func (s *server) ShareState(_ context.Context, stream *connect.ClientStream[peerv1.ShareStateRequest]) (*connect.Response[peerv1.ShareStateResponse], error) {
 	for stream.Receive() {
-		s.mesh.delegate.MergeState(decodeState(stream.Msg(), time.Now()))
+		Deliver(s.mesh.delegate, stream.Msg(), time.Now())
 	}
 	return connect.NewResponse(&peerv1.ShareStateResponse{}), stream.Err()
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -28,10 +28,13 @@
 	mu       sync.Mutex
 	state    mesh.State
 	received map[string]mesh.State
+	relayed  []mesh.RelayedState
 	adopted  []string
 	mesh     *mesh.Mesh
 	server   *http.Server
 	snapshot mesh.Snapshot
+
+	relaysToCell bool // passes on what it has received to its cell instead of other cells
 }
 
 func (h *testHost) State() mesh.State {
@@ -46,6 +49,23 @@
 	h.received[s.Host] = s
 }
 
+// VisitRelayed passes on what other hosts have sent.
+func (h *testHost) VisitRelayed(toCell bool, visit func(mesh.KnownPeer)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.received {
+		if toCell == h.relaysToCell {
+			visit(mesh.KnownPeer{State: &s, AdmittedSince: func(int64) map[string]int64 { return s.Admitted }})
+		}
+	}
+}
+
+func (h *testHost) MergeRelayed(sender string, states []mesh.RelayedState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.relayed = append(h.relayed, states...)
+}
+
 func (h *testHost) Snapshot() mesh.Snapshot { return h.snapshot }
 
 func (h *testHost) ReadLocal(_ context.Context, job, _ string, after int, _ time.Duration) (int, []mesh.Result, error) {
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -7,6 +7,8 @@
 package mesh
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/masticscale/masticscale/internal/peer/gen/masticscale/peer/v1"
@@ -40,6 +42,18 @@
 	UpstreamsVersion int64
 	HostsVersion     int64
 	StoreReachable   bool
+
+	Number  int64 // rises with each change of the state
+	Details int64 // the number at which anything but Running, Outcomes and Admitted last changed
+	Urgent  int64 // rises with each change that all hosts need at once
+}
+
+// SameDetails reports whether two states of a host differ at most in their counts.
+func (s *State) SameDetails(other *State) bool {
+	return s.Leaving == other.Leaving && s.Watching == other.Watching && s.StoreReachable == other.StoreReachable &&
+		s.Address == other.Address && s.DataCentre == other.DataCentre &&
+		s.ConfigVersion == other.ConfigVersion && s.UpstreamsVersion == other.UpstreamsVersion && s.HostsVersion == other.HostsVersion &&
+		s.Urgent == other.Urgent && maps.Equal(s.Waiting, other.Waiting) && slices.Equal(s.Jobs, other.Jobs) && slices.Equal(s.EndedJobs, other.EndedJobs)
 }
 
 // sentState is what the receiver of a stream knows from earlier states on it.
@@ -47,6 +61,7 @@
 	admitted       map[string]int64 // by team
 	crashes        map[crashKey]bool
 	crashesVersion int64
+	relayed        map[uint64]sentRelayed // by key of the host and its incarnation
 }
 
 // crashKey identifies a crash and what may change of it.
@@ -75,22 +90,30 @@
 		Host: s.Host, Incarnation: s.Incarnation, DataCentre: s.DataCentre, Address: s.Address,
 		Leaving: s.Leaving, Admitted: admitted, ConfigVersion: s.ConfigVersion,
 		UpstreamsVersion: s.UpstreamsVersion, HostsVersion: s.HostsVersion, StoreReachable: s.StoreReachable, EndedJobs: s.EndedJobs,
-		Jobs: s.Jobs, Watching: s.Watching,
-	}
-	for id, c := range s.Running {
-		m.Running = append(m.Running, &peerv1.Running{Upstream: id, Online: int32(c.Online), Batch: int32(c.Batch), Isolated: int32(c.Isolated), Protected: int32(c.Protected)})
+		Jobs: s.Jobs, Watching: s.Watching, Number: s.Number, Details: s.Details, Urgent: s.Urgent,
 	}
+	encodeCounts(&s, m)
+	encodeWaiting(&s, m)
 	if s.CrashesVersion != sent.crashesVersion {
 		m.Crashes = encodeCrashes(s.Crashes, sent, now)
 		sent.crashesVersion = s.CrashesVersion
 	}
+	return m
+}
+
+func encodeCounts(s *State, m *peerv1.ShareStateRequest) {
+	for id, c := range s.Running {
+		m.Running = append(m.Running, &peerv1.Running{Upstream: id, Online: int32(c.Online), Batch: int32(c.Batch), Isolated: int32(c.Isolated), Protected: int32(c.Protected)})
+	}
 	for id, o := range s.Outcomes {
 		m.Outcomes = append(m.Outcomes, &peerv1.Outcomes{Upstream: id, Failed: int32(o.Failed), Ended: int32(o.Ended)})
 	}
+}
+
+func encodeWaiting(s *State, m *peerv1.ShareStateRequest) {
 	for key, tokens := range s.Waiting {
 		m.Waiting = append(m.Waiting, &peerv1.WaitingTokens{Route: key.Route, Team: key.Team, Tokens: tokens})
 	}
-	return m
 }
 
 // encodeCrashes omits the crashes that were sent before. It replaces times by ages,
@@ -139,7 +162,7 @@
 		Host: m.Host, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address,
 		Leaving: m.Leaving, Admitted: m.Admitted, ConfigVersion: m.ConfigVersion,
 		UpstreamsVersion: m.UpstreamsVersion, HostsVersion: m.HostsVersion, StoreReachable: m.StoreReachable, EndedJobs: m.EndedJobs,
-		Jobs: m.Jobs, Watching: m.Watching,
+		Jobs: m.Jobs, Watching: m.Watching, Number: m.Number, Details: m.Details, Urgent: m.Urgent,
 		Running: map[string]slots.Counts{}, Waiting: map[Backlog]int64{},
 		Crashes: decodeCrashes(m.Crashes, now),
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -86,8 +86,9 @@
 	completed recentSet // requests that have lately run to their end on this host
 	ends      []end     // of upstreams, the oldest first
 	version   int64     // rises with each change
-	shared    []Crash   // as of sharedAt
-	sharedAt  int64     // version
+	shareAll  bool
+	shared    []Crash // as of sharedAt
+	sharedAt  int64   // version
 }
 
 // NewTable returns an empty table.
@@ -364,6 +365,15 @@
 	return t.shared, t.version
 }
 
+// ShareAll decides whether Shared returns the crashes of requests of any level, for hosts that
+// don't hear of each other directly.
+func (t *Table) ShareAll(all bool) {
+	if t.shareAll != all {
+		t.shareAll = all
+		t.version++
+	}
+}
+
 func (t *Table) selectShared() []Crash {
 	type ranked struct {
 		Crash
@@ -373,7 +383,7 @@
 	for _, crashes := range t.requests {
 		level := levelOf(crashes)
 		for _, c := range crashes {
-			if c.own || c.withdrawnHere || level >= Isolated {
+			if t.shareAll || c.own || c.withdrawnHere || level >= Isolated {
 				all = append(all, ranked{c.Crash, level})
 			}
 		}
