entry: a peer of a small fleet is silent after 0.7 s from its first moment on

The grace for hosts that come into a cell held for hosts that start, too: a peer that died within its first two seconds was taken for live (soak, TestFailuresAreExplained failed once beside load). It holds for hosts that were heard through relays before.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -50,7 +50,7 @@
 	members             map[string]HostInfo  // hosts registered in the store, by name
 	cells               *fleet.CellIndex     // of all known hosts and upstreams
 	cellHosts           map[string]bool      // hosts of this host's cell, by name
-	cellSince           map[string]time.Time // when each of them came into the cell
+	cellSince           map[string]time.Time // when those of them came into the cell that were in another
 	cellUpdatedAt       time.Time            // when the upstreams of the cell were computed
 	cellOutdated        bool                 // hosts or upstreams have changed since then
 	cellUpstreams       cellUpstreamsFunc
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -90,13 +90,17 @@
 	c.updateOutdatedCell(time.Now())
 }
 
-// noteCellHosts records when hosts came into this host's cell. The caller must hold mu.
+// noteCellHosts records when hosts came into this host's cell that were heard through relays
+// before. The caller must hold mu.
 func (c *Core) noteCellHosts(before map[string]bool, now time.Time) {
-	since := make(map[string]time.Time, len(c.cellHosts))
+	since := map[string]time.Time{}
 	for name := range c.cellHosts {
-		since[name] = now
-		if before[name] {
-			since[name] = c.cellSince[name]
+		p, known := c.peers[name]
+		switch at, noted := c.cellSince[name]; {
+		case before[name] && noted:
+			since[name] = at
+		case !before[name] && known && now.Sub(p.directAt) > heartbeatTimeout:
+			since[name] = now
 		}
 	}
 	c.cellSince = since
--- a/internal/entry/relaystates.go
+++ b/internal/entry/relaystates.go
@@ -127,12 +127,13 @@
 }
 
 // silenceLimit returns the silence after which the peer is unresponsive. One that has lately
-// come into this cell may not stream its state to this host yet. The caller must hold mu.
+// come into this cell from another may not stream its state to this host yet. The caller must
+// hold mu.
 func (c *Core) silenceLimit(name string, now time.Time, remoteTimeout time.Duration) time.Duration {
-	if c.cellHosts[name] && now.Sub(c.cellSince[name]) > remoteTimeout {
-		return heartbeatTimeout
+	if !c.cellHosts[name] || now.Sub(c.cellSince[name]) <= remoteTimeout {
+		return remoteTimeout
 	}
-	return remoteTimeout
+	return heartbeatTimeout
 }
 
 // relayedHost returns the name of the host of a relayed state, or "" if it isn't known. The
