knowledge: write a host's entry once at its start

Cause: a host whose first list of hosts lacked it registered again, though the list was from before its entry: a create that conflicts and a read, at nearly each start.

Change: only a list that is newer than the entry shows that it is missing.

--- a/internal/knowledge/hosts.go
+++ b/internal/knowledge/hosts.go
@@ -107,6 +107,9 @@
 			return
 		case <-s.registerRequests:
 		}
+		if !s.lacksRegistration() {
+			continue
+		}
 		if err := s.register(ctx); err != nil {
 			s.log.WithFields(logrus.Fields{"event": "host_not_published", "error": err}).Warn("failed to write this host's entry")
 			time.AfterFunc(registerRetryInterval, s.requestRegistration)
@@ -118,7 +121,10 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	own := hostEntry{Address: s.self.PeerAddress, DataCentre: s.self.DataCentre, Incarnation: s.self.Incarnation}
-	_, err := s.store.Create(ctx, KindHost, s.self.Name, own)
+	created, err := s.store.Create(ctx, KindHost, s.self.Name, own)
+	if err == nil {
+		s.noteRegistration(created.Version)
+	}
 	if !errors.Is(err, objstore.ErrConflict) {
 		return err
 	}
@@ -128,12 +134,32 @@
 	}
 	var stored hostEntry
 	if err := o.Decode(&stored); err == nil && stored.Address == own.Address {
+		s.noteRegistration(o.Version)
 		return nil // the stored incarnation may differ: peers get it from this host's state
 	}
-	_, err = s.store.Update(ctx, KindHost, s.self.Name, o.Version, own)
+	updated, err := s.store.Update(ctx, KindHost, s.self.Name, o.Version, own)
+	if err == nil {
+		s.noteRegistration(updated.Version)
+	}
 	return err
 }
 
+// noteRegistration records the version with which this host's entry is in the store.
+func (s *Syncer) noteRegistration(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registeredVersion = max(s.registeredVersion, version)
+}
+
+// lacksRegistration reports whether this host has to write its entry: it hasn't yet, or a
+// later list lacks it. A list from before the entry says nothing.
+func (s *Syncer) lacksRegistration() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, listed := s.hosts[s.self.Name]
+	return s.registeredVersion == 0 || !listed && s.hostsVersion > s.registeredVersion
+}
+
 // peerLoop pulls newer data from peers and prunes hosts that were removed for good.
 func (s *Syncer) peerLoop(ctx context.Context) {
 	tick := time.NewTicker(peerInterval)
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -95,6 +95,7 @@
 	storeRegainedAt   time.Time // end of the latest outage
 	behindChecks      int       // consecutive checks in which a peer had newer data
 	registerRequests  chan struct{}
+	registeredVersion int64 // of this host's entry, as written or read by this process
 
 	// Whether a peer's list was adopted that differs from this host's, since the latest list
 	// of the store was begun. That list and the events after it may be older.
