--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -38,6 +38,7 @@
 	pollResponseMargin      = 3 * time.Second         // added to the wait for the response to arrive
 	shortPollWait           = 1500 * time.Millisecond // per poll of a store poller; short to detect soon that a watch no longer delivers changes
 	shortPollResponseMargin = 700 * time.Millisecond
+	pollInterval            = 100 * time.Millisecond // least time between two polls for registrations
 	logFlushTimeout         = 200 * time.Millisecond
 	traceFlushTimeout       = 200 * time.Millisecond
 	settingsCheckInterval   = time.Second             // between checks of the settings file for changes
--- a/internal/fleethost/providers.go
+++ b/internal/fleethost/providers.go
@@ -30,13 +30,16 @@
 }
 
 func newStoreClient(s Settings, t objstore.Transport, m *telemetry.Metrics) *objstore.Client {
-	return objstore.NewClient(t, s.Name, objstore.WithObserver(m), objstore.WithPollTimeouts(pollWait, pollResponseMargin))
+	return objstore.NewClient(t, s.Name, objstore.WithObserver(m), objstore.WithPollTimeouts(pollWait, pollResponseMargin), spacedPolls)
 }
 
+// spacedPolls keeps watches from polling once for each of many registrations.
+var spacedPolls = objstore.WithPollInterval(pollInterval, platform.KindUpstreams, knowledge.KindHost)
+
 // newShortPollStoreClient returns a client whose watches detect soon that they no
 // longer deliver changes.
 func newShortPollStoreClient(s Settings, t objstore.Transport, m *telemetry.Metrics) *objstore.Client {
-	return objstore.NewClient(t, s.Name, objstore.WithObserver(m), objstore.WithPollTimeouts(shortPollWait, shortPollResponseMargin))
+	return objstore.NewClient(t, s.Name, objstore.WithObserver(m), objstore.WithPollTimeouts(shortPollWait, shortPollResponseMargin), spacedPolls)
 }
 
 // storeRelay makes calls to the platform's store through a peer that can reach it.
--- a/internal/objstore/client.go
+++ b/internal/objstore/client.go
@@ -34,6 +34,8 @@
 	observer        Observer
 	pollWait        time.Duration
 	responseTimeout time.Duration
+	pollInterval    time.Duration
+	spacedKinds     []Kind
 }
 
 // Option configures a new client.
@@ -64,6 +66,13 @@
 	return func(c *Client) { c.pollWait, c.responseTimeout = wait, response }
 }
 
+// WithPollInterval sets the least time between two polls of a watch of the kinds. While many
+// objects change, a poll then returns several changes, and the first one after a pause still
+// comes at once.
+func WithPollInterval(interval time.Duration, kinds ...Kind) Option {
+	return func(c *Client) { c.pollInterval, c.spacedKinds = interval, kinds }
+}
+
 // NewClient returns a client over the transport. It makes the writer name unique
 // to this client.
 func NewClient(transport Transport, writer string, options ...Option) *Client {
--- a/internal/objstore/watch.go
+++ b/internal/objstore/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,11 @@
 func (c *Client) Watch(ctx context.Context, kind Kind, after int64) (Watcher, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	c.observer.AddPlatformWatches(1)
-	return &watcher{client: c, ctx: ctx, cancel: cancel, kind: kind, after: after}, nil
+	w := &watcher{client: c, ctx: ctx, cancel: cancel, kind: kind, after: after}
+	if slices.Contains(c.spacedKinds, kind) {
+		w.interval = c.pollInterval
+	}
+	return w, nil
 }
 
 type watcher struct {
@@ -28,6 +33,8 @@
 	kind      Kind
 	after     int64
 	buffered  []Event
+	interval  time.Duration // least time between two polls
+	polledAt  time.Time     // when the last poll began
 	closeOnce sync.Once
 }
 
@@ -54,6 +61,10 @@
 }
 
 func (w *watcher) poll() (Changes, error) {
+	if pause := w.interval - time.Since(w.polledAt); pause > 0 && !w.polledAt.IsZero() {
+		w.client.sleep(w.ctx, pause)
+	}
+	w.polledAt = time.Now()
 	ctx, cancel := context.WithTimeout(w.ctx, w.client.pollWait+w.client.responseTimeout)
 	defer cancel()
 	return w.client.transport.Poll(ctx, w.kind, w.after, w.client.pollWait)
