--- a/internal/entry/dissemination_test.go
+++ b/internal/entry/dissemination_test.go
@@ -27,7 +27,7 @@
 	meshStep        = 25 * time.Millisecond // about the delay of a message between hosts
 	meshBeat        = 200 * time.Millisecond
 	meshDataCentres = 5
-	meshLoss        = 0.002 // of messages; the stream ends and a new one begins
+	meshLoss        = 0.002 // of messages
 )
 
 // meshFleet exchanges the states of many hosts' cores in virtual time, with the real choice
@@ -40,6 +40,7 @@
 	members map[string]entry.HostInfo
 	isCut   func(from, to *meshHost) bool
 
+	loss            float64 // of messages; the stream ends and a new one begins
 	messages, bytes int
 	seen            map[[2]string]mesh.State // by observer and host
 }
@@ -68,7 +69,7 @@
 		defer cancel()
 		f := &meshFleet{
 			c: qt.New(t), random: rand.New(rand.NewPCG(uint64(hosts), 3)), ctx: ctx, members: map[string]entry.HostInfo{},
-			isCut: func(_, _ *meshHost) bool { return false }, seen: map[[2]string]mesh.State{},
+			loss: meshLoss, isCut: func(_, _ *meshHost) bool { return false }, seen: map[[2]string]mesh.State{},
 		}
 		for n := range hosts {
 			h := &meshHost{name: fmt.Sprintf("h%04d", n), dc: fmt.Sprint("dc", n%meshDataCentres)}
@@ -177,7 +178,7 @@
 }
 
 func (f *meshFleet) deliver(from, to *meshHost, m *peerv1.ShareStateRequest) {
-	if !to.up || f.isCut(from, to) || f.random.Float64() < meshLoss {
+	if !to.up || f.isCut(from, to) || f.random.Float64() < f.loss {
 		delete(from.streams, to.name)
 		return
 	}
--- a/internal/entry/relaystates_test.go
+++ b/internal/entry/relaystates_test.go
@@ -66,3 +66,19 @@
 		c.Assert(f.lostKnown(), qt.IsTrue)
 	})
 }
+
+// TestHostIsInvisibleAfterItsClockWentBack guards against a host that other cells never see
+// again after a restart: its incarnation seems older than the one before, so its state is
+// dropped at first, and later messages of relays say only that it lives.
+func TestHostIsInvisibleAfterItsClockWentBack(t *testing.T) {
+	runMeshFleet(t, 36, func(c *qt.C, f *meshFleet) {
+		f.run(3*time.Second, nil)
+		f.loss = 0 // new streams would carry the state in full
+		restarted := f.hosts[1]
+		f.kill(restarted)
+		restarted.starts = -1 // the next incarnation is less than the first
+		f.start(restarted)
+		f.run(15*time.Second, func() bool { return f.missing() == 0 })
+		c.Assert(f.missing(), qt.Equals, 0)
+	})
+}
--- a/internal/mesh/relayed.go
+++ b/internal/mesh/relayed.go
@@ -28,7 +28,7 @@
 	message := encodeState(o.delegate.State(), o.sent, now)
 	if !o.toCell || relayDue || now.Sub(o.relayed) >= cellRelayInterval {
 		o.relayed = now
-		message.Relayed = o.sent.relayedStates(func(visit func(KnownPeer)) { o.delegate.VisitRelayed(o.toCell, visit) })
+		message.Relayed = o.sent.relayedStates(now, func(visit func(KnownPeer)) { o.delegate.VisitRelayed(o.toCell, visit) })
 	}
 	return message
 }
@@ -61,12 +61,19 @@
 	return xxhash.Sum64String(host + "\x00" + incarnation)
 }
 
-// sentRelayed is what the receiver of a stream knows of a relayed host.
-type sentRelayed struct{ number, details int64 }
+// refreshInterval is the time after which a stream carries a host's state in full again: the
+// receiver may have dropped it, because it was too old then, or forgotten the host since.
+const refreshInterval = 10 * time.Second
+
+// sentRelayed is what the receiver of a stream should know of a relayed host.
+type sentRelayed struct {
+	number, details int64
+	fullAt          time.Time
+}
 
 // relayedStates encodes what the receiver of the stream doesn't know yet of the peers that
 // visit passes, and that the others are alive.
-func (sent *sentState) relayedStates(visit func(func(KnownPeer))) []*peerv1.RelayedState {
+func (sent *sentState) relayedStates(now time.Time, visit func(func(KnownPeer))) []*peerv1.RelayedState {
 	var encoded []*peerv1.RelayedState
 	current := make(map[uint64]sentRelayed, len(sent.relayed))
 	visit(func(p KnownPeer) {
@@ -74,13 +81,16 @@
 		before, known := sent.relayed[key]
 		r := &peerv1.RelayedState{Key: key, AgeMs: p.Age.Milliseconds()}
 		switch {
-		case !known || p.State.Details > before.details:
+		case !known || now.Sub(before.fullAt) >= refreshInterval:
+			r.State = encodeDetails(p, 0)
+			before.fullAt = now
+		case p.State.Details > before.details:
 			r.State = encodeDetails(p, before.number)
 		case p.State.Number > before.number:
 			r.State = &peerv1.ShareStateRequest{Number: p.State.Number, Admitted: p.AdmittedSince(before.number)}
 			encodeCounts(p.State, r.State)
 		}
-		current[key] = sentRelayed{number: p.State.Number, details: p.State.Details}
+		current[key] = sentRelayed{number: p.State.Number, details: p.State.Details, fullAt: before.fullAt}
 		encoded = append(encoded, r)
 	})
 	sent.relayed = current
--- a/internal/mesh/relayed_test.go
+++ b/internal/mesh/relayed_test.go
@@ -21,7 +21,7 @@
 	totals := map[string]int64{"t": 5}
 	sent := newSentState()
 	receive := func() RelayedState {
-		encoded := sent.relayedStates(func(visit func(KnownPeer)) {
+		encoded := sent.relayedStates(now, func(visit func(KnownPeer)) {
 			visit(KnownPeer{State: &s, Age: 300 * time.Millisecond, AdmittedSince: func(since int64) map[string]int64 {
 				if since >= s.Number {
 					return nil
@@ -48,6 +48,9 @@
 	c.Assert(counts.State.Admitted["t"], qt.Equals, int64(6))
 	s.Number, s.Details, s.ConfigVersion = 5, 5, 9
 	c.Assert(receive().State.ConfigVersion, qt.Equals, int64(9))
+	c.Assert(receive().State, qt.IsNil)
+	now = now.Add(refreshInterval)
+	c.Assert(receive().State.Jobs, qt.DeepEquals, []string{"j"}, qt.Commentf("the receiver may have dropped it"))
 	sent = newSentState() // after a new connection
 	c.Assert(receive().CountsOnly, qt.IsFalse)
 }
