entry: the last heartbeat of a lost host, heard again through another relay, isn't a new one

Found by reading: a relay that notices a silence a moment later passes the last heartbeat on, by the time on the way a little later than it was; the host was taken for live again for a moment, which verifies jobs anew. A heartbeat counts as a new one from 200 ms after the last on. TestLastHeartbeatIsNotTakenForANewOne fails without it.

--- a/internal/entry/dissemination_test.go
+++ b/internal/entry/dissemination_test.go
@@ -55,6 +55,7 @@
 	changed, urgent      atomic.Bool
 	relayCell, relayLink atomic.Bool
 	inbox                []*peerv1.ShareStateRequest
+	joined               map[string]int // how often a peer started, restarted or recovered
 }
 
 type meshStream struct {
@@ -94,6 +95,12 @@
 	h.core = entry.NewCore(entry.Identity{Name: h.name, Incarnation: fmt.Sprintf("%08d", h.starts), DataCentre: h.dc, PeerAddress: h.name}, log)
 	h.core.OnStateChange(func() { h.changed.Store(true) })
 	h.core.OnUrgentChange(func() { h.changed.Store(true); h.urgent.Store(true) })
+	h.joined = map[string]int{}
+	h.core.OnPeerChange(func(change entry.PeerChange) {
+		if !change.Unresponsive {
+			h.joined[change.Host]++
+		}
+	})
 	h.core.OnRelayedChange(func(toCell bool) {
 		if toCell {
 			h.relayCell.Store(true)
--- a/internal/entry/relaystates.go
+++ b/internal/entry/relaystates.go
@@ -8,6 +8,7 @@
 
 const (
 	relayMargin         = 800 * time.Millisecond // for two cells to pass on a state beside the interval between them
+	leastHeartbeatGap   = 200 * time.Millisecond // between two heartbeats; a smaller difference is that of two ways of one
 	linkRefreshInterval = 500 * time.Millisecond // between choices of the hosts of other cells to stream to
 	linkAttemptTime     = 2 * time.Second        // for which a host that doesn't seem to live is tried
 )
@@ -166,6 +167,9 @@
 		}
 		return c.mergePeer(*r.State, heard), true
 	}
+	if p.unresponsive && heard.Sub(p.lastHeartbeat) < leastHeartbeatGap {
+		return nil, false // another relay has yet to notice the silence
+	}
 	next, merged := p.state, false
 	next.Admitted = nil
 	if r.State != nil && r.State.Number > p.state.Number {
--- a/internal/entry/relaystates_test.go
+++ b/internal/entry/relaystates_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -64,6 +65,12 @@
 		limit := time.Duration(2.8*float64(mesh.CrossCellInterval(36))) + 2*time.Second
 		f.run(limit, f.lostKnown)
 		c.Assert(f.lostKnown(), qt.IsTrue)
+		f.run(3*time.Second, nil)
+		for _, h := range f.hosts {
+			if h != lost {
+				c.Check(h.joined[lost.name], qt.Equals, 1, qt.Commentf("%s takes the lost host for live again", h.name))
+			}
+		}
 	})
 }
 
@@ -82,3 +89,32 @@
 		c.Assert(f.missing(), qt.Equals, 0)
 	})
 }
+
+// TestLastHeartbeatIsNotTakenForANewOne guards against a host that is lost and live by turns,
+// because relays whose word takes longer pass on its last heartbeat again.
+func TestLastHeartbeatIsNotTakenForANewOne(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		c := qt.New(t)
+		core := newCore(0)
+		members := map[string]entry.HostInfo{"h1": {Address: "h1", DataCentre: "dc"}, "relay": {Address: "relay", DataCentre: "dc"}}
+		for n := range 12 {
+			members[fmt.Sprint("far", n)] = entry.HostInfo{Address: fmt.Sprint("far", n), DataCentre: "far"}
+		}
+		core.SetMembers(members, 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go core.Run(ctx)
+		beat := mesh.RelayedState{Key: mesh.PeerKey("far1", "a")}
+		full := beat
+		full.State = &mesh.State{Host: "far1", Incarnation: "a", DataCentre: "far", Number: 1}
+		core.MergeRelayed("relay", []mesh.RelayedState{full})
+		time.Sleep(2350 * time.Millisecond)
+		c.Assert(core.Peers(), qt.HasLen, 0)
+		beat.Age = 2190 * time.Millisecond // 160 ms were lost on the way
+		core.MergeRelayed("relay", []mesh.RelayedState{beat})
+		c.Assert(core.Peers(), qt.HasLen, 0)
+		beat.Age = 100 * time.Millisecond
+		core.MergeRelayed("relay", []mesh.RelayedState{beat})
+		c.Assert(core.Peers(), qt.HasLen, 1)
+	})
+}
