jobs: a planned item takes only the slot of a deferred item of its own route

An item that found no slot stopped a deferred one of any route, whose slot it may not be able to use. TestDeferredItemsOfAnotherRouteGoOn (could not be built before: the choice had no route); TestPlan covers the plan by itself.

--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -171,16 +171,26 @@
 	}).Info("number of batch items that can't all end in time changed; they run after those that can")
 }
 
-// yieldDeferred stops a running deferred item of the service's routes, so that one that can
-// be in time gets its slot. The caller holds mu.
-func (r *Runner) yieldDeferred() {
-	for _, j := range r.jobs {
+// yieldDeferred stops a running deferred item of the route, so that one that can be in time
+// gets its slot. The caller holds mu.
+func (r *Runner) yieldDeferred(route string) {
+	if i := deferredRun(r.jobs, route); i != nil {
+		i.yielding = true
+		i.cancelRun()
+	}
+}
+
+// deferredRun returns a running deferred item of the route that hasn't been stopped yet, or nil.
+func deferredRun(jobs map[string]*job, route string) *item {
+	for _, j := range jobs {
+		if j.record.Route != route {
+			continue
+		}
 		for _, i := range j.items {
 			if i.state == itemRunning && i.deferred && !i.yielding && i.cancelRun != nil {
-				i.yielding = true
-				i.cancelRun()
-				return
+				return i
 			}
 		}
 	}
+	return nil
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -161,7 +161,7 @@
 		if !r.startItem(ctx, i, now) {
 			full[i.job.record.Route] = true
 			if !i.deferred {
-				r.yieldDeferred()
+				r.yieldDeferred(i.job.record.Route)
 			}
 		}
 	}
