entry: elect the store's watchers without copying the states of all peers

Change: the election passes over the peers in place; who is elected stays the same (the tests of pollers and watchers pass unchanged).

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -246,7 +246,7 @@
 		Address: c.self.PeerAddress, Leaving: c.leaving, Running: c.balancer.OwnCounts(), Outcomes: c.outcomes, Admitted: admitted,
 		Waiting: c.waitingTokens, EndedJobs: c.cancelledJobs, Jobs: c.jobs, Watching: c.watching, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams, HostsVersion: c.versions.Hosts,
 		Crashes: crashes, CrashesVersion: crashesVersion,
-		StoreReachable: c.storeReachable && (c.watching || !c.storeCallFailed),
+		StoreReachable: c.reachesStore(),
 		Number:         c.state.Number + 1, Details: c.state.Details, Urgent: c.urgent,
 	}
 	if !next.SameDetails(&c.state) {
@@ -255,6 +255,11 @@
 	return next
 }
 
+// reachesStore reports whether the platform's store serves this host. The caller must hold mu.
+func (c *Core) reachesStore() bool {
+	return c.storeReachable && (c.watching || !c.storeCallFailed)
+}
+
 // SetCancelledJobs replaces the recently cancelled jobs that are shared with peers.
 func (c *Core) SetCancelledJobs(jobs []string) {
 	c.mu.Lock()
--- a/internal/entry/election.go
+++ b/internal/entry/election.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -14,10 +12,9 @@
 // several cells only a few hosts of each data centre do, and pass changes on to the
 // others.
 func (c *Core) ShouldWatchStore() bool {
-	poller := c.IsStorePoller()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.storePoller = poller
+	c.storePoller = c.isStorePoller()
 	watch := c.isElectedWatcher()
 	c.stateDirty = c.stateDirty || watch != c.watching
 	c.watching = watch
@@ -36,23 +33,33 @@
 // changes without being closed; the pollers detect this and inform the other hosts.
 // Hosts that can't reach the store are not elected.
 func (c *Core) IsStorePoller() bool {
-	if !c.State().StoreReachable {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isStorePoller()
+}
+
+// isStorePoller is IsStorePoller for callers that hold mu.
+func (c *Core) isStorePoller() bool {
+	if !c.reachesStore() {
 		return false
 	}
-	names := []string{c.self.Name}
-	for name, s := range c.Peers() {
-		if !s.Leaving && s.StoreReachable {
-			names = append(names, name)
+	return c.isAmongElected(storePollerKey, storePollers, func(p *peerRecord) bool { return p.state.StoreReachable })
+}
+
+// isAmongElected reports whether this host is one of the n with the highest rendezvous hashes
+// for the key, among itself and the live peers that take part and don't shut down. The caller
+// must hold mu.
+func (c *Core) isAmongElected(key string, n int, takesPart func(*peerRecord) bool) bool {
+	own, higher := rendezvousHash(key, c.self.Name), 0
+	for name, p := range c.peers {
+		if p.unresponsive || p.state.Leaving || !takesPart(p) {
+			continue
 		}
-	}
-	for range storePollers {
-		elected := RendezvousHost(storePollerKey, names)
-		if elected == c.self.Name {
-			return true
+		if hash := rendezvousHash(key, name); hash > own || hash == own && name < c.self.Name {
+			higher++
 		}
-		names = slices.DeleteFunc(names, func(name string) bool { return name == elected })
 	}
-	return false
+	return higher < n
 }
 
 const (
@@ -73,31 +80,14 @@
 	if len(c.cellHosts) > len(c.peers) {
 		return true // the fleet fits into one cell, or peers of the cell are unknown
 	}
-	var localPeers []string
 	isWatched := false
-	for name, p := range c.peers {
-		if p.unresponsive || p.state.Leaving {
-			continue
-		}
-		isWatched = isWatched || p.state.Watching && p.state.StoreReachable
-		if p.state.DataCentre == c.self.DataCentre {
-			localPeers = append(localPeers, name)
-		}
+	for _, p := range c.peers {
+		isWatched = isWatched || !p.unresponsive && !p.state.Leaving && p.state.Watching && p.state.StoreReachable
 	}
-	if !isWatched {
+	if !isWatched || c.storePoller {
 		return true
 	}
-	if c.storePoller {
-		return true
-	}
-	for range watchersPerDataCentre {
-		elected := RendezvousHost(c.self.DataCentre, append(localPeers, c.self.Name))
-		if elected == c.self.Name {
-			return true
-		}
-		localPeers = slices.DeleteFunc(localPeers, func(name string) bool { return name == elected })
-	}
-	return false
+	return c.isAmongElected(c.self.DataCentre, watchersPerDataCentre, func(p *peerRecord) bool { return p.state.DataCentre == c.self.DataCentre })
 }
 
 // RendezvousHost returns the host with the highest rendezvous hash for the key, or ""
@@ -105,13 +95,15 @@
 func RendezvousHost(key string, hosts []string) string {
 	host, maxHash := "", uint64(0)
 	for _, h := range hosts {
-		if hash := xxhash.Sum64String(h + "\x00" + key); host == "" || hash > maxHash {
+		if hash := rendezvousHash(key, h); host == "" || hash > maxHash {
 			host, maxHash = h, hash
 		}
 	}
 	return host
 }
 
+func rendezvousHash(key, host string) uint64 { return xxhash.Sum64String(host + "\x00" + key) }
+
 // ActivePeers returns the names of the live peers that aren't shutting down.
 func (c *Core) ActivePeers() []string {
 	var names []string
