--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -146,24 +146,41 @@
 	return nil
 }
 
+// segmentBatch is the number of segments that are read at once.
+const segmentBatch = 8
+
+// readSegments reads the stored segments of the job one by one. A list would carry the results
+// of other jobs, too, up to a megabyte for each job that is claimed: after a restart of all hosts
+// these lists took longer than their time limit, and jobs stayed without an owner.
+func (r *Runner) readSegments(ctx context.Context, id string) ([]segment, error) {
+	var segments []segment
+	for {
+		var batch [segmentBatch]segment
+		var errs [segmentBatch]error
+		var reads sync.WaitGroup
+		for n := range segmentBatch {
+			reads.Go(func() { batch[n], errs[n] = r.readSegment(ctx, id, len(segments)+n) })
+		}
+		reads.Wait()
+		for n, err := range errs {
+			if errors.Is(err, objstore.ErrNotFound) {
+				return segments, nil
+			}
+			if err != nil {
+				return nil, errors.Wrapf(err, "read segment %d of job %q", len(segments), id)
+			}
+			segments = append(segments, batch[n])
+		}
+	}
+}
+
 // fenceSegments reads the job's results and appends an empty segment, so that the
 // previous owner can't append results that this host doesn't know.
 func (r *Runner) fenceSegments(ctx context.Context, id string) ([]segment, error) {
-	objects, _, err := r.store.List(ctx, KindResults, id+".")
+	segments, err := r.readSegments(ctx, id)
 	if err != nil {
 		return nil, err
 	}
-	var segments []segment
-	for _, o := range objects {
-		s, err := r.decodeSegment(ctx, id, o)
-		if err != nil {
-			return nil, err
-		}
-		if o.Name != numberedName(id, len(segments)) {
-			return nil, errors.Errorf("result segment %d of job %q is missing", len(segments), id)
-		}
-		segments = append(segments, s)
-	}
 	for {
 		fence := segment{Writer: r.incarnation}
 		_, err := r.store.Create(ctx, KindResults, numberedName(id, len(segments)), fence)
--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -39,6 +39,7 @@
 
 	configDelay time.Duration // delay after which a started host receives its configuration
 	logs        io.Writer     // of all hosts
+	wrapStore   func(jobs.Store) jobs.Store
 
 	mu        sync.Mutex // guards hosts and their reachability
 	hosts     map[string]*host
@@ -123,7 +124,11 @@
 	core.SetStoreReachable(true)
 	core.SetConnector(w.engine)
 	h := &host{name: name, core: core, store: w.store.Client(storeLatency), cluster: w}
-	h.runner = jobs.NewRunner(self, core, h.store, w.engine, telemetry.NewMetrics(), log)
+	var store jobs.Store = h.store
+	if w.wrapStore != nil {
+		store = w.wrapStore(store)
+	}
+	h.runner = jobs.NewRunner(self, core, store, w.engine, telemetry.NewMetrics(), log)
 	h.runner.SetPeers(h)
 	core.OnPeerChange(h.runner.PeerChanged)
 	core.OnJobsCancelled(h.runner.StopCancelled)
