fleethost: decide about retirements outside of platform/

Change: the decision is in internal/fleethost/retirement.go; platform/ keeps the kind and the status. Conclusion: behaviour as before.

--- a/platform/retire_test.go
+++ b/internal/fleethost/retirement_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package fleethost
 
 import (
 	"context"
@@ -34,7 +34,7 @@
 		return objstore.NewClient(platform.NewStore(server.URL, platform.NewStoreDialer(), log), name)
 	}
 	for _, name := range []string{"s1", "s2"} {
-		processes.Go(func() { platform.ServeRetirements(ctx, newClient(name), name, log) })
+		processes.Go(func() { serveRetirements(ctx, newClient(name), name, log) })
 	}
 	operator := newClient("operator")
 	for _, machine := range []string{"s1", "s9"} {
--- a/internal/fleethost/storage.go
+++ b/internal/fleethost/storage.go
@@ -5,7 +5,6 @@
 	"os"
 
 	"github.com/masticscale/masticscale/internal/telemetry"
-	"github.com/masticscale/masticscale/platform"
 )
 
 // RunStorage runs the process of a storage machine, which has a disk, until ctx is
@@ -25,7 +24,7 @@
 	defer store.Close()
 	go reloadLoop(ctx, path, log)
 	log.WithField("event", "storage_started").Info("storage machine started; it stores no data")
-	platform.ServeRetirements(ctx, store, settings.Name, log)
+	serveRetirements(ctx, store, settings.Name, log)
 	log.WithField("event", "storage_stopped").Info("storage machine stopped")
 	out.Close(logFlushTimeout)
 	return nil
