Read the change as a newcomer: a test's fleet written once, a reason without its story

Cause: two tests set up the same two cells; a comment told how a fault was met instead of why the code is so. Change: newCoreOfTwoCells; the comment of readSegments. No behaviour changes.

--- a/internal/entry/relaystates_test.go
+++ b/internal/entry/relaystates_test.go
@@ -13,17 +13,24 @@
 	"github.com/masticscale/masticscale/internal/mesh"
 )
 
+// newCoreOfTwoCells returns the core of the host h1, whose cell it shares with the host relay; far0
+// to far11 are in another data centre.
+func newCoreOfTwoCells() *entry.Core {
+	core := newCore(0)
+	members := map[string]entry.HostInfo{"h1": {Address: "h1", DataCentre: "dc"}, "relay": {Address: "relay", DataCentre: "dc"}}
+	for n := range 12 {
+		members[fmt.Sprint("far", n)] = entry.HostInfo{Address: fmt.Sprint("far", n), DataCentre: "far"}
+	}
+	core.SetMembers(members, 1)
+	return core
+}
+
 // TestRelayedStatesAreNotTakenForNewer guards against an older incarnation, an older state or the
 // word of a relay that hasn't heard of a host for long, taken for what the host is now.
 func TestRelayedStatesAreNotTakenForNewer(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
 		c := qt.New(t)
-		core := newCore(0)
-		members := map[string]entry.HostInfo{"h1": {Address: "h1", DataCentre: "dc"}, "relay": {Address: "relay", DataCentre: "dc"}}
-		for n := range 12 {
-			members[fmt.Sprint("far", n)] = entry.HostInfo{Address: fmt.Sprint("far", n), DataCentre: "far"}
-		}
-		core.SetMembers(members, 1)
+		core := newCoreOfTwoCells()
 		core.MergeState(mesh.State{Host: "relay", Incarnation: "1", DataCentre: "dc", Number: 1})
 		relay := func(incarnation string, number int64, age time.Duration) {
 			core.MergeRelayed("relay", []mesh.RelayedState{{
@@ -95,12 +102,7 @@
 func TestLastHeartbeatIsNotTakenForANewOne(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
 		c := qt.New(t)
-		core := newCore(0)
-		members := map[string]entry.HostInfo{"h1": {Address: "h1", DataCentre: "dc"}, "relay": {Address: "relay", DataCentre: "dc"}}
-		for n := range 12 {
-			members[fmt.Sprint("far", n)] = entry.HostInfo{Address: fmt.Sprint("far", n), DataCentre: "far"}
-		}
-		core.SetMembers(members, 1)
+		core := newCoreOfTwoCells()
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go core.Run(ctx)
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -149,9 +149,9 @@
 // segmentBatch is the number of segments that are read at once.
 const segmentBatch = 8
 
-// readSegments reads the stored segments of the job one by one. A list would carry the results
-// of other jobs, too, up to a megabyte for each job that is claimed: after a restart of all hosts
-// these lists took longer than their time limit, and jobs stayed without an owner.
+// readSegments reads the stored segments of the job by their names. A list would also carry up
+// to a megabyte of other jobs' results, which a host with a slow link can't read within the time
+// limit of a claim while many jobs are claimed.
 func (r *Runner) readSegments(ctx context.Context, id string) ([]segment, error) {
 	var segments []segment
 	for {
