entry: heed a health check that says the upstream leaves, also after a broken connection

Cause: the check after a broken connection, which asks who responds since its mend, ignored the announcement in the response; the upstream got new requests until its next response said so. Change: the announcement is reported like that of other health checks, and the break counts as one of a leaving upstream. Figures: TestCheckAfterABreakTellsThatTheUpstreamLeaves fails without the change and passes with it; internal/entry passes.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -320,6 +320,9 @@
 		return UpstreamEnded, err
 	case err == nil && !health.Started.IsZero() && health.Started.UnixMilli() != u.Started.UnixMilli():
 		return UpstreamEnded, errors.New("the upstream has restarted")
+	case err == nil && health.Leaving:
+		c.reportLeaving(u, "health_check")
+		return UpstreamLeaving, nil
 	}
 	return UpstreamAlive, err
 }
--- a/internal/entry/crashfleet_test.go
+++ b/internal/entry/crashfleet_test.go
@@ -195,7 +195,7 @@
 	if e.ID != u.ID {
 		return entry.Health{}, entry.ErrReplaced
 	}
-	return entry.Health{Healthy: true, Started: e.Started}, nil
+	return entry.Health{Healthy: !e.leaves, Leaving: e.leaves, Started: e.Started}, nil
 }
 
 // ReadUpstream implements entry.Registry.
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -424,6 +424,28 @@
 	})
 }
 
+// TestCheckAfterABreakTellsThatTheUpstreamLeaves guards against new requests at an upstream
+// that has said, in the check after a connection broke, that it shuts down.
+func TestCheckAfterABreakTellsThatTheUpstreamLeaves(t *testing.T) {
+	runCrashFleet(t, 1, 3, func(c *qt.C, f *crashFleet) {
+		done := make(chan error, 1)
+		go func() { done <- f.serve(0, "/once/x", longBody) }()
+		time.Sleep(longRunTime / 4)
+		left := f.breakRun(longBody, func(e *crashEngine) { e.leaves = true })
+		<-done
+		time.Sleep(probeWait)
+		for n := range 32 {
+			body := fmt.Sprint("prompt ", n)
+			c.Assert(f.serve(0, "/safe/x", body), qt.IsNil)
+			f.mu.Lock()
+			c.Check(f.running[body] == left, qt.IsFalse, qt.Commentf("request %d", n))
+			f.mu.Unlock()
+		}
+	})
+}
+
+const probeWait = 100 * time.Millisecond // in which the check after a break ends
+
 // TestAnnouncementIsLoggedOnce guards against a log line for each of the many responses of
 // an upstream that leaves.
 func TestAnnouncementIsLoggedOnce(t *testing.T) {
