fleethost: the project's words for machines that are to be taken away

Change: names. TestRemovalOfAMachineWithoutAProcess is the test that was named TestRetirementOfAMachineWithoutAProcess, with the same checks.

--- a/internal/fleethost/retirement_test.go
+++ b/internal/fleethost/removal_test.go
@@ -18,9 +18,9 @@
 	"github.com/masticscale/masticscale/platform"
 )
 
-// TestRetirementOfAMachineWithoutAProcess guards against a request to retire a machine that
+// TestRemovalOfAMachineWithoutAProcess guards against a request to empty a machine that
 // nobody answers, because only some of the storage machines run a process.
-func TestRetirementOfAMachineWithoutAProcess(t *testing.T) {
+func TestRemovalOfAMachineWithoutAProcess(t *testing.T) {
 	c := qt.New(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -34,15 +34,15 @@
 		return objstore.NewClient(platform.NewStore(server.URL, platform.NewStoreDialer(), log), name)
 	}
 	for _, name := range []string{"s1", "s2"} {
-		processes.Go(func() { serveRetirements(ctx, newClient(name), name, log) })
+		processes.Go(func() { serveRemovalRequests(ctx, newClient(name), name, log) })
 	}
 	operator := newClient("operator")
 	for _, machine := range []string{"s1", "s9"} {
-		_, err := operator.Create(ctx, platform.KindRetirements, machine, map[string]int{"duration_s": 30})
+		_, err := operator.Create(ctx, platform.KindMachineRemovals, machine, map[string]int{"duration_s": 30})
 		c.Assert(err, qt.IsNil)
 	}
 	status := func(machine string) string {
-		o, err := operator.Get(ctx, platform.KindRetirements, machine)
+		o, err := operator.Get(ctx, platform.KindMachineRemovals, machine)
 		c.Assert(err, qt.IsNil)
 		var decoded struct{ State string }
 		if json.Unmarshal(o.Status, &decoded) != nil {
--- a/internal/fleethost/storage.go
+++ b/internal/fleethost/storage.go
@@ -9,7 +9,7 @@
 
 // RunStorage runs the process of a storage machine, which has a disk, until ctx is
 // done. It stores no data on the machine, because all durable data is in the
-// platform's store. It only completes requests to retire the machine.
+// platform's store. It only completes requests to empty machines.
 func RunStorage(ctx context.Context, path string) error {
 	settings, err := ReadSettings(path)
 	if err != nil {
@@ -24,7 +24,7 @@
 	defer store.Close()
 	go reloadLoop(ctx, path, log)
 	log.WithField("event", "storage_started").Info("storage machine started; it stores no data")
-	serveRetirements(ctx, store, settings.Name, log)
+	serveRemovalRequests(ctx, store, settings.Name, log)
 	log.WithField("event", "storage_stopped").Info("storage machine stopped")
 	out.Close(logFlushTimeout)
 	return nil
