--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -36,6 +36,7 @@
 
 	mu                  sync.Mutex
 	config              *fleet.Config
+	configConfirmedAt   time.Time // as of when the store last told this host of its configuration
 	balancer            *slots.Balancer
 	queue               slots.Queue
 	limiter             *replicated.Limiter
@@ -163,6 +164,26 @@
 	return true
 }
 
+// ConfirmConfig records that the store has told this host of its configuration, as of the
+// given time.
+func (c *Core) ConfirmConfig(asOf time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.configConfirmedAt = asOf
+}
+
+// ConfigAge returns the version of the active configuration, or zero, and the time since the
+// store last told this host of its configuration, or since this host's start.
+func (c *Core) ConfigAge(now time.Time) (version int64, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	asOf := c.configConfirmedAt
+	if asOf.IsZero() {
+		asOf = c.startedAt
+	}
+	return c.versions.Config, now.Sub(asOf)
+}
+
 // SetJobs replaces the jobs that this host owns.
 func (c *Core) SetJobs(jobs []string) {
 	c.mu.Lock()
--- a/internal/knowledge/fetch.go
+++ b/internal/knowledge/fetch.go
@@ -27,6 +27,7 @@
 	defer calls.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	wanted := newestConfig(peers)
 	results := make(chan fetchResult, len(peers))
 	for name, p := range peers {
 		calls.Go(func() {
@@ -35,7 +36,7 @@
 		})
 		select {
 		case r := <-results:
-			if s.applyFetched(r) {
+			if s.applyFetched(r, wanted) {
 				return
 			}
 		case <-time.After(fetchHedgeDelay):
@@ -46,18 +47,36 @@
 		close(results)
 	}()
 	for r := range results {
-		if s.applyFetched(r) {
+		if s.applyFetched(r, wanted) {
 			return
 		}
 	}
 }
 
-// applyFetched applies the snapshot and reports whether there was one.
-func (s *Syncer) applyFetched(r fetchResult) bool {
+// newestConfig returns the highest version of the configuration that the peers have.
+func newestConfig(peers map[string]mesh.State) int64 {
+	newest := int64(0)
+	for _, p := range peers {
+		newest = max(newest, p.ConfigVersion)
+	}
+	return newest
+}
+
+// applyFetched applies the snapshot and reports whether there was one. It logs which version
+// of the configuration came while a peer has a newer one, wanted.
+func (s *Syncer) applyFetched(r fetchResult, wanted int64) bool {
 	if r.err != nil {
 		s.log.WithFields(logrus.Fields{"event": "knowledge_not_fetched", "peer": r.peer, "error": r.err}).Info("failed to fetch a snapshot from a peer with newer data")
 		return false
 	}
+	s.mu.Lock()
+	known := s.versions()
+	s.mu.Unlock()
+	if wanted > known.Config {
+		fetched := r.snapshot.Versions // zero for what the peer doesn't have newer
+		s.log.WithFields(logrus.Fields{"event": "knowledge_fetched", "peer": r.peer, "version": known.Config, "wanted": wanted, "fetched": fetched.Config, "upstreams": fetched.Upstreams}).
+			Info("fetched a snapshot while a peer has a newer configuration")
+	}
 	s.applySnapshot(r.snapshot, r.peer)
 	return true
 }
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -92,8 +92,9 @@
 	hostVersions      map[string]int64
 	hostsKnown        bool
 	failedWatches     map[objstore.Kind]bool
-	storeRegainedAt   time.Time // end of the latest outage
-	behindChecks      int       // consecutive checks in which a peer had newer data
+	respondedAt       map[objstore.Kind]time.Time // as of when the store last told this host of the kind
+	storeRegainedAt   time.Time                   // end of the latest outage
+	behindChecks      int                         // consecutive checks in which a peer had newer data
 	registerRequests  chan struct{}
 	registeredVersion int64 // of this host's entry, as written or read by this process
 
@@ -114,7 +115,7 @@
 		self: self, store: store, shortPollStore: shortPollStore, decoder: decoder, core: core, seeds: seeds, log: log, startedAt: time.Now(),
 		upstreams: newUpstreamTable(), pendingRemovals: map[string]time.Time{}, removalDeferred: make(chan struct{}, 1),
 		hosts: map[string]hostEntry{}, hostVersions: map[string]int64{},
-		failedWatches: map[objstore.Kind]bool{}, registerRequests: make(chan struct{}, 1),
+		failedWatches: map[objstore.Kind]bool{}, respondedAt: map[objstore.Kind]time.Time{}, registerRequests: make(chan struct{}, 1),
 	}
 }
 
@@ -174,11 +175,13 @@
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	s.beginList(kind)
+	began := time.Now()
 	objects, version, err := s.store.List(listCtx, kind, "")
 	if err != nil {
-		return false, err
+		return false, errors.Wrap(err, "list")
 	}
 	s.listSucceeded(kind)
+	s.storeResponded(kind, began)
 	reset(objects, version)
 	for {
 		version, err = s.watch(ctx, kind, version, apply)
@@ -254,8 +257,9 @@
 			return version, ctx.Err()
 		}
 		if err != nil {
-			return version, err
+			return version, errors.Wrap(err, "watch")
 		}
+		s.storeResponded(kind, time.Now())
 		version = max(version, e.Object.Version)
 		if e.Type == objstore.EventBookmark && storePoller != s.core.IsStorePoller() {
 			return version, nil
@@ -304,12 +308,27 @@
 	return small || time.Since(s.startedAt) > startupGracePeriod
 }
 
+// storeResponded records that the store has told this host of the kind, as of the given time.
+func (s *Syncer) storeResponded(kind objstore.Kind, asOf time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.respondedAt[kind] = asOf
+	if kind == s.decoder.ConfigKind() {
+		s.core.ConfirmConfig(asOf)
+	}
+}
+
 // watchFailed records that a list or watch has failed.
 func (s *Syncer) watchFailed(kind objstore.Kind, err error) {
 	s.mu.Lock()
 	first := len(s.failedWatches) == 0
 	s.failedWatches[kind] = true
+	fields := logrus.Fields{"event": "store_watch_failed", "kind": kind, "error": err}
+	if at, known := s.respondedAt[kind]; known {
+		fields["silent_ms"] = time.Since(at).Milliseconds()
+	}
 	s.mu.Unlock()
+	s.log.WithFields(fields).Info("failed to list or watch a kind of the platform's store")
 	if first {
 		s.core.SetStoreReachable(false)
 		s.log.WithFields(logrus.Fields{"event": "store_lost", "kind": kind, "error": err}).Warn("platform store unavailable; keeping the last known data")
