knowledge: a host that is elected to poll the store does so on a new connection

What callers saw: on a host that reaches the store but no peer, refusals as an older version says, until its long poll on a silent connection had timed out. Cause: a host that becomes a store poller cancels its long poll, but the poll in its place took an idle connection, which had gone silent with the other and was never tried since. Why it works: whoever is elected assumes that no other host has noticed.

--- a/internal/fleethost/providers.go
+++ b/internal/fleethost/providers.go
@@ -71,6 +71,7 @@
 // because it fetches the snapshots of peers while the store is unavailable.
 func newSyncer(s Settings, self entry.Identity, core *entry.Core, direct *platform.Store, m *telemetry.Metrics, log logrus.FieldLogger) *knowledge.Syncer {
 	syncer := knowledge.NewSyncer(self, newStoreClient(s, direct, m), newShortPollStoreClient(s, direct, m), platform.Decoder{}, core, s.Seeds, log)
+	syncer.SetIdleCloser(direct.Close)
 	core.SetRegistry(syncer)
 	return syncer
 }
--- a/internal/fleethost/silentstore_test.go
+++ b/internal/fleethost/silentstore_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -143,13 +144,14 @@
 	store   *objectapi.Server
 	writer  *objstore.Client
 	hosts   []*knowingHost
-	version int64 // of the configuration object
+	version int64       // of the configuration object
+	cut     atomic.Bool // the hosts are cut off from each other
 }
 
 // FetchSnapshot implements knowledge.PeerClient.
 func (f *knowingHosts) FetchSnapshot(_ context.Context, address string, _ mesh.Versions) (mesh.Snapshot, error) {
 	for _, h := range f.hosts {
-		if h.address == address {
+		if h.address == address && !f.cut.Load() {
 			return h.syncer.Snapshot(), nil
 		}
 	}
@@ -163,7 +165,7 @@
 func (f *knowingHosts) shareStates(ctx context.Context, h *knowingHost) {
 	for ctx.Err() == nil {
 		for _, other := range f.hosts {
-			if other != h {
+			if other != h && !f.cut.Load() {
 				other.core.MergeState(h.core.State())
 			}
 		}
@@ -217,6 +219,17 @@
 	f.version = o.Version
 }
 
+// countBehind returns the number of hosts that have a configuration older than the version.
+func (f *knowingHosts) countBehind(version int64) int {
+	behind := 0
+	for _, h := range f.hosts {
+		if h.core.Config().Version < version {
+			behind++
+		}
+	}
+	return behind
+}
+
 // runKnowingHosts runs hosts in virtual time, and run once they are up to date.
 func runKnowingHosts(t *testing.T, count int, run func(c *qt.C, f *knowingHosts)) {
 	bubbletest.Run(t, func(t *testing.T) {
@@ -271,14 +284,28 @@
 				time.Sleep(contactTime)
 				f.change(c, 2)
 				time.Sleep(configBound)
-				behind := 0
-				for _, h := range f.hosts {
-					if h.core.Config().Version < 2 {
-						behind++
-					}
-				}
-				c.Check(behind, qt.Equals, 0, qt.Commentf("of %d hosts, silent %v after the start", count, offset))
+				c.Check(f.countBehind(2), qt.Equals, 0, qt.Commentf("of %d hosts, silent %v after the start", count, offset))
 			})
 		}
 	}
 }
+
+// TestCutOffHostWaitsOnASilentWatch guards against a host that reaches the store but no peer, and
+// doesn't learn of a change: its connections to the store had gone silent before, and it goes
+// on with those.
+func TestCutOffHostWaitsOnASilentWatch(t *testing.T) {
+	for _, pause := range []time.Duration{contactTime - 100*time.Millisecond, 2 * contactTime} { // from the silence to the cut
+		runKnowingHosts(t, 4, func(c *qt.C, f *knowingHosts) {
+			for _, h := range f.hosts {
+				h.fillIdle()
+			}
+			f.net.silence()
+			time.Sleep(pause)
+			f.cut.Store(true)
+			time.Sleep(100 * time.Millisecond)
+			f.change(c, 2)
+			time.Sleep(configBound)
+			c.Check(f.countBehind(2), qt.Equals, 0, qt.Commentf("cut off %v after the silence", pause))
+		})
+	}
+}
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -74,6 +74,7 @@
 	core           *entry.Core
 	peers          PeerClient
 	seeds          []string
+	closeIdle      func() // closes the idle connections to the store
 	log            logrus.FieldLogger
 	startedAt      time.Time
 
@@ -112,13 +113,17 @@
 // host is a store poller. SetPeerClient must be called before Run.
 func NewSyncer(self entry.Identity, store, shortPollStore objstore.Store, decoder Decoder, core *entry.Core, seeds []string, log logrus.FieldLogger) *Syncer {
 	return &Syncer{
-		self: self, store: store, shortPollStore: shortPollStore, decoder: decoder, core: core, seeds: seeds, log: log, startedAt: time.Now(),
+		self: self, store: store, shortPollStore: shortPollStore, decoder: decoder, core: core, seeds: seeds, closeIdle: func() {}, log: log, startedAt: time.Now(),
 		upstreams: newUpstreamTable(), pendingRemovals: map[string]time.Time{}, removalDeferred: make(chan struct{}, 1),
 		hosts: map[string]hostEntry{}, hostVersions: map[string]int64{},
 		failedWatches: map[objstore.Kind]bool{}, respondedAt: map[objstore.Kind]time.Time{}, registerRequests: make(chan struct{}, 1),
 	}
 }
 
+// SetIdleCloser sets a function that closes the idle connections to the store. It must be
+// called before Run.
+func (s *Syncer) SetIdleCloser(f func()) { s.closeIdle = f }
+
 // SetPeerClient sets the client for calls to peers.
 func (s *Syncer) SetPeerClient(p PeerClient) { s.peers = p }
 
@@ -242,7 +247,7 @@
 	defer w.Close()
 	if !storePoller && kind != KindHost {
 		var election sync.WaitGroup
-		election.Go(func() { s.cancelOnElection(watchCtx, cancel) })
+		election.Go(func() { s.cancelOnElection(watchCtx, kind, cancel) })
 		defer func() {
 			cancel()
 			election.Wait()
@@ -273,9 +278,9 @@
 	}
 }
 
-// cancelOnElection cancels a watch once this host is a store poller. A long poll may be on
-// a dead connection, and no other host may have noticed.
-func (s *Syncer) cancelOnElection(ctx context.Context, cancel context.CancelFunc) {
+// cancelOnElection cancels a watch once this host is a store poller, and closes idle
+// connections. All may be dead, and no other host may have noticed.
+func (s *Syncer) cancelOnElection(ctx context.Context, kind objstore.Kind, cancel context.CancelFunc) {
 	for !s.core.IsStorePoller() {
 		select {
 		case <-ctx.Done():
@@ -283,6 +288,8 @@
 		case <-time.After(electionCheckInterval):
 		}
 	}
+	s.log.WithFields(logrus.Fields{"event": "store_poller_elected", "kind": kind}).Info("polling the platform's store at short intervals, on a new connection")
+	s.closeIdle()
 	cancel()
 }
 
