knowledge: ask peers with a newer configuration before those with newer lists

What callers saw: a route run by its former service, or refused with 503, on a host whose own watch delivers nothing, though a peer had the newer configuration. Cause: a peer counted as newer if any of the configuration and the two lists was, and the first response ended the round. In a fleet of several cells a newer list within the cell kept the host from asking another cell at all. Why it works: what a peer is asked for is what it is known to have.

--- a/internal/knowledge/configbehind_test.go
+++ b/internal/knowledge/configbehind_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -25,8 +24,8 @@
 // configBound is the time from the acknowledgement of a change until hosts apply it.
 const configBound = 2 * time.Second
 
-// unevenPeers are peers of which one has a newer configuration, and all have newer lists of
-// upstreams at each call.
+// unevenPeers are peers of which one has a newer configuration, and those of the host's cell
+// have newer lists of upstreams at each call.
 type unevenPeers struct {
 	mu       sync.Mutex
 	version  int64 // of the lists of upstreams
@@ -47,55 +46,85 @@
 
 func (*unevenPeers) SetPeers(map[string]bool) {}
 
+// peerNames are the hosts of this host's cell and of another one, by data centre. Together with
+// this host they don't fit into a single cell.
+var peerNames = map[string][]string{
+	"dc":    {"p1", "p2", "p3", "p4", "p5", "p6", "p7"},
+	"other": {"q1", "q2", "q3", "q4", "q5", "q6", "q7"},
+}
+
 // report passes the states of the peers to the host.
 func (p *unevenPeers) report(f *fixture) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.version++
-	for n := range 7 {
-		s := mesh.State{Host: fmt.Sprint("p", n), Incarnation: "i", Address: fmt.Sprint("p", n), ConfigVersion: 1, UpstreamsVersion: p.version, Number: p.version}
-		if s.Address == p.informed {
-			s.ConfigVersion = 2
+	for dataCentre, names := range peerNames {
+		for _, name := range names {
+			s := mesh.State{Host: name, Incarnation: "i", Address: name, DataCentre: dataCentre, ConfigVersion: 1, Number: p.version}
+			if dataCentre == "dc" {
+				s.UpstreamsVersion = p.version
+			}
+			if name == p.informed {
+				s.ConfigVersion = 2
+			}
+			f.core.MergeState(s)
 		}
-		f.core.MergeState(s)
 	}
 }
 
+// checkFetchesConfig checks that a host without the store fetches a newer configuration from
+// the one peer that has it.
+func checkFetchesConfig(t *testing.T, informed string) {
+	bubbletest.Run(t, func(t *testing.T) {
+		c := qt.New(t)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		self := entry.Identity{Name: "h1", Incarnation: "i1", DataCentre: "dc", PeerAddress: "h1:1"}
+		f := &fixture{store: memstore.New(), core: entry.NewCore(self, log)}
+		f.writer, f.client = f.store.Client(latency), f.store.Client(latency)
+		config, err := json.Marshal(fleet.Config{Version: 2})
+		c.Assert(err, qt.IsNil)
+		peers := &unevenPeers{version: 1000, informed: informed, config: config}
+		f.syncer = knowledge.NewSyncer(self, f.client, f.client, decoder{}, f.core, nil, log)
+		f.syncer.SetPeerClient(peers)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { f.syncer.Run(ctx) })
+		defer func() {
+			cancel()
+			wg.Wait()
+		}()
+		f.writeConfig(c, 1, 0)
+		for dataCentre, names := range peerNames {
+			for _, name := range names {
+				_, err := f.write(knowledge.KindHost, name, 0, map[string]string{"address": name, "data_centre": dataCentre})
+				c.Assert(err, qt.IsNil)
+			}
+		}
+		time.Sleep(time.Second)
+		c.Assert(f.core.InCell("p3"), qt.IsTrue)
+		c.Assert(f.core.InCell("q3"), qt.IsFalse)
+		f.client.SetPartitioned(true)
+		time.Sleep(time.Second)
+		for start := time.Now(); time.Since(start) < configBound; time.Sleep(100 * time.Millisecond) {
+			peers.report(f)
+		}
+		c.Assert(f.core.Config().Version, qt.Equals, int64(2))
+	})
+}
+
 // TestConfigIsFetchedFromAPeerWithout guards against a host that goes on with an older
 // configuration, because it asks peers that only have a newer list of upstreams.
 func TestConfigIsFetchedFromAPeerWithout(t *testing.T) {
 	for range 16 { // peers are asked in random order
-		bubbletest.Run(t, func(t *testing.T) {
-			c := qt.New(t)
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			self := entry.Identity{Name: "h1", Incarnation: "i1", DataCentre: "dc", PeerAddress: "h1:1"}
-			f := &fixture{store: memstore.New(), core: entry.NewCore(self, log)}
-			f.writer, f.client = f.store.Client(latency), f.store.Client(latency)
-			config, err := json.Marshal(fleet.Config{Version: 2})
-			c.Assert(err, qt.IsNil)
-			peers := &unevenPeers{version: 1000, informed: "p3", config: config}
-			f.syncer = knowledge.NewSyncer(self, f.client, f.client, decoder{}, f.core, nil, log)
-			f.syncer.SetPeerClient(peers)
-			ctx, cancel := context.WithCancel(context.Background())
-			var wg sync.WaitGroup
-			wg.Go(func() { f.syncer.Run(ctx) })
-			defer func() {
-				cancel()
-				wg.Wait()
-			}()
-			f.writeConfig(c, 1, 0)
-			time.Sleep(time.Second)
-			f.client.SetPartitioned(true)
-			time.Sleep(time.Second)
-			for start := time.Now(); time.Since(start) < configBound; time.Sleep(100 * time.Millisecond) {
-				peers.report(f)
-			}
-			c.Assert(f.core.Config().Version, qt.Equals, int64(2))
-		})
+		checkFetchesConfig(t, "p3")
 	}
 }
 
+// TestConfigIsNotFetchedFromAnotherCell guards against the same, where all hosts of the cell are
+// behind.
+func TestConfigIsNotFetchedFromAnotherCell(t *testing.T) { checkFetchesConfig(t, "q3") }
+
 // silentDeletes is a store that doesn't respond to deletions.
 type silentDeletes struct{ *memstore.Client }
 
--- a/internal/knowledge/fetch.go
+++ b/internal/knowledge/fetch.go
@@ -1,7 +1,9 @@
 package knowledge
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +23,8 @@
 	err      error
 }
 
-// fetchFromFirst applies the snapshot of the first of the peers that responds.
+// fetchFromFirst applies the snapshot of the first of the peers that responds, in the order of
+// inFetchOrder.
 func (s *Syncer) fetchFromFirst(ctx context.Context, peers map[string]mesh.State, known mesh.Versions) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -29,7 +32,8 @@
 	defer cancel()
 	wanted := newestConfig(peers)
 	results := make(chan fetchResult, len(peers))
-	for name, p := range peers {
+	for _, name := range s.inFetchOrder(peers, known.Config) {
+		p := peers[name]
 		calls.Go(func() {
 			snapshot, err := s.peers.FetchSnapshot(ctx, p.Address, known)
 			results <- fetchResult{peer: name, snapshot: snapshot, err: err}
@@ -53,6 +57,34 @@
 	}
 }
 
+// inFetchOrder returns the names of the peers to ask. First come those with a configuration
+// newer than the version, of this host's cell before others and the newest before others. The
+// rest are asked for their lists: those of the cell, to which hosts keep connections, or all if
+// none is.
+func (s *Syncer) inFetchOrder(peers map[string]mesh.State, version int64) []string {
+	var ahead, aheadOutside, inCell, outside []string
+	for name, p := range peers {
+		isAhead, isInCell := p.ConfigVersion > version, s.core.InCell(name)
+		switch {
+		case isAhead && isInCell:
+			ahead = append(ahead, name)
+		case isAhead:
+			aheadOutside = append(aheadOutside, name)
+		case isInCell:
+			inCell = append(inCell, name)
+		default:
+			outside = append(outside, name)
+		}
+	}
+	newestFirst := func(a, b string) int { return cmp.Compare(peers[b].ConfigVersion, peers[a].ConfigVersion) }
+	slices.SortFunc(ahead, newestFirst)
+	slices.SortFunc(aheadOutside, newestFirst)
+	if len(ahead)+len(inCell) > 0 {
+		outside = nil
+	}
+	return slices.Concat(ahead, aheadOutside, inCell, outside)
+}
+
 // newestConfig returns the highest version of the configuration that the peers have.
 func newestConfig(peers map[string]mesh.State) int64 {
 	newest := int64(0)
--- a/internal/knowledge/hosts.go
+++ b/internal/knowledge/hosts.go
@@ -192,25 +192,9 @@
 	}
 	s.mu.Unlock()
 	maps.DeleteFunc(peers, func(_ string, p mesh.State) bool { return !newer(p) })
-	peers = s.nearest(peers)
 	s.fetchFromFirst(ctx, peers, known)
 }
 
-// nearest returns the peers that are in this host's cell, or all if none is: hosts keep
-// connections to those of their cell.
-func (s *Syncer) nearest(peers map[string]mesh.State) map[string]mesh.State {
-	inCell := map[string]mesh.State{}
-	for name, p := range peers {
-		if s.core.InCell(name) {
-			inCell[name] = p
-		}
-	}
-	if len(inCell) > 0 {
-		return inCell
-	}
-	return peers
-}
-
 // confirmUpstreams records that a peer reaches the store and none has a newer list of
 // upstreams than this host. The caller holds mu.
 func (s *Syncer) confirmUpstreams(peers map[string]mesh.State) {
