knowledge: delete entries of gone hosts beside the loop that learns from peers

What callers saw: a change that is late on a host whose watch delivers nothing. Cause: one loop asked peers for newer data and deleted the entries of gone hosts, one after the other. On a connection that doesn't respond each deletion takes four seconds. Evidence: TestSilentDeletionHoldsUpAConfig (three gone hosts) failed before: not in force 2 s after a peer had it.

--- a/internal/knowledge/hosts.go
+++ b/internal/knowledge/hosts.go
@@ -160,7 +160,7 @@
 	return s.registeredVersion == 0 || !listed && s.hostsVersion > s.registeredVersion
 }
 
-// peerLoop pulls newer data from peers and prunes hosts that were removed for good.
+// peerLoop pulls newer data from peers.
 func (s *Syncer) peerLoop(ctx context.Context) {
 	tick := time.NewTicker(peerInterval)
 	defer tick.Stop()
@@ -168,9 +168,22 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case <-tick.C:
 			s.pullFromPeers(ctx)
 			s.connectPeers()
+		}
+	}
+}
+
+// pruneLoop prunes hosts that were removed for good. The store may take seconds for each.
+func (s *Syncer) pruneLoop(ctx context.Context) {
+	tick := time.NewTicker(pruneInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
 			s.pruneHosts(ctx, now)
 		}
 	}
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -50,6 +50,7 @@
 	expiryGracePeriod     = 2200 * time.Millisecond // after an outage of the store, live upstreams renew expired entries within two seconds
 	maxRemovalDelay       = 1700 * time.Millisecond // after an event; a removed upstream serves for two seconds from the acknowledgement on
 	maxConfirmationAge    = 2 * peerInterval        // of a list of upstreams by peers
+	pruneInterval         = 250 * time.Millisecond
 	pruneAfter            = 20 * time.Second        // without a heartbeat; the host was then removed for good
 	electionCheckInterval = 500 * time.Millisecond  // between checks whether this host has become a store poller
 	roleCheckInterval     = 40 * time.Millisecond   // between checks whether this host should watch the store
@@ -144,6 +145,7 @@
 	loops.Go(func() { s.registerLoop(ctx) })
 	loops.Go(func() { s.quarantineLoop(ctx) })
 	loops.Go(func() { s.expiryLoop(ctx) })
+	loops.Go(func() { s.pruneLoop(ctx) })
 	s.peerLoop(ctx)
 	loops.Wait()
 }
