knowledge: a host reaches the store only while no kind's watch has failed

What callers saw: a change that is late, because the hosts that poll the store for all can't read the configuration themselves. Cause: a kind that could be listed again, for example after the store had dropped its history, made the host report the store as reachable though the watch of another kind had failed. Peers elect pollers and watchers by that report. The report was also set outside of the lock under which the failures are kept, so that the two could differ for good. Evidence: TestHostWithoutAWatchOfTheConfigClaimsTheStore failed before and passes now, also under the race detector.

--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -330,13 +330,13 @@
 // watchFailed records that a list or watch has failed.
 func (s *Syncer) watchFailed(kind objstore.Kind, err error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	first := len(s.failedWatches) == 0
 	s.failedWatches[kind] = true
 	fields := logrus.Fields{"event": "store_watch_failed", "kind": kind, "error": err}
 	if at, known := s.respondedAt[kind]; known {
 		fields["silent_ms"] = time.Since(at).Milliseconds()
 	}
-	s.mu.Unlock()
 	s.log.WithFields(fields).Info("failed to list or watch a kind of the platform's store")
 	if first {
 		s.core.SetStoreReachable(false)
@@ -344,21 +344,22 @@
 	}
 }
 
-// listSucceeded records that a kind could be listed.
+// listSucceeded records that a kind could be listed. The store counts as reachable only if no
+// other kind has failed since: peers rely on this host's watches of all kinds.
 func (s *Syncer) listSucceeded(kind objstore.Kind) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	was := s.failedWatches[kind]
 	delete(s.failedWatches, kind)
-	back := was && len(s.failedWatches) == 0
 	if was {
 		s.storeRegainedAt = time.Now()
 	}
-	s.mu.Unlock()
-	if back {
-		s.log.WithFields(logrus.Fields{"event": "store_regained"}).Info("platform store available again")
+	if len(s.failedWatches) > 0 {
+		return
 	}
-	if back || !was {
-		s.core.SetStoreReachable(true)
+	s.core.SetStoreReachable(true)
+	if was {
+		s.log.WithFields(logrus.Fields{"event": "store_regained"}).Info("platform store available again")
 	}
 }
 
