Logs: the shared parts of a prompt, and whether its answer had begun

A crash under requests that differ in all but a part of their prompts couldn't be told from unrelated ones: no log line named the parts.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -24,7 +24,7 @@
 func (h *Handler) attempt(ctx context.Context, r *request, slot *Slot, w http.ResponseWriter) (bool, error) {
 	ctx, span := telemetry.Tracer().Start(ctx, "upstream")
 	defer span.End()
-	r.attemptAt, r.status, r.eventStream = time.Now(), 0, false
+	r.attemptAt, r.answeringSince, r.status, r.eventStream = time.Now(), time.Time{}, 0, false
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	newConnection := r.needsNewConnection(slot)
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -41,6 +42,8 @@
 	Fingerprint quarantine.Fingerprint
 	Started     time.Time
 	WasAlive    bool // the upstream accepted a connection or sent bytes after the start
+	PromptParts []string
+	Answering   bool // the upstream had sent an event
 }
 
 // brokenRun is a run whose connection broke, until its cause is known.
@@ -49,6 +52,7 @@
 	started  time.Time             // zero for an item of a job
 	request  *quarantine.BrokenRun // that a crash counts against; nil for an item of a job
 	item     string                // id, unless request is set
+	details  RunBreak
 	cause    chan BreakCause
 }
 
@@ -68,7 +72,10 @@
 
 // brokenRun describes the last attempt, whose connection broke.
 func (r *request) brokenRun(wasAlive bool) RunBreak {
-	return RunBreak{Fingerprint: r.fingerprint(), Started: r.attemptAt, WasAlive: wasAlive}
+	return RunBreak{
+		Fingerprint: r.fingerprint(), Started: r.attemptAt, WasAlive: wasAlive,
+		PromptParts: r.PromptParts, Answering: !r.answeringSince.IsZero(),
+	}
 }
 
 // instanceOf returns the process lifetime that the upstream is registered with.
@@ -162,7 +169,7 @@
 // a silent upstream doesn't delay a retry elsewhere; the check goes on without it.
 func (s *Slot) ReportBrokenRun(ctx context.Context, b RunBreak) BreakCause {
 	request := s.brokenRun(b)
-	return s.findBreakCause(ctx, brokenRun{started: b.Started, request: &request})
+	return s.findBreakCause(ctx, brokenRun{started: b.Started, request: &request, details: b})
 }
 
 // brokenRun describes a run that broke now.
@@ -206,6 +213,7 @@
 	fields["fingerprint"] = r.request.Fingerprint
 	fields["isolated"], fields["unproven"], fields["late"] = r.request.Isolated, r.request.Unproven, r.request.Late
 	fields["ran_ms"] = time.Since(r.started).Milliseconds()
+	fields["prompt_parts"], fields["answering"] = strings.Join(r.details.PromptParts, ","), r.details.Answering
 	return fields
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -59,6 +59,9 @@
 		if err := r.answer.events.Add(e); err != nil {
 			return err, nil
 		}
+		if e.Data != nil && r.answeringSince.IsZero() {
+			r.answeringSince = time.Now()
+		}
 		if err := r.sendHeader(w, resp); err != nil {
 			return nil, err
 		}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -45,6 +46,7 @@
 	Received    time.Time     // when its header had arrived; zero means now
 	TimeLeft    time.Duration // caller's timeout; 0 if not given
 	ResumeAfter string        // ID of the last event that the caller received
+	PromptParts []string      // IDs of the parts of the prompt that other requests share, in order
 }
 
 // Handler proxies online requests to upstreams.
@@ -116,21 +118,22 @@
 
 	configVersion int64 // in force when the request was authorized
 
-	excluded    map[string]bool // IDs of upstreams that have failed the request
-	barred      map[string]bool // those of them that must not get it again, see SlotRequest
-	sends       int             // attempts
-	runs        int             // attempts that may have been run
-	waited      time.Duration   // total time in the slot queue
-	upstream    string          // ID of the last upstream
-	status      int             // of the response to the last attempt; zero if there was none
-	eventStream bool            // whether that response was an event stream
-	attemptAt   time.Time       // start of the last attempt
-	suspicion   quarantine.Level
-	answer      answer
-	watch       *silenceWatch // of the last attempt
-	next        *Slot         // held for the next attempt, because the last one moves
-	silentRun   *silentRun    // that the request left; nil if there is none to be judged
-	isSlow      bool          // silent at several upstreams that served others
+	excluded       map[string]bool // IDs of upstreams that have failed the request
+	barred         map[string]bool // those of them that must not get it again, see SlotRequest
+	sends          int             // attempts
+	runs           int             // attempts that may have been run
+	waited         time.Duration   // total time in the slot queue
+	upstream       string          // ID of the last upstream
+	status         int             // of the response to the last attempt; zero if there was none
+	eventStream    bool            // whether that response was an event stream
+	attemptAt      time.Time       // start of the last attempt
+	answeringSince time.Time       // first event of the last attempt; zero before it
+	suspicion      quarantine.Level
+	answer         answer
+	watch          *silenceWatch // of the last attempt
+	next           *Slot         // held for the next attempt, because the last one moves
+	silentRun      *silentRun    // that the request left; nil if there is none to be judged
+	isSlow         bool          // silent at several upstreams that served others
 
 	content *quarantine.Fingerprint // nil until it is needed
 }
@@ -253,7 +256,7 @@
 		fields["left_ms"], fields["last_event"] = in.TimeLeft.Milliseconds(), r.answer.events.LastID()
 		fields["upstream_status"], fields["event_stream"] = r.status, r.eventStream
 		if err != nil && r.runs > 0 {
-			fields["fingerprint"] = r.fingerprint()
+			fields["fingerprint"], fields["prompt_parts"] = r.fingerprint(), strings.Join(r.PromptParts, ",")
 		}
 		h.metrics.Duration.WithLabelValues(class).Observe(took.Seconds())
 		if r.answer.firstByte > 0 {
