--- a/internal/entry/crashfleet_test.go
+++ b/internal/entry/crashfleet_test.go
@@ -354,11 +354,17 @@
 }
 
 func (f *crashFleet) serveWithin(ctx context.Context, n int, path, body string) error {
+	return f.serveParts(ctx, n, path, body)
+}
+
+// serveParts is serveWithin for a request whose prompt has the given shared parts.
+func (f *crashFleet) serveParts(ctx context.Context, n int, path, body string, parts ...string) error {
 	f.mu.Lock()
 	h := f.hosts[n%len(f.hosts)]
 	f.mu.Unlock()
 	return h.handler.Serve(ctx, entry.Request{
 		ID: "r", Method: http.MethodPost, Target: path, Path: path, Host: hostName, Key: "k", Body: []byte(body), TimeLeft: 5 * time.Second,
+		PromptParts: parts,
 	}, httptest.NewRecorder())
 }
 
@@ -375,21 +381,27 @@
 // lateSends returns how often a request was sent later than contactTime after it had
 // crashed its third upstream.
 func (f *crashFleet) lateSends(body string) int {
+	return f.lateSendsAfter(3, func(b string) bool { return b == body })
+}
+
+// lateSendsAfter returns how often requests with a matching body were sent later than
+// contactTime after they had crashed the given number of upstreams.
+func (f *crashFleet) lateSendsAfter(tolerated int, matches func(body string) bool) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var ends []time.Time
 	for _, r := range f.runs {
-		if r.body == body && !r.endedAt.IsZero() {
+		if matches(r.body) && !r.endedAt.IsZero() {
 			ends = append(ends, r.endedAt)
 		}
 	}
-	if len(ends) < 3 {
+	if len(ends) < tolerated {
 		return 0
 	}
 	slices.SortFunc(ends, time.Time.Compare)
 	late := 0
 	for _, r := range f.runs {
-		if r.body == body && r.sentAt.After(ends[2].Add(contactTime)) {
+		if matches(r.body) && r.sentAt.After(ends[tolerated-1].Add(contactTime)) {
 			late++
 		}
 	}
--- /dev/null
+++ b/internal/entry/promptparts_test.go
@@ -0,0 +1,143 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/masticscale/masticscale/internal/apierr"
+)
+
+const (
+	toleratedPartCrashes = 5 // under requests with one part, before late sends count
+	firstPart            = "a0"
+	guiltyPart           = "bad0"
+	soundPeriod          = 60 * time.Millisecond
+)
+
+// guiltyRequests are requests of which no two are alike, and that crash upstreams because of
+// one part of their prompts.
+type guiltyRequests struct {
+	name    string // start of their bodies, after poisonBody
+	period  time.Duration
+	parts   func(n int) []string
+	leaveIn time.Duration // after which every second caller leaves; zero if all stay
+	times   int
+}
+
+// sendParts sends the requests while sound ones run that share their first part and their
+// team. It returns the shares of the sound ones that were served before the guilty ones began
+// and from two contactTimes after that, and how many of the latter were refused as ones that
+// crash upstreams.
+func (f *crashFleet) sendParts(all ...guiltyRequests) (before, after float64, refused int) {
+	var calls sync.WaitGroup
+	var mu sync.Mutex
+	served, sent := [3]int{}, [3]int{} // before, shortly after, later
+	stop := make(chan struct{})
+	started := time.Now()
+	calls.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(soundPeriod):
+			}
+			phase := 0
+			switch since := time.Since(started); {
+			case since > 3*contactTime:
+				phase = 2
+			case since > contactTime-2*runTime:
+				phase = 1
+			}
+			calls.Go(func() {
+				err := f.serveParts(f.ctx, n, "/once/x", fmt.Sprint("prompt ", n), firstPart, fmt.Sprint("50", n%20))
+				mu.Lock()
+				defer mu.Unlock()
+				sent[phase]++
+				if err == nil {
+					served[phase]++
+				}
+				if phase == 2 && apierr.IsKind(err, apierr.Quarantined) {
+					refused++
+				}
+			})
+		}
+	})
+	f.sleep(contactTime)
+	var senders sync.WaitGroup
+	for _, g := range all {
+		senders.Go(func() { f.sendGuilty(g, &calls) })
+	}
+	senders.Wait()
+	close(stop)
+	calls.Wait()
+	return float64(served[0]) / float64(sent[0]), float64(served[2]) / float64(sent[2]), refused
+}
+
+func (f *crashFleet) sendGuilty(g guiltyRequests, calls *sync.WaitGroup) {
+	for n := range g.times {
+		calls.Go(func() {
+			ctx, cancel := context.WithCancel(f.ctx)
+			if g.leaveIn > 0 && n%2 == 1 {
+				ctx, cancel = context.WithTimeout(f.ctx, g.leaveIn)
+			}
+			defer cancel()
+			_ = f.serveParts(ctx, n, "/safe/x", fmt.Sprint(poisonBody, g.name, n), g.parts(n)...) // ends in an error
+		})
+		f.sleep(g.period)
+	}
+}
+
+func inTheMiddle(n int) []string { return []string{firstPart, guiltyPart, fmt.Sprint("70", n)} }
+
+// TestPromptPartCrashesOneUpstreamAfterTheOther guards against requests that are all sent on
+// because no two are alike, though one part of their prompts crashes each upstream that runs
+// it. Sound requests that share another part must be served.
+func TestPromptPartCrashesOneUpstreamAfterTheOther(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		guilty   []guiltyRequests
+		restarts bool // of the hosts, one after the other
+	}{
+		{"middle", []guiltyRequests{{period: 200 * time.Millisecond, parts: inTheMiddle, times: 200}}, false},
+		{"last shared", []guiltyRequests{{period: 500 * time.Millisecond, parts: func(int) []string { return []string{firstPart, guiltyPart} }, times: 80}}, false},
+		{"first", []guiltyRequests{{period: 200 * time.Millisecond, parts: func(n int) []string { return []string{guiltyPart, fmt.Sprint("50", n%20)} }, times: 200}}, false},
+		{"rare", []guiltyRequests{{period: 1500 * time.Millisecond, parts: inTheMiddle, times: 60}}, false},
+		{"callers leave", []guiltyRequests{{period: 200 * time.Millisecond, parts: inTheMiddle, leaveIn: 25 * time.Millisecond, times: 200}}, false},
+		{"hosts restart", []guiltyRequests{{period: 200 * time.Millisecond, parts: inTheMiddle, times: 200}}, true},
+		{"two", []guiltyRequests{
+			{name: "-a", period: 300 * time.Millisecond, parts: inTheMiddle, times: 130},
+			{name: "-b", period: 300 * time.Millisecond, parts: func(n int) []string { return []string{firstPart, fmt.Sprint("70", n), "bad1"} }, times: 130},
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runCrashFleet(t, 3, 30, func(c *qt.C, f *crashFleet) {
+				if tc.restarts {
+					f.wg.Go(f.restartHostsInTurn)
+				}
+				before, served, refused := f.sendParts(tc.guilty...)
+				for _, g := range tc.guilty {
+					late := f.lateSendsAfter(toleratedPartCrashes, func(body string) bool { return strings.HasPrefix(body, poisonBody+g.name) })
+					c.Check(late <= allowedLateSends, qt.IsTrue, qt.Commentf("%d late sends of %q", late, g.name))
+				}
+				crashes, sends := f.counts()
+				c.Check(served >= before/2, qt.IsTrue, qt.Commentf("%.2f of the sound requests served, %.2f before", served, before))
+				c.Check(refused, qt.Equals, 0, qt.Commentf("sound requests refused as ones that crash upstreams"))
+				c.Logf("%d sends crashed %d upstreams; %.3f of the sound requests served", sends, crashes, served)
+			})
+		})
+	}
+}
+
+func (f *crashFleet) restartHostsInTurn() {
+	f.sleep(15 * time.Second)
+	for n := range f.hosts {
+		f.startHost(n)
+		f.sleep(3 * time.Second)
+	}
+}
