quarantine: suspicion of a part of a prompt, over all requests that have it

What callers saw: requests that share a part of their prompts end one upstream after the other, and a tenth and more of the most urgent requests fail for seconds. Cause: crashes count against a request (team, method, host, target, body), and the cause is shared by requests of which no two are alike: each began without suspicion. Fix: a crash also counts against each part but the last of the prompts of all requests that ran there and that the upstream had not begun to answer; an answer that goes on for 250 ms after its first event, or ends delimited, withdraws what counts against its parts, at all hosts. Three crashes, each under a request sent after the crash before, quarantine a part; five if requests with it were answered in the last ten seconds. One content under all of them explains them as well, and what one part explains doesn't count against others. If they may be due to one team, the verdict holds for that team alone. Requests with a quarantined part are rejected at once, also while they wait. Two trials (8 s and a minute after the last crash) over all hosts; hosts take their turns. Why it works: a part that crashes upstreams is in every crash and never in an answer; sound parts that share requests with it are answered within a second.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -148,6 +148,9 @@
 	Excluded   map[string]bool // upstreams that have failed this request; used if no other is registered
 	Barred     map[string]bool // those of them that must not get it again
 	Isolated   bool            // must not share an upstream with another isolated request
+
+	PromptParts []string // of a request that is rejected once one of them is quarantined
+	Team        string
 }
 
 // Acquire waits for a slot for an online request, within its WaitBudget. A request that
@@ -195,6 +198,7 @@
 	return &slots.Waiter{
 		Service: req.Service, Priority: req.Priority, IsRetry: req.WaitBudget.IsRetry,
 		Arrived: now, StartBy: now.Add(req.WaitBudget.LatencyTarget), Excluded: req.Excluded, Barred: req.Barred, Isolated: req.Isolated,
+		Refused:  func() bool { return c.refusesPromptParts(req.PromptParts, req.Team) },
 		Granted:  func(id string) { decision <- c.startRun(id, req.Isolated, now) },
 		Rejected: func() { decision <- nil },
 	}, decision
@@ -227,8 +231,10 @@
 		return
 	}
 	rejected := map[string]int{}
-	for _, w := range c.queue.RemoveIf(func(w *slots.Waiter) bool { return !c.canServe(w.Service, w.Barred) }) {
-		rejected[w.Service]++
+	for _, w := range c.queue.RemoveIf(func(w *slots.Waiter) bool { return w.IsRefused() || !c.canServe(w.Service, w.Barred) }) {
+		if !w.IsRefused() {
+			rejected[w.Service]++
+		}
 		w.Rejected()
 	}
 	for service, requests := range rejected {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -24,7 +24,8 @@
 func (h *Handler) attempt(ctx context.Context, r *request, slot *Slot, w http.ResponseWriter) (bool, error) {
 	ctx, span := telemetry.Tracer().Start(ctx, "upstream")
 	defer span.End()
-	r.attemptAt, r.answeringSince, r.status, r.eventStream = time.Now(), time.Time{}, 0, false
+	r.attemptAt, r.status, r.eventStream = time.Now(), 0, false
+	r.answeringSince, r.isAnswerSound = time.Time{}, false
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	newConnection := r.needsNewConnection(slot)
@@ -46,7 +47,7 @@
 // may be dead or, at an upstream that has failed the request before, a late response to that
 // attempt may arrive on it, which bears the request's id.
 func (r *request) needsNewConnection(slot *Slot) bool {
-	return r.suspicion > quarantine.Clear || r.watch.hasMoved() || r.excluded[slot.Upstream.ID] || slot.AtSilentUpstream()
+	return r.suspicion > quarantine.Clear || r.hasSuspectPart || r.watch.hasMoved() || r.excluded[slot.Upstream.ID] || slot.AtSilentUpstream()
 }
 
 // handleResponse relays the response, unless the request has not run or may be retried.
@@ -89,8 +90,8 @@
 	if err == nil && !failed {
 		slot.ReportRunResult(false)
 	}
-	if err == nil && h.core.TracksCompletion(len(r.Body)) {
-		h.core.ReportCompletedRun(r.fingerprint())
+	if err == nil {
+		h.reportEndOfRun(r, resp)
 	}
 	return retry, err
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -60,6 +60,9 @@
 	cancelledJobs       []string                  // IDs of jobs
 	outcomes            map[string]slots.Outcomes // as last published to peers, by upstream
 	crashes             *quarantine.Table
+	partCrashes         *quarantine.PartTable
+	partTrials          map[string]partTrial // the latest of this host, by part
+	loggedParts         map[string]int       // crashes of the quarantined parts, as last logged
 	abandonedRuns       *quarantine.AbandonedRuns
 	heldSlots           []*heldSlot   // of isolated runs that this host has ended
 	brokenRuns          []brokenRun   // to be checked by Run
@@ -104,6 +107,9 @@
 		stateDirty:      true,
 		longestTimeouts: map[string]time.Duration{},
 		crashes:         quarantine.NewTable(),
+		partCrashes:     quarantine.NewPartTable(),
+		partTrials:      map[string]partTrial{},
+		loggedParts:     map[string]int{},
 		abandonedRuns:   quarantine.NewAbandonedRuns(),
 		breakWake:       make(chan struct{}, 1),
 		random:          rand.New(rand.NewPCG(seed, 1)),
@@ -262,11 +268,12 @@
 		admitted[team] = n
 	}
 	crashes, crashesVersion := c.crashes.Shared()
+	partCrashes, partCrashesVersion := c.partCrashes.Shared()
 	next := mesh.State{
 		Host: c.self.Name, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
 		Address: c.self.PeerAddress, Leaving: c.leaving, Running: c.balancer.OwnCounts(), Outcomes: c.outcomes, Admitted: admitted,
 		Waiting: c.waitingTokens, EndedJobs: c.cancelledJobs, Jobs: c.jobs, Watching: c.watching, ConfigVersion: c.versions.Config, UpstreamsVersion: c.versions.Upstreams, HostsVersion: c.versions.Hosts,
-		Crashes: crashes, CrashesVersion: crashesVersion,
+		Crashes: crashes, CrashesVersion: crashesVersion, PartCrashes: partCrashes, PartCrashesVersion: partCrashesVersion,
 		StoreReachable: c.reachesStore(),
 		Number:         c.state.Number + 1, Details: c.state.Details, Urgent: c.urgent,
 	}
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -42,8 +42,18 @@
 	Fingerprint quarantine.Fingerprint
 	Started     time.Time
 	WasAlive    bool // the upstream accepted a connection or sent bytes after the start
-	PromptParts []string
-	Answering   bool // the upstream had sent an event
+	Team        string
+	PromptParts []string // that other requests share, in order
+	Answering   bool     // the upstream had sent an event
+	Sound       bool     // it had gone on for soundAnswerTime, or had sent the whole answer
+}
+
+// suspectParts returns the parts of the prompt that may have crashed the upstream.
+func (b RunBreak) suspectParts() []string {
+	if b.Sound {
+		return nil
+	}
+	return b.PromptParts
 }
 
 // brokenRun is a run whose connection broke, until its cause is known.
@@ -52,7 +62,7 @@
 	started  time.Time             // zero for an item of a job
 	request  *quarantine.BrokenRun // that a crash counts against; nil for an item of a job
 	item     string                // id, unless request is set
-	details  RunBreak
+	details  RunBreak              // of a request
 	cause    chan BreakCause
 }
 
@@ -74,7 +84,7 @@
 func (r *request) brokenRun(wasAlive bool) RunBreak {
 	return RunBreak{
 		Fingerprint: r.fingerprint(), Started: r.attemptAt, WasAlive: wasAlive,
-		PromptParts: r.PromptParts, Answering: !r.answeringSince.IsZero(),
+		Team: r.team.Name, PromptParts: r.PromptParts, Answering: !r.answeringSince.IsZero(), Sound: r.isAnswerSound,
 	}
 }
 
@@ -177,6 +187,7 @@
 	return quarantine.BrokenRun{
 		Fingerprint: b.Fingerprint, Upstream: instanceOf(s.Upstream),
 		Isolated: s.run.Isolated, Unproven: !b.WasAlive, Late: quarantine.IsLate(b.Started, time.Now()),
+		PromptParts: b.suspectParts(), Team: b.Team, Sent: b.Started,
 	}
 }
 
@@ -187,10 +198,8 @@
 }
 
 func (s *Slot) findBreakCause(ctx context.Context, run brokenRun) BreakCause {
-	run.upstream, run.cause = s.Upstream, make(chan BreakCause, 1)
-	if !s.core.queueBrokenRun(run) {
-		s.core.log.WithFields(run.logFields()).WithField("event", "break_not_checked").
-			Warn("too many connections broke at once; it isn't checked whether this upstream crashed")
+	run, checked := s.checkBreak(run)
+	if !checked {
 		return BreakUnknown
 	}
 	timer := time.NewTimer(maxBreakWait)
@@ -204,6 +213,17 @@
 	return BreakUnknown
 }
 
+// checkBreak starts the check of a run. It returns false if too many runs wait for theirs.
+func (s *Slot) checkBreak(run brokenRun) (brokenRun, bool) {
+	run.upstream, run.cause = s.Upstream, make(chan BreakCause, 1)
+	if s.core.queueBrokenRun(run) {
+		return run, true
+	}
+	s.core.log.WithFields(run.logFields()).WithField("event", "break_not_checked").
+		Warn("too many connections broke at once; it isn't checked whether this upstream crashed")
+	return run, false
+}
+
 func (r brokenRun) logFields() logrus.Fields {
 	fields := logrus.Fields{"upstream": r.upstream.ID}
 	if r.request == nil {
@@ -362,7 +382,9 @@
 
 // addCrash is countCrash for callers that hold mu.
 func (c *Core) addCrash(run quarantine.BrokenRun) {
-	if !c.crashes.Observe(run, time.Now()) {
+	now := time.Now()
+	c.addPartCrash(run, now)
+	if !c.crashes.Observe(run, now) {
 		return
 	}
 	c.logSuspicion(run.Fingerprint, run.Upstream, "here", 0)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -116,7 +116,8 @@
 	c.mu.Lock()
 	before := c.urgentOf(s.Host)
 	c.mergeCrashes(s.Host, s.Crashes)
-	s.Crashes = nil
+	c.mergePartCrashes(s.Host, s.PartCrashes)
+	s.Crashes, s.PartCrashes = nil, nil
 	if p, known := c.peers[s.Host]; known && p.state.Incarnation == s.Incarnation && s.Number < p.state.Number {
 		s = p.state // a relay was faster
 		s.Admitted = nil
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -85,6 +85,7 @@
 	c.cellHosts = c.cells.Hosts()
 	c.noteCellHosts(before, time.Now())
 	c.crashes.ShareAll(c.hasOtherCells())
+	c.partCrashes.ShareAll(c.hasOtherCells())
 	c.linksOutdated = true
 	c.cellOutdated = true
 	c.updateOutdatedCell(time.Now())
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -34,6 +34,7 @@
 		if err != nil {
 			return h.handleTruncation(ctx, r, slot, err)
 		}
+		h.observeEvents(r, batch)
 		orderErr, err := r.writeEvents(w, resp, batch)
 		if err != nil {
 			return false, err
@@ -59,9 +60,6 @@
 		if err := r.answer.events.Add(e); err != nil {
 			return err, nil
 		}
-		if e.Data != nil && r.answeringSince.IsZero() {
-			r.answeringSince = time.Now()
-		}
 		if err := r.sendHeader(w, resp); err != nil {
 			return nil, err
 		}
--- a/internal/entry/requestslot.go
+++ b/internal/entry/requestslot.go
@@ -60,12 +60,16 @@
 	}
 	slot, err := h.core.Acquire(ctx, SlotRequest{
 		Service: r.service, Priority: r.priority, Excluded: r.excluded, Barred: r.barred, Isolated: r.suspicion == quarantine.Isolated,
+		PromptParts: r.PromptParts, Team: r.team.Name,
 		WaitBudget: slots.WaitBudget{
 			LatencyTarget: r.route.LatencyTarget, TimeLeft: time.Until(r.deadline),
 			IsRetry: r.isRetry || r.sends > 0, Begun: r.answer.begun,
 		},
 	})
 	if err != nil {
+		if refusal := h.checkQuarantine(r); refusal != nil { // it was rejected for a part that crashes upstreams
+			return nil, refusal
+		}
 		return nil, err
 	}
 	r.waited += slot.Waited
@@ -77,8 +81,16 @@
 }
 
 // checkQuarantine updates the request's level of suspicion. It returns an error if the
-// request is quarantined.
+// request is quarantined, or a part of its prompt.
 func (h *Handler) checkQuarantine(r *request) error {
+	if err := h.checkContent(r); err != nil {
+		return err
+	}
+	return h.checkPromptParts(r)
+}
+
+// checkContent is checkQuarantine without the parts of the prompt.
+func (h *Handler) checkContent(r *request) error {
 	if !h.core.HasSuspects() {
 		return nil
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -128,6 +128,8 @@
 	eventStream    bool            // whether that response was an event stream
 	attemptAt      time.Time       // start of the last attempt
 	answeringSince time.Time       // first event of the last attempt; zero before it
+	isAnswerSound  bool            // the upstream went on for soundAnswerTime after it, or has sent the whole answer
+	hasSuspectPart bool            // crashes count against a part of the prompt
 	suspicion      quarantine.Level
 	answer         answer
 	watch          *silenceWatch // of the last attempt
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -47,7 +47,7 @@
 
 func complete(text string) func(entry.Call) (*entry.Response, error) {
 	return func(entry.Call) (*entry.Response, error) {
-		return &entry.Response{Status: 200, Header: http.Header{"Signed": {"1"}}, Body: io.NopCloser(strings.NewReader(text))}, nil
+		return &entry.Response{Status: 200, Header: http.Header{"Signed": {"1"}}, Body: io.NopCloser(strings.NewReader(text)), Delimited: true}, nil
 	}
 }
 
--- a/internal/entry/verify.go
+++ b/internal/entry/verify.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -45,15 +46,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.crashes.Expire(now)
+	c.partCrashes.Expire(now)
+	c.forgetPartTrials(now)
 	for instance, last := range c.verifiedAt {
 		if now.Sub(last) > verifyInterval {
 			delete(c.verifiedAt, instance)
 		}
 	}
-	if c.crashes.Empty() || !c.isRegistryCurrent(now) {
+	if !c.isRegistryCurrent(now) {
 		return
 	}
-	for _, instance := range c.crashes.Unverified(now.Add(-registrationTTL), now.Add(-c.peerVerifyDelay)) {
+	own, others := now.Add(-registrationTTL), now.Add(-c.peerVerifyDelay)
+	for _, instance := range append(c.crashes.Unverified(own, others), c.partCrashes.Unverified(own, others)...) {
 		_, recently := c.verifiedAt[instance]
 		if recently || !c.isListed(instance) || len(c.verifiedAt) >= maxVerifications {
 			continue
@@ -80,6 +84,12 @@
 		c.stateDirty = true
 		c.logWithdrawal(x, "verified")
 	}
+	if parts := c.partCrashes.WithdrawLive(began.Add(-registrationTTL), live); len(parts) > 0 {
+		c.stateDirty = true
+		c.log.WithFields(logrus.Fields{"event": "prompt_part_crash_withdrawn", "upstream": u.ID, "parts": strings.Join(parts, ",")}).
+			Info("a crash no longer counts against parts of prompts: its upstream lives on")
+		c.logPartVerdicts(parts, "verified", time.Now())
+	}
 }
 
 // confirmAlive returns nil if the upstream responds now, and is registered now with the start
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -24,24 +24,26 @@
 
 // State is what a host reports to its peers.
 type State struct {
-	Host             string
-	Incarnation      string
-	DataCentre       string
-	Address          string // for calls of peers
-	Leaving          bool
-	Running          map[string]slots.Counts   // by upstream
-	Outcomes         map[string]slots.Outcomes // by upstream
-	Admitted         map[string]int64          // requests by team since the host's start; unchanged counts may be omitted
-	Waiting          map[Backlog]int64         // tokens of queued batch items
-	EndedJobs        []string                  // recently cancelled
-	Jobs             []string                  // owned by the host
-	Watching         bool                      // the host watches the store
-	Crashes          []quarantine.Crash        // those already sent may be omitted
-	CrashesVersion   int64                     // of Crashes, on this host only
-	ConfigVersion    int64
-	UpstreamsVersion int64
-	HostsVersion     int64
-	StoreReachable   bool
+	Host               string
+	Incarnation        string
+	DataCentre         string
+	Address            string // for calls of peers
+	Leaving            bool
+	Running            map[string]slots.Counts   // by upstream
+	Outcomes           map[string]slots.Outcomes // by upstream
+	Admitted           map[string]int64          // requests by team since the host's start; unchanged counts may be omitted
+	Waiting            map[Backlog]int64         // tokens of queued batch items
+	EndedJobs          []string                  // recently cancelled
+	Jobs               []string                  // owned by the host
+	Watching           bool                      // the host watches the store
+	Crashes            []quarantine.Crash        // those already sent may be omitted
+	CrashesVersion     int64                     // of Crashes, on this host only
+	PartCrashes        []quarantine.PartCrash    // those already sent may be omitted
+	PartCrashesVersion int64                     // of PartCrashes, on this host only
+	ConfigVersion      int64
+	UpstreamsVersion   int64
+	HostsVersion       int64
+	StoreReachable     bool
 
 	Number  int64 // rises with each change of the state
 	Details int64 // the number at which anything but Running, Outcomes and Admitted last changed
@@ -58,10 +60,12 @@
 
 // sentState is what the receiver of a stream knows from earlier states on it.
 type sentState struct {
-	admitted       map[string]int64 // by team
-	crashes        map[crashKey]bool
-	crashesVersion int64
-	relayed        map[uint64]sentRelayed // by key of the host and its incarnation
+	admitted           map[string]int64 // by team
+	crashes            map[crashKey]bool
+	crashesVersion     int64
+	partCrashes        map[partCrashKey]bool
+	partCrashesVersion int64
+	relayed            map[uint64]sentRelayed // by key of the host and its incarnation
 }
 
 // crashKey identifies a crash and what may change of it.
@@ -73,6 +77,14 @@
 	unproven, late      bool
 }
 
+// partCrashKey identifies a crash of a part of a prompt and what may change of it.
+type partCrashKey struct {
+	part                          string
+	upstream                      quarantine.Instance
+	depth, contents, teams        int
+	withdrawn, answered, unproven bool
+}
+
 func newSentState() *sentState {
 	return &sentState{admitted: map[string]int64{}, crashes: map[crashKey]bool{}}
 }
@@ -98,6 +110,10 @@
 		m.Crashes = encodeCrashes(s.Crashes, sent, now)
 		sent.crashesVersion = s.CrashesVersion
 	}
+	if s.PartCrashesVersion != sent.partCrashesVersion {
+		m.PartCrashes = encodePartCrashes(s.PartCrashes, sent, now)
+		sent.partCrashesVersion = s.PartCrashesVersion
+	}
 	return m
 }
 
@@ -157,6 +173,49 @@
 	return crashes
 }
 
+// encodePartCrashes is encodeCrashes for parts of prompts.
+func encodePartCrashes(crashes []quarantine.PartCrash, sent *sentState, now time.Time) []*peerv1.PartCrash {
+	var encoded []*peerv1.PartCrash
+	current := make(map[partCrashKey]bool, len(crashes))
+	for _, x := range crashes {
+		key := partCrashKey{x.Part, x.Upstream, x.Depth, len(x.Contents), len(x.Teams), x.Withdrawn, x.Answered, x.Unproven}
+		current[key] = true
+		if sent.partCrashes[key] {
+			continue
+		}
+		e := &peerv1.PartCrash{
+			Part: x.Part, Upstream: x.Upstream.ID, StartedMs: x.Upstream.StartedMS,
+			AgeMs: now.Sub(x.At).Milliseconds(), SentAgeMs: now.Sub(x.Sent).Milliseconds(), Depth: int32(x.Depth),
+			Teams: x.Teams, Withdrawn: x.Withdrawn, Answered: x.Answered, Unproven: x.Unproven,
+		}
+		for _, f := range x.Contents {
+			e.Contents = append(e.Contents, f[:])
+		}
+		encoded = append(encoded, e)
+	}
+	sent.partCrashes = current
+	return encoded
+}
+
+func decodePartCrashes(encoded []*peerv1.PartCrash, now time.Time) []quarantine.PartCrash {
+	var crashes []quarantine.PartCrash
+	for _, e := range encoded {
+		x := quarantine.PartCrash{
+			Part: e.Part, Upstream: quarantine.Instance{ID: e.Upstream, StartedMS: e.StartedMs},
+			At:    now.Add(-time.Duration(e.AgeMs) * time.Millisecond),
+			Sent:  now.Add(-time.Duration(e.SentAgeMs) * time.Millisecond),
+			Depth: int(e.Depth), Teams: e.Teams, Withdrawn: e.Withdrawn, Answered: e.Answered, Unproven: e.Unproven,
+		}
+		for _, raw := range e.Contents {
+			if len(raw) == len(quarantine.Fingerprint{}) { // a host of another build may have another form
+				x.Contents = append(x.Contents, quarantine.Fingerprint(raw))
+			}
+		}
+		crashes = append(crashes, x)
+	}
+	return crashes
+}
+
 func decodeState(m *peerv1.ShareStateRequest, now time.Time) State {
 	s := State{
 		Host: m.Host, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address,
@@ -164,7 +223,7 @@
 		UpstreamsVersion: m.UpstreamsVersion, HostsVersion: m.HostsVersion, StoreReachable: m.StoreReachable, EndedJobs: m.EndedJobs,
 		Jobs: m.Jobs, Watching: m.Watching, Number: m.Number, Details: m.Details, Urgent: m.Urgent,
 		Running: map[string]slots.Counts{}, Waiting: map[Backlog]int64{},
-		Crashes: decodeCrashes(m.Crashes, now),
+		Crashes: decodeCrashes(m.Crashes, now), PartCrashes: decodePartCrashes(m.PartCrashes, now),
 	}
 	for _, r := range m.Running {
 		s.Running[r.Upstream] = slots.Counts{Online: int(r.Online), Batch: int(r.Batch), Isolated: int(r.Isolated), Protected: int(r.Protected)}
--- a/internal/quarantine/abandoned.go
+++ b/internal/quarantine/abandoned.go
@@ -22,6 +22,8 @@
 	Ended       time.Time // by this host
 	Silent      bool      // because the upstream was silent, so that it may be about to end
 	Unproven    bool      // as in Crash
+	PromptParts []string  // as in BrokenRun
+	Team        string
 }
 
 // AbandonedRuns holds the latest abandoned runs, so that an end of their upstream that is
@@ -94,6 +96,7 @@
 		if now.Sub(run.Ended) <= abandonedRunTTL && !sentBytesSince(run.Ended.Add(abandonedRunReach)) {
 			crashed = append(crashed, BrokenRun{
 				Fingerprint: run.Fingerprint, Upstream: run.Upstream, Unproven: run.Unproven, Late: IsLate(run.Started, now),
+				PromptParts: run.PromptParts, Team: run.Team, Sent: run.Started,
 			})
 		}
 		return true
--- /dev/null
+++ b/internal/quarantine/partverdict.go
@@ -0,0 +1,181 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A part that crashes upstreams crashes each one that begins to answer a request with it. So
+// one that requests were answered with shortly before needs more crashes: it is more likely
+// that it only ran beside the one that crashes.
+const (
+	partCrashLimit     = 3 // crashes, each under a run that was sent after the crash before
+	answeredCrashLimit = 5 // crashes of a part that requests were answered with shortly before
+	answeredCrashSteps = 2 // of them, crashes under a run that was sent after another one
+)
+
+// The times from the last crash of a quarantined part to the next run of a request with it.
+var (
+	partTrialDelays         = []time.Duration{8 * time.Second, time.Minute}
+	answeredPartTrialDelays = []time.Duration{time.Second, 2 * time.Second, 8 * time.Second}
+)
+
+// PartVerdict is why requests with a part of a prompt aren't run.
+type PartVerdict struct {
+	Crashes   int
+	LastCrash time.Time
+	NextTrial time.Time // from which one request with the part may run; zero if none may
+	teams     []string  // to whose requests it applies; empty for all
+}
+
+// AppliesTo reports whether the verdict applies to requests of the team. If each crash may be
+// due to requests of one team, it applies to that team alone.
+func (v *PartVerdict) AppliesTo(team string) bool {
+	return len(v.teams) == 0 || slices.Contains(v.teams, team)
+}
+
+// Verdict returns why requests with the part aren't run, or nil if they are.
+func (t *PartTable) Verdict(part string) *PartVerdict { return t.quarantined()[part] }
+
+// Remaining returns the time until the part's quarantine expires.
+func (v *PartVerdict) Remaining(now time.Time) time.Duration {
+	return max(v.LastCrash.Add(quarantineLifetime).Sub(now), 0)
+}
+
+// quarantined returns the verdicts by part.
+func (t *PartTable) quarantined() map[string]*PartVerdict {
+	if t.verdicts == nil || t.judgedAt != t.version {
+		t.verdicts, t.judgedAt = t.judge(), t.version
+	}
+	return t.verdicts
+}
+
+// accused is a part with the crashes that no other part explains.
+type accused struct {
+	part    string
+	crashes []*partCrash
+}
+
+// judge looks for the fewest parts that explain the crashes: the one that explains the most
+// comes first, and what it explains doesn't count against others.
+func (t *PartTable) judge() map[string]*PartVerdict {
+	verdicts := map[string]*PartVerdict{}
+	explained := map[Instance]bool{}
+	for {
+		var worst *accused
+		for part, crashes := range t.parts {
+			a := &accused{part, countingPartCrashes(crashes, explained)}
+			if verdicts[part] == nil && incriminate(a.crashes) && (worst == nil || compareAccused(a, worst) < 0) {
+				worst = a
+			}
+		}
+		if worst == nil {
+			return verdicts
+		}
+		verdicts[worst.part] = newVerdict(worst.crashes)
+		for _, c := range worst.crashes {
+			explained[c.Upstream] = true
+		}
+	}
+}
+
+// compareAccused puts the part first that is more likely to crash upstreams: one that requests
+// weren't answered with, with more crashes, behind others in the prompts.
+func compareAccused(a, b *accused) int {
+	return cmp.Or(
+		compareBool(wasAnswered(a.crashes), wasAnswered(b.crashes)), cmp.Compare(len(b.crashes), len(a.crashes)),
+		cmp.Compare(depthOf(b.crashes), depthOf(a.crashes)), cmp.Compare(a.part, b.part),
+	)
+}
+
+// incriminate reports whether the crashes, the oldest first, quarantine their part. A single
+// content that ran under all of them explains them as well.
+func incriminate(crashes []*partCrash) bool {
+	proven := withoutUnproven(crashes)
+	if len(common(crashes, func(c *partCrash) []Fingerprint { return c.Contents })) > 0 {
+		return false
+	}
+	if wasAnswered(crashes) {
+		return len(proven) >= answeredCrashLimit && countSteps(proven) >= answeredCrashSteps
+	}
+	return countSteps(proven) >= partCrashLimit
+}
+
+// withoutUnproven leaves the first of the unproven crashes.
+func withoutUnproven(crashes []*partCrash) []*partCrash {
+	seen := false
+	var proven []*partCrash
+	for _, c := range crashes {
+		if !c.Unproven || !seen {
+			proven = append(proven, c)
+		}
+		seen = seen || c.Unproven
+	}
+	return proven
+}
+
+// countSteps returns the length of the longest series of crashes of which each is that of a
+// run that was sent after the crash before: upstreams that end together, for a reason of
+// their own, make one step.
+func countSteps(crashes []*partCrash) int {
+	steps, last := 0, time.Time{}
+	for _, c := range crashes {
+		if steps == 0 || c.Sent.After(last) {
+			steps++
+			last = c.At
+		}
+	}
+	return steps
+}
+
+// common returns the names that all crashes have.
+func common[T comparable](crashes []*partCrash, names func(*partCrash) []T) []T {
+	if len(crashes) == 0 {
+		return nil
+	}
+	shared := slices.Clone(names(crashes[0]))
+	for _, c := range crashes[1:] {
+		shared = slices.DeleteFunc(shared, func(name T) bool { return !slices.Contains(names(c), name) })
+	}
+	return shared
+}
+
+func wasAnswered(crashes []*partCrash) bool {
+	return slices.ContainsFunc(crashes, func(c *partCrash) bool { return c.Answered })
+}
+
+func depthOf(crashes []*partCrash) int {
+	depth := 0
+	for _, c := range crashes {
+		depth = max(depth, c.Depth)
+	}
+	return depth
+}
+
+func newVerdict(crashes []*partCrash) *PartVerdict {
+	v := &PartVerdict{
+		Crashes: len(crashes), LastCrash: crashes[len(crashes)-1].At,
+		teams: common(crashes, func(c *partCrash) []string { return c.Teams }),
+	}
+	delays := partTrialDelays
+	if wasAnswered(crashes) {
+		delays = answeredPartTrialDelays
+	}
+	if failed := failedPartTrials(crashes, delays); failed < len(delays) {
+		v.NextTrial = v.LastCrash.Add(delays[failed])
+	}
+	return v
+}
+
+// failedPartTrials counts the trials that have failed since the part was quarantined. A crash
+// sooner than the next trial is due belongs to the runs before.
+func failedPartTrials(crashes []*partCrash, delays []time.Duration) int {
+	failed := 0
+	for n := 1; n < len(crashes) && failed < len(delays); n++ {
+		if crashes[n].At.Sub(crashes[n-1].At) >= delays[failed]-trialMargin && incriminate(crashes[:n]) {
+			failed++
+		}
+	}
+	return failed
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -54,6 +54,9 @@
 	Isolated    bool // as in Crash
 	Unproven    bool
 	Late        bool
+	PromptParts []string // that other requests share, in order; none once the upstream has begun to answer
+	Team        string
+	Sent        time.Time // start of the run
 }
 
 // earlyCrashTime is the time after the start of a run in which a request crashes its upstream
--- a/internal/slots/wait.go
+++ b/internal/slots/wait.go
@@ -18,9 +18,13 @@
 	Barred   map[string]bool // those of them that must not get it again
 	Isolated bool            // must not share an upstream with another isolated run
 	Granted  func(upstream string)
-	Rejected func() // called when the request can't be served
+	Rejected func()      // called when the request can't be served
+	Refused  func() bool // reports that the request must not run any more; nil if it always may
 }
 
+// IsRefused reports whether the request must not run any more.
+func (w *Waiter) IsRefused() bool { return w.Refused != nil && w.Refused() }
+
 // MayUseAny reports whether the request may use any upstream of its service.
 func (w *Waiter) MayUseAny() bool { return len(w.Excluded) == 0 && !w.Isolated }
 
