entry: the end of a response that nothing delimits doesn't clear its request

What callers saw: a request is sent on to one upstream after the other, because its answer begins and ends with the connection of the upstream that it crashes. Cause: a response with neither a length nor chunks was taken for a run to the end, which withdraws the crashes of its content; its end was no break either, so that the crash wasn't counted. Fix: such an end is checked like a break if the request or a part of its prompt is suspected, and like an abandoned run otherwise, which costs no connection while the upstream sends bytes. It counts as a run to the end once the upstream turns out to live. Innocents: TestUndelimitedResponsesClearInnocentRequests (30 requests that crash upstreams, of five contents, beside requests that nothing delimits): none refused.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -91,7 +91,7 @@
 		slot.ReportRunResult(false)
 	}
 	if err == nil {
-		h.reportEndOfRun(r, resp)
+		h.reportEndOfRun(r, slot, resp)
 	}
 	return retry, err
 }
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -63,6 +63,7 @@
 	request  *quarantine.BrokenRun // that a crash counts against; nil for an item of a job
 	item     string                // id, unless request is set
 	details  RunBreak              // of a request
+	ended    bool                  // the response has ended with the connection, and may be whole
 	cause    chan BreakCause
 }
 
@@ -197,6 +198,14 @@
 	return s.findBreakCause(ctx, brokenRun{item: item})
 }
 
+// ReportUndelimitedEnd finds out whether the upstream ended together with a response that
+// neither a length nor a last chunk delimits. It doesn't wait: the crash counts against the
+// request, or the run counts as complete, once that is known.
+func (s *Slot) ReportUndelimitedEnd(b RunBreak) {
+	request := s.brokenRun(b)
+	s.checkBreak(brokenRun{started: b.Started, request: &request, details: b, ended: true})
+}
+
 func (s *Slot) findBreakCause(ctx context.Context, run brokenRun) BreakCause {
 	run, checked := s.checkBreak(run)
 	if !checked {
@@ -286,8 +295,13 @@
 		line = line.WithField("error", err)
 	}
 	line.Info("checked an upstream after the connection of a run broke")
-	if cause == UpstreamEnded && run.request != nil {
+	switch {
+	case run.request == nil:
+	case cause == UpstreamEnded:
 		c.countCrash(*run.request)
+	case cause == UpstreamAlive && run.ended:
+		c.ReportCompletedRun(run.request.Fingerprint)
+		c.ReportAnswered(run.request.PromptParts)
 	}
 	run.cause <- cause
 }
--- a/internal/entry/crashfleet_test.go
+++ b/internal/entry/crashfleet_test.go
@@ -46,13 +46,15 @@
 	hosts   []*crashHost
 	version int64
 
-	crashDelay     time.Duration    // from the start of a run with poisonBody to its crash
-	entryLifetime  time.Duration    // of the registry entry of an upstream that has crashed
-	restartsAtOnce bool             // under another id, at the same address; the old entry lingers
-	keepsID        bool             // restartsAtOnce, but under the same id
-	lingering      []fleet.Upstream // entries of upstreams that have ended
-	deafHost       int              // gets no list of upstreams after its first one; -1 for none
-	runs           []poisonRun
+	crashDelay         time.Duration    // from the start of a run with poisonBody to its crash
+	entryLifetime      time.Duration    // of the registry entry of an upstream that has crashed
+	restartsAtOnce     bool             // under another id, at the same address; the old entry lingers
+	keepsID            bool             // restartsAtOnce, but under the same id
+	lingering          []fleet.Upstream // entries of upstreams that have ended
+	undelimited        bool             // a run with poisonBody sends an event, and its response ends with the connection
+	undelimitedAnswers bool             // nothing delimits the responses to other requests
+	deafHost           int              // gets no list of upstreams after its first one; -1 for none
+	runs               []poisonRun
 }
 
 // poisonRun is a request that crashes the upstream that runs it.
@@ -242,6 +244,10 @@
 			f.sleep(f.crashDelay)
 			f.crash(e, run)
 		})
+		if f.undelimited {
+			end := io.NopCloser(io.MultiReader(strings.NewReader(eventText(1, 1)), &closedBy{ctx, crashed}))
+			return &entry.Response{Status: http.StatusOK, Header: http.Header{}, Events: true, Body: end}, nil
+		}
 		select {
 		case <-crashed:
 		case <-ctx.Done():
@@ -261,10 +267,41 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	answer := complete("done")
+	if f.undelimitedAnswers {
+		answer = undelimited(answer)
+	}
 	if e.leaves {
-		return announcing(complete("done"))(call)
+		answer = announcing(answer)
+	}
+	return answer(call)
+}
+
+// undelimited has the response end with its connection.
+func undelimited(step func(entry.Call) (*entry.Response, error)) func(entry.Call) (*entry.Response, error) {
+	return func(call entry.Call) (*entry.Response, error) {
+		resp, err := step(call)
+		if err == nil {
+			resp.Delimited = false
+		}
+		return resp, err
+	}
+}
+
+// closedBy is the rest of a body that ends with the connection of a crashed upstream.
+type closedBy struct {
+	ctx     context.Context
+	crashed <-chan struct{}
+}
+
+// Read implements io.Reader.
+func (b *closedBy) Read([]byte) (int, error) {
+	select {
+	case <-b.crashed:
+		return 0, io.EOF
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
 	}
-	return complete("done")(call)
 }
 
 // breakRun ends the connections of the upstream that runs the request with the body.
--- a/internal/entry/promptparts.go
+++ b/internal/entry/promptparts.go
@@ -267,9 +267,14 @@
 	}
 }
 
-// reportEndOfRun reports what a response shows that was relayed to its end.
-func (h *Handler) reportEndOfRun(r *request, resp *Response) {
-	if resp.Delimited && resp.Status < http.StatusMultipleChoices && !r.isAnswerSound {
+// reportEndOfRun reports what the end of a response that was relayed to its end shows. One
+// that isn't delimited may have ended with its upstream.
+func (h *Handler) reportEndOfRun(r *request, slot *Slot, resp *Response) {
+	if !resp.Delimited {
+		r.reportUndelimited(slot)
+		return
+	}
+	if resp.Status < http.StatusMultipleChoices && !r.isAnswerSound {
 		r.isAnswerSound = true
 		h.core.ReportAnswered(r.PromptParts)
 	}
@@ -277,3 +282,14 @@
 		h.core.ReportCompletedRun(r.fingerprint())
 	}
 }
+
+// reportUndelimited reports a response that ended with its connection. Whether its upstream
+// has ended too is checked for requests that are suspected, and otherwise if the upstream is
+// silent from then on.
+func (r *request) reportUndelimited(slot *Slot) {
+	if r.suspicion == quarantine.Clear && !r.hasSuspectPart {
+		r.reportAbandoned(slot, true)
+		return
+	}
+	slot.ReportUndelimitedEnd(r.brokenRun(true))
+}
--- a/internal/entry/promptparts_test.go
+++ b/internal/entry/promptparts_test.go
@@ -141,3 +141,39 @@
 		f.sleep(3 * time.Second)
 	}
 }
+
+// TestResponseThatEndsWithItsUpstreamClearsTheRequest guards against requests that crash one
+// upstream after the other because their responses, which neither a length nor chunks delimit,
+// are taken for complete when the upstream ends.
+func TestResponseThatEndsWithItsUpstreamClearsTheRequest(t *testing.T) {
+	for name, send := range map[string]func(f *crashFleet, n int){
+		"one content": func(f *crashFleet, n int) { _ = f.serve(n, "/safe/x", poisonBody) },
+		"one part": func(f *crashFleet, n int) {
+			_ = f.serveParts(f.ctx, n, "/safe/x", fmt.Sprint(poisonBody, n), inTheMiddle(n)...)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runCrashFleet(t, 3, 15, func(c *qt.C, f *crashFleet) {
+				f.undelimited = true
+				refused := f.sendBesideInnocents(60, time.Second, func(n int) { send(f, n) })
+				late := f.lateSendsAfter(toleratedPartCrashes, func(body string) bool { return strings.HasPrefix(body, poisonBody) })
+				crashes, sends := f.counts()
+				c.Check(late <= allowedLateSends, qt.IsTrue, qt.Commentf("%d late sends; %d sends crashed %d upstreams", late, sends, crashes))
+				c.Check(refused, qt.Equals, 0, qt.Commentf("innocent requests refused"))
+			})
+		})
+	}
+}
+
+// TestUndelimitedResponsesClearInnocentRequests guards against a request that many callers
+// send and that is refused beside one that crashes upstreams, because the end of a response
+// that nothing delimits never counts as complete.
+func TestUndelimitedResponsesClearInnocentRequests(t *testing.T) {
+	runCrashFleet(t, 3, 6, func(c *qt.C, f *crashFleet) {
+		f.undelimitedAnswers = true
+		refused := f.sendBesideInnocents(30, 500*time.Millisecond, func(n int) {
+			_ = f.serve(n, "/safe/x", fmt.Sprint(poisonBody, n/6)) // five contents, each sent six times
+		})
+		c.Check(refused, qt.Equals, 0)
+	})
+}
