jobs: items wait while a part of their prompt is quarantined

What callers saw: an item whose prompt has a part that crashes upstreams ends one every two seconds, and all that runs there, though requests with the part are refused already. Cause: items take no part in the quarantine: no crash counts against an item. Fix: that stays, and crashes under items count against no part either. But an item with a part that is quarantined because of requests waits: none of its runs can end. It stays owed until its job's deadline, and runs once the part is released. A whole answer to an item clears its parts. Test: TestItemWithAQuarantinedPartIsRun; without the check the item runs at once (read).

--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -173,6 +173,35 @@
 	}
 }
 
+// TestItemWithAQuarantinedPartIsRun guards against an item that ends one upstream after the
+// other, because a part of its prompt does, and against one that isn't run once the part
+// turns out to be harmless.
+func TestItemWithAQuarantinedPartIsRun(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		h1 := w.start("h1")
+		s := submission("j", 4)
+		s.Items[0].PromptParts = []string{"5c"}
+		peer := mesh.State{Host: "h2", Incarnation: "i"}
+		for n := range 3 {
+			crashed := time.Now().Add(time.Duration(n-3) * time.Second)
+			peer.PartCrashes = append(peer.PartCrashes, quarantine.PartCrash{
+				Part: "5c", Upstream: quarantine.Instance{ID: fmt.Sprint("gone", n)}, At: crashed, Sent: crashed.Add(-100 * time.Millisecond),
+				Contents: []quarantine.Fingerprint{{byte(n)}}, Teams: []string{"cafe"},
+			})
+		}
+		h1.core.MergeState(peer)
+		c.Assert(h1.runner.Submit(background, s), qt.IsNil)
+		time.Sleep(4 * time.Second)
+		c.Assert(w.engine.runsOf(s.Items[0].ID), qt.Equals, 0)
+		_, results, err := h1.read(s.ID)
+		c.Assert(err, qt.IsNil)
+		c.Assert(results, qt.HasLen, 3)
+		h1.core.ReportAnswered([]string{"5c"})
+		time.Sleep(4 * time.Second)
+		w.checkResults(h1, s)
+	})
+}
+
 // TestCrashUnderAnItemCountsAgainstARequest guards against a request that is refused or
 // isolated because upstreams crashed under items of its content.
 func TestCrashUnderAnItemCountsAgainstARequest(t *testing.T) {
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -268,7 +268,11 @@
 		return runUnexpected, errors.New("upstream responded without an event stream")
 	}
 	slot.ReportSuccess()
-	return readEvents(response, p, maxEvents(i.Tokens))
+	outcome, err := readEvents(response, p, maxEvents(i.Tokens))
+	if outcome == runDone && response.Delimited {
+		r.core.ReportAnswered(i.PromptParts)
+	}
+	return outcome, err
 }
 
 // refusesResume reports whether the status says that the id of the last event, or the state
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -25,6 +25,8 @@
 	Header map[string]string `json:"header,omitempty"`
 	Body   []byte            `json:"body,omitempty"`
 	Tokens int64             `json:"tokens"` // prompt tokens plus the maximum of output tokens
+
+	PromptParts []string `json:"prompt_parts,omitempty"` // IDs of the parts of the prompt that requests share, in order
 }
 
 // encodedSize estimates the size of the item's stored form.
@@ -33,6 +35,9 @@
 	for name, value := range i.Header {
 		size += fieldOverhead + len(name) + len(value)
 	}
+	for _, part := range i.PromptParts {
+		size += fieldOverhead + len(part)
+	}
 	return size
 }
 
@@ -146,6 +151,7 @@
 
 	deferred    bool        // by the last plan; runs after the items that can be in time
 	contested   bool        // the last plan has deferred items of the item's team
+	held        bool        // its wait for a quarantined part of its prompt was logged
 	slot        *entry.Slot // nil while the item isn't running
 	preemptible bool        // the run was made preemptible, since the item is deferred
 	yielding    bool        // the run was stopped for an item that can be in time
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -100,8 +101,10 @@
 	}
 }
 
-// rescanPeriod bounds the delay until waiting items are considered again.
-const rescanPeriod = 250 * time.Millisecond
+const (
+	rescanPeriod         = 250 * time.Millisecond // bounds the delay until waiting items are considered again
+	quarantinedPartDelay = time.Second            // between the looks at an item whose prompt has a quarantined part
+)
 
 // Run starts items as slots become free, until ctx is done.
 func (r *Runner) Run(ctx context.Context) {
@@ -188,6 +191,10 @@
 		i.notBefore = now.Add(rescanPeriod)
 		return true
 	}
+	if r.core.RefusesPromptParts(i.PromptParts, i.job.record.Team) {
+		r.holdItem(i, now)
+		return true
+	}
 	runCtx, cancel := context.WithDeadline(ctx, i.job.deadline)
 	urgency, due := r.stats.urgency(i, now), i.job.due
 	if urgency == slots.Deferred {
@@ -198,7 +205,7 @@
 		cancel()
 		return false
 	}
-	i.state = itemRunning
+	i.state, i.held = itemRunning, false
 	i.cancelRun, i.slot = cancel, slot
 	i.preemptible, i.yielding = urgency == slots.Deferred, false
 	i.runStarted = now
@@ -222,6 +229,19 @@
 	}).Warn("the configuration of this host is older than a job; its items wait for a newer one")
 }
 
+// holdItem delays an item because a part of its prompt is quarantined: each of its runs would
+// end an upstream, and all that runs there. It stays owed until its job's deadline. The caller
+// holds mu.
+func (r *Runner) holdItem(i *item, now time.Time) {
+	i.notBefore = now.Add(quarantinedPartDelay)
+	if i.held {
+		return
+	}
+	i.held = true
+	r.log.WithFields(logrus.Fields{"event": "item_held", "job": i.job.id, "id": i.ID, "prompt_parts": strings.Join(i.PromptParts, ",")}).
+		Warn("an item waits because a part of its prompt is quarantined")
+}
+
 // giveUpItem finishes an item as failed. The caller holds mu.
 func (r *Runner) giveUpItem(i *item, reason string) {
 	r.log.WithFields(logrus.Fields{"event": "item_given_up", "job": i.job.id, "id": i.ID, "failures": i.failures, "why": reason}).Info("item given up")
