--- a/internal/mesh/state_test.go
+++ b/internal/mesh/state_test.go
@@ -31,3 +31,23 @@
 	c.Assert(decodeState(encodeState(s, sent, sender), receiver).Crashes, qt.HasLen, 1)
 	c.Assert(decodeState(encodeState(s, newSentState(), sender), receiver).Crashes, qt.HasLen, 1) // after a new connection
 }
+
+// TestPartCrashesAreSentOncePerStream is TestCrashesAreSentOncePerStream for parts of prompts.
+func TestPartCrashesAreSentOncePerStream(t *testing.T) {
+	c := qt.New(t)
+	sent := newSentState()
+	sender, receiver := time.Unix(1_700_000_000, 0), time.Unix(1_800_000_000, 0)
+	crash := quarantine.PartCrash{
+		Part: "5c", Upstream: quarantine.Instance{ID: "u1", StartedMS: 5}, At: sender.Add(-3 * time.Second), Sent: sender.Add(-4 * time.Second),
+		Depth: 2, Contents: []quarantine.Fingerprint{{7}, {8}}, Teams: []string{"cafe", ""}, Answered: true, Unproven: true,
+	}
+	s := State{Host: "h1", PartCrashes: []quarantine.PartCrash{crash}, PartCrashesVersion: 1}
+	received := decodeState(encodeState(s, sent, sender), receiver).PartCrashes
+	crash.At, crash.Sent = receiver.Add(-3*time.Second), receiver.Add(-4*time.Second)
+	c.Assert(received, qt.DeepEquals, []quarantine.PartCrash{crash})
+	s.PartCrashesVersion++
+	c.Assert(decodeState(encodeState(s, sent, sender), receiver).PartCrashes, qt.HasLen, 0)
+	s.PartCrashes[0].Withdrawn = true
+	s.PartCrashesVersion++
+	c.Assert(decodeState(encodeState(s, sent, sender), receiver).PartCrashes, qt.HasLen, 1)
+}
