--- a/internal/entry/promptparts_test.go
+++ b/internal/entry/promptparts_test.go
@@ -11,6 +11,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/masticscale/masticscale/internal/apierr"
+	"github.com/masticscale/masticscale/internal/mesh"
+	"github.com/masticscale/masticscale/internal/quarantine"
 )
 
 const (
@@ -26,6 +28,7 @@
 	name    string // start of their bodies, after poisonBody
 	period  time.Duration
 	parts   func(n int) []string
+	sound   bool          // requests with the guilty part are answered before the first of these
 	leaveIn time.Duration // after which every second caller leaves; zero if all stay
 	times   int
 }
@@ -55,7 +58,11 @@
 				phase = 1
 			}
 			calls.Go(func() {
-				err := f.serveParts(f.ctx, n, "/once/x", fmt.Sprint("prompt ", n), firstPart, fmt.Sprint("50", n%20))
+				parts := []string{firstPart, fmt.Sprint("50", n%20)}
+				if phase == 0 && n%5 == 0 && all[0].sound {
+					parts[1] = guiltyPart
+				}
+				err := f.serveParts(f.ctx, n, "/once/x", fmt.Sprint("prompt ", n), parts...)
 				mu.Lock()
 				defer mu.Unlock()
 				sent[phase]++
@@ -109,6 +116,8 @@
 		{"first", []guiltyRequests{{period: 200 * time.Millisecond, parts: func(n int) []string { return []string{guiltyPart, fmt.Sprint("50", n%20)} }, times: 200}}, false},
 		{"rare", []guiltyRequests{{period: 1500 * time.Millisecond, parts: inTheMiddle, times: 60}}, false},
 		{"callers leave", []guiltyRequests{{period: 200 * time.Millisecond, parts: inTheMiddle, leaveIn: 25 * time.Millisecond, times: 200}}, false},
+		{"answered before", []guiltyRequests{{period: 200 * time.Millisecond, parts: inTheMiddle, sound: true, times: 200}}, false},
+		{"many at once", []guiltyRequests{{period: 20 * time.Millisecond, parts: inTheMiddle, times: 2000}}, false},
 		{"hosts restart", []guiltyRequests{{period: 200 * time.Millisecond, parts: inTheMiddle, times: 200}}, true},
 		{"two", []guiltyRequests{
 			{name: "-a", period: 300 * time.Millisecond, parts: inTheMiddle, times: 130},
@@ -177,3 +186,33 @@
 		c.Check(refused, qt.Equals, 0)
 	})
 }
+
+// TestQueuedRequestsWithAQuarantinedPartWait guards against requests that wait for a slot until
+// their time is up, though a part of their prompts was quarantined meanwhile.
+func TestQueuedRequestsWithAQuarantinedPartWait(t *testing.T) {
+	runCrashFleet(t, 2, 2, func(c *qt.C, f *crashFleet) {
+		var calls sync.WaitGroup
+		for n := range 16 { // all slots
+			calls.Go(func() { _ = f.serve(0, "/once/x", fmt.Sprint(longBody, n)) })
+		}
+		time.Sleep(2 * gossipPeriod)
+		began := time.Now()
+		calls.Go(func() {
+			err := f.serveParts(f.ctx, 0, "/safe/x", "prompt", firstPart, guiltyPart)
+			c.Check(apierr.IsKind(err, apierr.Quarantined), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(apierr.From(err).Execution, qt.Equals, apierr.NotRun)
+			c.Check(time.Since(began) < 10*gossipPeriod, qt.IsTrue, qt.Commentf("after %v", time.Since(began)))
+		})
+		time.Sleep(2 * gossipPeriod)
+		peer := mesh.State{Host: "h9", Incarnation: "i"}
+		for n := range 3 {
+			crashed := time.Now().Add(time.Duration(n-3) * time.Second)
+			peer.PartCrashes = append(peer.PartCrashes, quarantine.PartCrash{
+				Part: guiltyPart, Upstream: quarantine.Instance{ID: fmt.Sprint("gone", n)}, At: crashed, Sent: crashed.Add(-runTime),
+				Contents: []quarantine.Fingerprint{{byte(n)}}, Teams: []string{"cafe"},
+			})
+		}
+		f.hosts[0].core.MergeState(peer)
+		calls.Wait()
+	})
+}
