--- a/internal/dispatch/abandoned_test.go
+++ b/internal/dispatch/abandoned_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +76,43 @@
 		})
 	}
 }
+
+// guiltyMessage is the body of requests that begin with the same message; the last one differs.
+const guiltyMessage = `{"messages":[{"role":"system","content":"` + poison + `"},{"role":"user","content":"%d"}]}`
+
+// messageCrashes is an engine that dies when it runs a request that begins with the first
+// message of guiltyMessage.
+type messageCrashes struct{ *fleet }
+
+// Start implements upstream.Engine.
+func (m messageCrashes) Start(ctx context.Context, address string, call upstream.Call) (*upstream.Response, error) {
+	shared, _, _ := strings.Cut(guiltyMessage, "%d")
+	if strings.HasPrefix(string(call.Body), shared) {
+		call.Body = []byte(poison)
+	}
+	return m.fleet.Start(ctx, address, call)
+}
+
+// TestMessageThatRequestsShareCrashesEngines guards against requests of which no two are alike
+// and that crash one engine after the other by a message that all begin with.
+func TestMessageThatRequestsShareCrashesEngines(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet()
+		var names []string
+		for n := range 40 {
+			names = append(names, fmt.Sprint("e", n))
+		}
+		hosts := newHosts(f, 3, names...)
+		for _, h := range hosts {
+			h.dispatcher.engine = messageCrashes{f}
+		}
+		for n := range 15 {
+			_, err := hosts[n%len(hosts)].run(context.Background(), Online, fmt.Sprintf(guiltyMessage, n))
+			c.Assert(err, qt.IsNotNil)
+			time.Sleep(time.Second)
+		}
+		const tolerated = 5 + 3 // crashes until the message is known, and later runs
+		c.Assert(f.deadCount() <= tolerated, qt.IsTrue, qt.Commentf("%d engines lost", f.deadCount()))
+	})
+}
