--- a/internal/entry/promptparts_test.go
+++ b/internal/entry/promptparts_test.go
@@ -216,3 +216,20 @@
 		calls.Wait()
 	})
 }
+
+// TestEachHostTriesAQuarantinedPart guards against trials of a part that many hosts begin at
+// the same time, or each for itself.
+func TestEachHostTriesAQuarantinedPart(t *testing.T) {
+	for _, sound := range []bool{false, true} {
+		t.Run(fmt.Sprint("answered before ", sound), func(t *testing.T) {
+			runCrashFleet(t, 8, 30, func(c *qt.C, f *crashFleet) {
+				_, _, refused := f.sendParts(guiltyRequests{period: 200 * time.Millisecond, parts: inTheMiddle, sound: sound, times: 400})
+				late := f.lateSendsAfter(toleratedPartCrashes, func(body string) bool { return strings.HasPrefix(body, poisonBody) })
+				crashes, sends := f.counts()
+				c.Check(late <= allowedLateSends, qt.IsTrue, qt.Commentf("%d late sends; %d sends crashed %d upstreams", late, sends, crashes))
+				c.Check(refused, qt.Equals, 0)
+				c.Logf("%d sends crashed %d upstreams, %d of them late", sends, crashes, late)
+			})
+		})
+	}
+}
