quarantine: one selection of the crashes that peers hear of

The table of parts repeated the one of requests. The log of a checked break names the parts that the crash counts against; a failure that nothing delimits doesn't clear parts.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -58,13 +58,14 @@
 
 // brokenRun is a run whose connection broke, until its cause is known.
 type brokenRun struct {
-	upstream fleet.Upstream
-	started  time.Time             // zero for an item of a job
-	request  *quarantine.BrokenRun // that a crash counts against; nil for an item of a job
-	item     string                // id, unless request is set
-	details  RunBreak              // of a request
-	ended    bool                  // the response has ended with the connection, and may be whole
-	cause    chan BreakCause
+	upstream  fleet.Upstream
+	started   time.Time             // zero for an item of a job
+	request   *quarantine.BrokenRun // that a crash counts against; nil for an item of a job
+	item      string                // id, unless request is set
+	answering bool                  // the upstream had sent an event
+	ended     bool                  // the response has ended with the connection, and may be whole
+	succeeded bool                  // ended, and its status is a success
+	cause     chan BreakCause
 }
 
 // FingerprintOf returns the fingerprint of a request's content. A request that is sent
@@ -180,7 +181,7 @@
 // a silent upstream doesn't delay a retry elsewhere; the check goes on without it.
 func (s *Slot) ReportBrokenRun(ctx context.Context, b RunBreak) BreakCause {
 	request := s.brokenRun(b)
-	return s.findBreakCause(ctx, brokenRun{started: b.Started, request: &request, details: b})
+	return s.findBreakCause(ctx, brokenRun{started: b.Started, request: &request, answering: b.Answering})
 }
 
 // brokenRun describes a run that broke now.
@@ -201,9 +202,9 @@
 // ReportUndelimitedEnd finds out whether the upstream ended together with a response that
 // neither a length nor a last chunk delimits. It doesn't wait: the crash counts against the
 // request, or the run counts as complete, once that is known.
-func (s *Slot) ReportUndelimitedEnd(b RunBreak) {
+func (s *Slot) ReportUndelimitedEnd(b RunBreak, succeeded bool) {
 	request := s.brokenRun(b)
-	s.checkBreak(brokenRun{started: b.Started, request: &request, details: b, ended: true})
+	s.checkBreak(brokenRun{started: b.Started, request: &request, answering: b.Answering, ended: true, succeeded: succeeded})
 }
 
 func (s *Slot) findBreakCause(ctx context.Context, run brokenRun) BreakCause {
@@ -242,7 +243,7 @@
 	fields["fingerprint"] = r.request.Fingerprint
 	fields["isolated"], fields["unproven"], fields["late"] = r.request.Isolated, r.request.Unproven, r.request.Late
 	fields["ran_ms"] = time.Since(r.started).Milliseconds()
-	fields["prompt_parts"], fields["answering"] = strings.Join(r.details.PromptParts, ","), r.details.Answering
+	fields["prompt_parts"], fields["answering"] = strings.Join(r.request.PromptParts, ","), r.answering
 	return fields
 }
 
@@ -301,7 +302,9 @@
 		c.countCrash(*run.request)
 	case cause == UpstreamAlive && run.ended:
 		c.ReportCompletedRun(run.request.Fingerprint)
-		c.ReportAnswered(run.request.PromptParts)
+		if run.succeeded {
+			c.ReportAnswered(run.request.PromptParts)
+		}
 	}
 	run.cause <- cause
 }
--- a/internal/entry/promptparts.go
+++ b/internal/entry/promptparts.go
@@ -270,11 +270,12 @@
 // reportEndOfRun reports what the end of a response that was relayed to its end shows. One
 // that isn't delimited may have ended with its upstream.
 func (h *Handler) reportEndOfRun(r *request, slot *Slot, resp *Response) {
+	succeeded := resp.Status < http.StatusMultipleChoices
 	if !resp.Delimited {
-		r.reportUndelimited(slot)
+		r.reportUndelimited(slot, succeeded)
 		return
 	}
-	if resp.Status < http.StatusMultipleChoices && !r.isAnswerSound {
+	if succeeded && !r.isAnswerSound {
 		r.isAnswerSound = true
 		h.core.ReportAnswered(r.PromptParts)
 	}
@@ -286,10 +287,10 @@
 // reportUndelimited reports a response that ended with its connection. Whether its upstream
 // has ended too is checked for requests that are suspected, and otherwise if the upstream is
 // silent from then on.
-func (r *request) reportUndelimited(slot *Slot) {
+func (r *request) reportUndelimited(slot *Slot, succeeded bool) {
 	if r.suspicion == quarantine.Clear && !r.hasSuspectPart {
 		r.reportAbandoned(slot, true)
 		return
 	}
-	slot.ReportUndelimitedEnd(r.brokenRun(true))
+	slot.ReportUndelimitedEnd(r.brokenRun(true), succeeded)
 }
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -11,6 +11,7 @@
 	maxParts             = 1024 // in a table
 	maxPartCrashes       = 16   // kept for each part
 	maxSharedPartCrashes = 128  // in one state to peers
+	fewCrashes           = 2    // against a part, from which hosts verify and relay them
 	maxNamed             = 4    // contents, and teams, kept of a crash
 	maxAnsweredParts     = 4096 // of which a table remembers that requests with them were answered
 	answerMemory         = 10 * time.Second
@@ -49,10 +50,7 @@
 	answered map[string]time.Time // parts that requests were lately answered with, on this host
 	verdicts map[string]*PartVerdict
 	judgedAt int64 // version of verdicts
-	version  int64 // rises with each change
-	shareAll bool
-	shared   []PartCrash
-	sharedAt int64 // version of shared
+	changes[PartCrash]
 }
 
 // NewPartTable returns an empty table.
@@ -265,7 +263,7 @@
 	found := map[Instance]bool{}
 	for _, crashes := range t.parts {
 		counting := countingPartCrashes(crashes, nil)
-		if len(counting) < 2 {
+		if len(counting) < fewCrashes {
 			continue
 		}
 		for _, c := range counting {
@@ -335,42 +333,17 @@
 // observed them. Those of parts with more crashes come first, then crashes that count, then
 // later ones, up to maxSharedPartCrashes. It also returns the version of the table, which
 // rises with each change.
-func (t *PartTable) Shared() ([]PartCrash, int64) {
-	if t.sharedAt != t.version {
-		t.shared, t.sharedAt = t.selectShared(), t.version
-	}
-	return t.shared, t.version
-}
-
-// ShareAll decides whether Shared returns the crashes of all parts, for hosts that don't hear
-// of each other directly.
-func (t *PartTable) ShareAll(all bool) {
-	if t.shareAll != all {
-		t.shareAll = all
-		t.version++
-	}
-}
+func (t *PartTable) Shared() ([]PartCrash, int64) { return t.shared(t.selectShared) }
 
 func (t *PartTable) selectShared() []PartCrash {
-	type ranked struct {
-		PartCrash
-		counting int
-	}
-	var all []ranked
+	var all []ranked[PartCrash]
 	for _, crashes := range t.parts {
 		counting := len(countingPartCrashes(crashes, nil))
 		for _, c := range crashes {
-			if t.shareAll || c.own || c.withdrawnHere || counting >= 2 {
-				all = append(all, ranked{c.PartCrash, counting})
+			if t.shareAll || c.own || c.withdrawnHere || counting >= fewCrashes {
+				all = append(all, ranked[PartCrash]{c.PartCrash, counting, !c.Withdrawn, c.At})
 			}
 		}
 	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.counting, a.counting), compareBool(a.Withdrawn, b.Withdrawn), b.At.Compare(a.At))
-	})
-	shared := make([]PartCrash, 0, min(len(all), maxSharedPartCrashes))
-	for _, x := range all[:min(len(all), maxSharedPartCrashes)] {
-		shared = append(shared, x.PartCrash)
-	}
-	return shared
+	return first(all, maxSharedPartCrashes)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -88,10 +88,7 @@
 	requests  map[Fingerprint]map[Instance]*crash
 	completed recentSet // requests that have lately run to their end on this host
 	ends      []end     // of upstreams, the oldest first
-	version   int64     // rises with each change
-	shareAll  bool
-	shared    []Crash // as of sharedAt
-	sharedAt  int64   // version
+	changes[Crash]
 }
 
 // NewTable returns an empty table.
@@ -361,42 +358,17 @@
 // that observed them. Requests of a higher level come first, then crashes that count, then
 // later ones, up to maxShared. It also returns the version of the table, which rises with
 // each change.
-func (t *Table) Shared() ([]Crash, int64) {
-	if t.sharedAt != t.version {
-		t.shared, t.sharedAt = t.selectShared(), t.version
-	}
-	return t.shared, t.version
-}
-
-// ShareAll decides whether Shared returns the crashes of requests of any level, for hosts that
-// don't hear of each other directly.
-func (t *Table) ShareAll(all bool) {
-	if t.shareAll != all {
-		t.shareAll = all
-		t.version++
-	}
-}
+func (t *Table) Shared() ([]Crash, int64) { return t.shared(t.selectShared) }
 
 func (t *Table) selectShared() []Crash {
-	type ranked struct {
-		Crash
-		level Level
-	}
-	var all []ranked
+	var all []ranked[Crash]
 	for _, crashes := range t.requests {
 		level := levelOf(crashes)
 		for _, c := range crashes {
 			if t.shareAll || c.own || c.withdrawnHere || level >= Isolated {
-				all = append(all, ranked{c.Crash, level})
+				all = append(all, ranked[Crash]{c.Crash, int(level), c.Counts(), c.At})
 			}
 		}
 	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.level, a.level), compareBool(b.Counts(), a.Counts()), b.At.Compare(a.At))
-	})
-	shared := make([]Crash, 0, min(len(all), maxShared))
-	for _, x := range all[:min(len(all), maxShared)] {
-		shared = append(shared, x.Crash)
-	}
-	return shared
+	return first(all, maxShared)
 }
