entry: a request that tries a quarantined part may wait for a slot

What callers saw (test): a part stays quarantined though it is harmless: the request that is to try it again is rejected as soon as another part is suspected while it waits. Cause: queued requests with a quarantined part are rejected, and the trial's part is quarantined. Test: TestTrialOfAPartIsRejectedWhileItWaits, failing before. Also: the expiry of many parts judges them once, and a part that another one explains by now is logged as released.

--- a/internal/entry/promptparts.go
+++ b/internal/entry/promptparts.go
@@ -53,12 +53,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.partCrashes.Empty() {
-		r.hasSuspectPart = false
+		r.hasSuspectPart, r.isPartTrial = false, false
 		return nil
 	}
 	r.hasSuspectPart = c.partCrashes.Suspects(r.PromptParts)
 	part, verdict, others := c.quarantinedPart(r.PromptParts, r.team.Name)
-	if verdict == nil || others == 0 && c.takesPartTrial(part, verdict, r, now) {
+	r.isPartTrial = verdict != nil && others == 0 && c.takesPartTrial(part, verdict, r, now)
+	if verdict == nil || r.isPartTrial {
 		return nil
 	}
 	return apierr.Newf(apierr.Quarantined, "send the prompt without this part; operators find it in the log as prompt_part_quarantined",
@@ -206,9 +207,12 @@
 	}
 }
 
-// forgetPartTrials forgets the trials that have shown their end. The caller must hold mu.
-func (c *Core) forgetPartTrials(now time.Time) {
+// reviewParts removes the parts whose suspicion has expired, and trials that have shown their
+// end. The caller must hold mu.
+func (c *Core) reviewParts(now time.Time) {
+	c.partCrashes.Expire(now)
 	maps.DeleteFunc(c.partTrials, func(_ string, t partTrial) bool { return now.Sub(t.began) > partTrialTime })
+	c.logPartVerdicts(slices.Collect(maps.Keys(c.loggedParts)), "review", now)
 }
 
 // ReportAnswered records that an upstream has begun to answer a request with the parts of a
--- a/internal/entry/requestslot.go
+++ b/internal/entry/requestslot.go
@@ -58,14 +58,17 @@
 	if err := h.checkQuarantine(r); err != nil {
 		return nil, err
 	}
-	slot, err := h.core.Acquire(ctx, SlotRequest{
+	req := SlotRequest{
 		Service: r.service, Priority: r.priority, Excluded: r.excluded, Barred: r.barred, Isolated: r.suspicion == quarantine.Isolated,
-		PromptParts: r.PromptParts, Team: r.team.Name,
 		WaitBudget: slots.WaitBudget{
 			LatencyTarget: r.route.LatencyTarget, TimeLeft: time.Until(r.deadline),
 			IsRetry: r.isRetry || r.sends > 0, Begun: r.answer.begun,
 		},
-	})
+	}
+	if !r.isPartTrial {
+		req.PromptParts, req.Team = r.PromptParts, r.team.Name
+	}
+	slot, err := h.core.Acquire(ctx, req)
 	if err != nil {
 		if refusal := h.checkQuarantine(r); refusal != nil { // it was rejected for a part that crashes upstreams
 			return nil, refusal
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -130,6 +130,7 @@
 	answeringSince time.Time       // first event of the last attempt; zero before it
 	isAnswerSound  bool            // the upstream went on for soundAnswerTime after it, or has sent the whole answer
 	hasSuspectPart bool            // crashes count against a part of the prompt
+	isPartTrial    bool            // it runs though a part of its prompt is quarantined
 	suspicion      quarantine.Level
 	answer         answer
 	watch          *silenceWatch // of the last attempt
--- a/internal/entry/verify.go
+++ b/internal/entry/verify.go
@@ -46,8 +46,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.crashes.Expire(now)
-	c.partCrashes.Expire(now)
-	c.forgetPartTrials(now)
+	c.reviewParts(now)
 	for instance, last := range c.verifiedAt {
 		if now.Sub(last) > verifyInterval {
 			delete(c.verifiedAt, instance)
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -298,9 +298,10 @@
 
 // Expire removes the parts whose suspicion has expired.
 func (t *PartTable) Expire(now time.Time) {
+	verdicts := t.quarantined()
 	for part, crashes := range t.parts {
 		lifetime := suspicionLifetime
-		if t.Verdict(part) != nil {
+		if verdicts[part] != nil {
 			lifetime = quarantineLifetime
 		}
 		if now.Sub(lastPartCrash(crashes)) > lifetime {
