--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -8,7 +8,8 @@
 // turns out to be alive or the request has completed elsewhere, and decides nothing if
 // another request explains it. A request that is quarantined while other upstreams end too
 // is tried again a few times. A crash that came long after the start of the run weighs half.
-// Hosts exchange crashes, which merge in any order.
+// Hosts exchange crashes, which merge in any order. A PartTable decides the same for the parts
+// of prompts that requests share.
 //
 // The package does no I/O and reads no clock. A Table is not safe for concurrent use.
 package quarantine
@@ -54,7 +55,7 @@
 	Isolated    bool // as in Crash
 	Unproven    bool
 	Late        bool
-	PromptParts []string // that other requests share, in order; none once the upstream has begun to answer
+	PromptParts []string // that other requests share, in order; none if the upstream was answering
 	Team        string
 	Sent        time.Time // start of the run
 }
