A part of a prompt is quarantined for what guilty requests did to upstreams

What callers saw: sound requests were refused for a part of their prompts for 8 s and more after the last crash, while the requests that had crashed the upstreams were known and refused.

Cause: two requests that crash upstreams by their contents share a part with sound ones. Only a single content that ran under all crashes of the part was taken as their explanation, so two of them condemned the part, though each was quarantined for itself.

Mend: a quarantined request explains the crashes under it, if there are at least as many as count against the part, or one of them was without the part. A part that crashes upstreams has more crashes than any one request with it, and is in its prompt each time, so that requests that are sent again don't hide it (TestRequestsThatAreSentAgainHideTheirPart).

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -94,6 +94,7 @@
 // NewCore returns a Core without configuration, upstreams or peers.
 func NewCore(self Identity, log logrus.FieldLogger) *Core {
 	seed := rand.Uint64()
+	crashes := quarantine.NewTable()
 	return &Core{
 		self: self, log: log,
 		balancer:        slots.NewBalancer(self.DataCentre, seed),
@@ -106,8 +107,8 @@
 		waitingTokens:   map[mesh.Backlog]int64{},
 		stateDirty:      true,
 		longestTimeouts: map[string]time.Duration{},
-		crashes:         quarantine.NewTable(),
-		partCrashes:     quarantine.NewPartTable(),
+		crashes:         crashes,
+		partCrashes:     quarantine.NewPartTable(crashes),
 		partTrials:      map[string]partTrial{},
 		loggedParts:     map[string]int{},
 		abandonedRuns:   quarantine.NewAbandonedRuns(),
--- a/internal/entry/promptparts_test.go
+++ b/internal/entry/promptparts_test.go
@@ -246,6 +246,23 @@
 	})
 }
 
+// TestTwoGuiltyContentsHaveAPartRefused guards against sound requests that are refused for a
+// part of their prompts because two requests with it crash upstreams by their contents.
+func TestTwoGuiltyContentsHaveAPartRefused(t *testing.T) {
+	runCrashFleet(t, 3, 15, func(c *qt.C, f *crashFleet) {
+		for n := range 12 {
+			part := []string{"rare", "other"}[n/2%2]
+			_ = f.serveParts(f.ctx, n, "/once/x", fmt.Sprint(poisonBody, n%2), firstPart, part) // crashes its upstream
+			c.Check(f.serveParts(f.ctx, n, "/safe/x", fmt.Sprint("prompt ", n), firstPart), qt.IsNil)
+		}
+		crashes, _ := f.counts()
+		c.Check(crashes >= 6, qt.IsTrue, qt.Commentf("%d crashes", crashes))
+		for n, part := range []string{"rare", "other"} {
+			c.Check(f.serveParts(f.ctx, n, "/safe/x", fmt.Sprint("another ", n), firstPart, part), qt.IsNil)
+		}
+	})
+}
+
 // quarantinePart has the host hear of upstreams that ended under requests with the part, the
 // last one at the given time.
 func quarantinePart(h *crashHost, part string, last time.Time) {
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -48,14 +48,16 @@
 type PartTable struct {
 	parts    map[string]map[Instance]*partCrash
 	answered map[string]time.Time // parts that requests were lately answered with, on this host
+	requests *Table
 	verdicts map[string]*PartVerdict
-	judgedAt int64 // version of verdicts
+	judgedAt [2]int64 // versions of this table and of requests that verdicts are of
 	changes[PartCrash]
 }
 
-// NewPartTable returns an empty table.
-func NewPartTable() *PartTable {
-	return &PartTable{parts: map[string]map[Instance]*partCrash{}, answered: map[string]time.Time{}}
+// NewPartTable returns an empty table. The crashes of the quarantined requests may explain
+// those that count against a part.
+func NewPartTable(requests *Table) *PartTable {
+	return &PartTable{parts: map[string]map[Instance]*partCrash{}, answered: map[string]time.Time{}, requests: requests}
 }
 
 // Empty reports whether the table holds no crash.
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -47,7 +47,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			table := quarantine.NewPartTable()
+			table := quarantine.NewPartTable(quarantine.NewTable())
 			for n := range 3 {
 				table.Answer([]string{"a", "c"}, at(500*n+250))
 				crashUnder(table, n, 500*n, parts(n)...)
@@ -62,7 +62,7 @@
 func TestUpstreamsThatEndTogetherQuarantineAPart(t *testing.T) {
 	c := qt.New(t)
 	for _, answered := range []bool{false, true} {
-		table := quarantine.NewPartTable()
+		table := quarantine.NewPartTable(quarantine.NewTable())
 		if answered {
 			table.Answer([]string{"a"}, at(-200))
 		}
@@ -77,7 +77,7 @@
 // part with which requests were answered shortly before, here ones that wait in queues.
 func TestPartThatWasAnsweredBeforeBeginsToCrashUpstreams(t *testing.T) {
 	c := qt.New(t)
-	table := quarantine.NewPartTable()
+	table := quarantine.NewPartTable(quarantine.NewTable())
 	table.Answer([]string{"a"}, at(-100))
 	for n := range 4 {
 		crashUnder(table, n, 300*n, "a")
@@ -93,7 +93,7 @@
 // because one request, which is sent again, crashes the upstreams by its content.
 func TestContentThatCrashesUpstreamsQuarantinesItsParts(t *testing.T) {
 	c := qt.New(t)
-	table := quarantine.NewPartTable()
+	table := quarantine.NewPartTable(quarantine.NewTable())
 	for n := range 8 {
 		table.Observe(runWith(n, 500*n, 1, "team", "a", "b"), at(500*n))
 	}
@@ -102,11 +102,53 @@
 	c.Assert(quarantinedOf(table, "a", "b"), qt.DeepEquals, []string{"b"})
 }
 
+// crashBoth adds the crash to both tables. The run is isolated from the second crash of its
+// content on.
+func crashBoth(table *quarantine.PartTable, requests *quarantine.Table, upstream, ms int, content byte, parts ...string) {
+	run := runWith(upstream, ms, content, "team", parts...)
+	run.Isolated = requests.Level(run.Fingerprint, at(ms)) == quarantine.Isolated
+	table.Observe(run, at(ms))
+	requests.Observe(run, at(ms))
+}
+
+// TestTwoContentsThatCrashUpstreamsQuarantineASharedPart guards against a part that stays
+// quarantined because two requests with it crash upstreams by their contents.
+func TestTwoContentsThatCrashUpstreamsQuarantineASharedPart(t *testing.T) {
+	c := qt.New(t)
+	requests := quarantine.NewTable()
+	table := quarantine.NewPartTable(requests)
+	for n := range 6 {
+		shared := []string{"shared", "other"}[n/2%2]
+		crashBoth(table, requests, n, 500*n, byte(n%2), "first", shared)
+		table.Answer([]string{"first"}, at(500*n+250))
+	}
+	c.Assert(requests.Level(quarantine.Fingerprint{0}, at(3000)), qt.Equals, quarantine.Quarantined)
+	c.Assert(requests.Level(quarantine.Fingerprint{1}, at(3000)), qt.Equals, quarantine.Quarantined)
+	c.Assert(quarantinedOf(table, "shared", "other"), qt.HasLen, 0)
+}
+
+// TestRequestsThatAreSentAgainHideTheirPart guards against a part that isn't found because
+// each request with it is sent to upstreams until it is quarantined itself.
+func TestRequestsThatAreSentAgainHideTheirPart(t *testing.T) {
+	c := qt.New(t)
+	for _, answered := range []bool{false, true} {
+		requests := quarantine.NewTable()
+		table := quarantine.NewPartTable(requests)
+		if answered {
+			table.Answer([]string{"bad"}, at(-200))
+		}
+		for n := range 6 {
+			crashBoth(table, requests, n, 200*n, byte(n/3), "bad")
+		}
+		c.Assert(quarantinedOf(table, "bad"), qt.HasLen, 1, qt.Commentf("answered before: %t", answered))
+	}
+}
+
 // TestTeamHasThePartsOfOthersRefused guards against a team that has requests of others refused
 // by naming their parts in requests that crash upstreams.
 func TestTeamHasThePartsOfOthersRefused(t *testing.T) {
 	c := qt.New(t)
-	table := quarantine.NewPartTable()
+	table := quarantine.NewPartTable(quarantine.NewTable())
 	for n := range 3 {
 		table.Observe(runWith(n, 500*n, byte(n), "one", "a"), at(500*n))
 	}
@@ -122,7 +164,7 @@
 // same time are both found, and that a part beside both of them isn't.
 func TestCrashesOfOneUpstreamAreExplainedTwice(t *testing.T) {
 	c := qt.New(t)
-	table := quarantine.NewPartTable()
+	table := quarantine.NewPartTable(quarantine.NewTable())
 	for n := range 6 {
 		bad := fmt.Sprint("bad", n%2)
 		crashUnder(table, n, 300*n, "a", bad)
@@ -138,7 +180,7 @@
 // has left connections on which requests with it are sent in vain.
 func TestUnprovenCrashesQuarantineAPart(t *testing.T) {
 	c := qt.New(t)
-	table := quarantine.NewPartTable()
+	table := quarantine.NewPartTable(quarantine.NewTable())
 	for n := range 9 {
 		run := runWith(n, 500*n, byte(n), fmt.Sprint(n), "a")
 		run.Unproven = true
@@ -153,7 +195,7 @@
 	for _, answered := range []bool{false, true} {
 		t.Run(fmt.Sprint("answered before ", answered), func(t *testing.T) {
 			c := qt.New(t)
-			table := quarantine.NewPartTable()
+			table := quarantine.NewPartTable(quarantine.NewTable())
 			ms, crashes := 0, 0
 			if answered {
 				table.Answer([]string{"a"}, at(-1))
@@ -181,7 +223,7 @@
 // under a part that others have are forgotten, or peers don't hear of them.
 func TestInventedPartsPushOutEvidence(t *testing.T) {
 	c := qt.New(t)
-	table, peer := quarantine.NewPartTable(), quarantine.NewPartTable()
+	table, peer := quarantine.NewPartTable(quarantine.NewTable()), quarantine.NewPartTable(quarantine.NewTable())
 	crashUnder(table, 0, 0, "bad")
 	crashUnder(table, 1, 500, "bad")
 	for n := range 3000 {
@@ -202,7 +244,7 @@
 // haven't sent the request that was answered.
 func TestPeersHearThatAPartIsHarmless(t *testing.T) {
 	c := qt.New(t)
-	table, peer := quarantine.NewPartTable(), quarantine.NewPartTable()
+	table, peer := quarantine.NewPartTable(quarantine.NewTable()), quarantine.NewPartTable(quarantine.NewTable())
 	for n := range 3 {
 		crashUnder(table, n, 500*n, "a")
 	}
@@ -236,7 +278,7 @@
 			}
 		}), 0, 30).Draw(t, "crashes")
 		order := rapid.Permutation(crashes).Draw(t, "order")
-		a, b := quarantine.NewPartTable(), quarantine.NewPartTable()
+		a, b := quarantine.NewPartTable(quarantine.NewTable()), quarantine.NewPartTable(quarantine.NewTable())
 		for n := range crashes {
 			a.Merge(crashes[n])
 			b.Merge(order[n])
@@ -269,7 +311,7 @@
 }
 
 func fullPartTable() *quarantine.PartTable {
-	table := quarantine.NewPartTable()
+	table := quarantine.NewPartTable(quarantine.NewTable())
 	for n := range 1024 {
 		for upstream := range 16 {
 			crashUnder(table, upstream, upstream, fmt.Sprint("part", n))
--- a/internal/quarantine/partverdict.go
+++ b/internal/quarantine/partverdict.go
@@ -45,8 +45,8 @@
 
 // quarantined returns the verdicts by part.
 func (t *PartTable) quarantined() map[string]*PartVerdict {
-	if t.verdicts == nil || t.judgedAt != t.version {
-		t.verdicts, t.judgedAt = t.judge(), t.version
+	if at := [2]int64{t.version, t.requests.version}; t.verdicts == nil || t.judgedAt != at {
+		t.verdicts, t.judgedAt = t.judge(), at
 	}
 	return t.verdicts
 }
@@ -62,10 +62,11 @@
 func (t *PartTable) judge() map[string]*PartVerdict {
 	verdicts := map[string]*PartVerdict{}
 	explained := map[Instance]bool{}
+	guilty := t.requests.quarantinedUpstreams()
 	for {
 		var worst *accused
 		for part, crashes := range t.parts {
-			a := &accused{part, countingPartCrashes(crashes, explained)}
+			a := &accused{part, unexplained(crashes, explained, guilty)}
 			if verdicts[part] == nil && incriminate(a.crashes) && (worst == nil || compareAccused(a, worst) < 0) {
 				worst = a
 			}
@@ -102,6 +103,31 @@
 	return countSteps(proven) >= partCrashLimit
 }
 
+// unexplained returns the crashes that count against the part, the oldest first, and that
+// neither another part explains nor a quarantined request. guilty has the upstreams that ended
+// under each of those. A part that crashes upstreams is in the prompt whenever a request with
+// it does so, and has more crashes than any one of them.
+func unexplained(part map[Instance]*partCrash, explained map[Instance]bool, guilty []map[Instance]bool) []*partCrash {
+	crashes := countingPartCrashes(part, explained)
+	for n := 0; n < len(guilty); n++ {
+		left := slices.DeleteFunc(slices.Clone(crashes), func(c *partCrash) bool { return guilty[n][c.Upstream] })
+		if len(left) < len(crashes) && (len(guilty[n]) >= len(crashes) || endedElsewhere(guilty[n], part)) {
+			crashes, n = left, -1
+		}
+	}
+	return crashes
+}
+
+// endedElsewhere reports whether one of the upstreams ended without a request with the part.
+func endedElsewhere(upstreams map[Instance]bool, part map[Instance]*partCrash) bool {
+	for upstream := range upstreams {
+		if part[upstream] == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // withoutUnproven leaves the first of the unproven crashes.
 func withoutUnproven(crashes []*partCrash) []*partCrash {
 	seen := false
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -302,6 +302,23 @@
 	return upstreams
 }
 
+// quarantinedUpstreams returns the upstreams whose crashes count against each quarantined
+// request.
+func (t *Table) quarantinedUpstreams() []map[Instance]bool {
+	var all []map[Instance]bool
+	for f, crashes := range t.requests {
+		if levelOf(crashes) != Quarantined || t.level(f) != Quarantined {
+			continue
+		}
+		upstreams := map[Instance]bool{}
+		for _, upstream := range t.CrashedUpstreams(f) {
+			upstreams[upstream] = true
+		}
+		all = append(all, upstreams)
+	}
+	return all
+}
+
 // WithdrawLive withdraws the crashes before the given time whose upstream lives on, and
 // returns them.
 func (t *Table) WithdrawLive(before time.Time, live map[Instance]bool) []Crash {
