Trials of a quarantined part come late, are taken by suspects, and can be too many

What callers saw: sound requests with a part that was quarantined wrongly were refused for at least 8 s; longer if a request that crashes upstreams by its content took the trial. If two hosts began each trial together, four requests with a guilty part reached upstreams late (three allowed).

Cause: the first trial of a part that no request was lately answered with came after 8 s, any request could take it, and the trials were counted without the sends they had cost.

Evidence: TestGuiltyContentTriesAQuarantinedPart and TestHostsTryAPartTogether (4 late sends) failed without the mend.

Mend: trials 1 s, 8 s and a minute after the last crash, by a request whose content at most one crash counts against, and none after the second late crash.

--- a/internal/entry/promptparts.go
+++ b/internal/entry/promptparts.go
@@ -107,10 +107,11 @@
 }
 
 // takesPartTrial reports whether the request is the one of this host that runs the part again.
-// Hosts may do so one after the other, so that those after the first hear of its trial. The
-// caller must hold mu.
+// It isn't one whose content may crash upstreams: that would say nothing of the part. Hosts may
+// do so one after the other, so that those after the first hear of its trial. The caller must
+// hold mu.
 func (c *Core) takesPartTrial(part string, v *quarantine.PartVerdict, r *request, now time.Time) bool {
-	if v.NextTrial.IsZero() || now.Before(v.NextTrial.Add(c.partTrialDelay(part))) {
+	if v.NextTrial.IsZero() || r.suspicion >= quarantine.Isolated || now.Before(v.NextTrial.Add(c.partTrialDelay(part))) {
 		return false
 	}
 	t, ongoing := c.partTrials[part]
--- a/internal/entry/promptparts_test.go
+++ b/internal/entry/promptparts_test.go
@@ -263,6 +263,23 @@
 	})
 }
 
+// TestGuiltyContentTriesAQuarantinedPart guards against a sound part that stays quarantined
+// because a request that crashes upstreams by its content takes its trial.
+func TestGuiltyContentTriesAQuarantinedPart(t *testing.T) {
+	runCrashFleet(t, 1, 15, func(c *qt.C, f *crashFleet) {
+		for range 2 {
+			_ = f.serveParts(f.ctx, 0, "/once/x", poisonBody, firstPart) // crashes its upstream
+			f.sleep(runTime)
+		}
+		quarantinePart(f.hosts[0], "sound", time.Now().Add(-time.Minute))
+		err := f.serveParts(f.ctx, 0, "/once/x", poisonBody, "sound")
+		c.Check(apierr.IsKind(err, apierr.Quarantined), qt.IsTrue, qt.Commentf("%v", err))
+		c.Check(f.serveParts(f.ctx, 0, "/safe/x", "prompt", "sound"), qt.IsNil)
+		crashes, _ := f.counts()
+		c.Check(crashes, qt.Equals, 2)
+	})
+}
+
 // quarantinePart has the host hear of upstreams that ended under requests with the part, the
 // last one at the given time.
 func quarantinePart(h *crashHost, part string, last time.Time) {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -189,6 +189,33 @@
 	c.Assert(table.Verdict("a"), qt.IsNil)
 }
 
+// TestHostsTryAPartTogether guards against trials that go on though each of them ends two
+// upstreams: of the sends later than three seconds after the fifth crash, three are allowed.
+func TestHostsTryAPartTogether(t *testing.T) {
+	c := qt.New(t)
+	for _, answered := range []bool{false, true} {
+		table := quarantine.NewPartTable(quarantine.NewTable())
+		if answered {
+			table.Answer([]string{"a"}, at(-200))
+		}
+		crashes := 0
+		crash := func(ms int) { crashUnder(table, crashes, ms, "a"); crashes++ }
+		for ms := 0; crashes < 5; ms += 300 {
+			crash(ms)
+		}
+		late := 0
+		for v := table.Verdict("a"); !v.NextTrial.IsZero(); v = table.Verdict("a") {
+			ms := int(v.NextTrial.Sub(epoch).Milliseconds()) + 200
+			crash(ms)
+			crash(ms + 50)
+			if ms > 4*300+3000 {
+				late += 2
+			}
+		}
+		c.Assert(late <= 3, qt.IsTrue, qt.Commentf("%d late sends; answered before: %t", late, answered))
+	}
+}
+
 // TestTrialsOfAPartEnd replays trials that all fail: of the sends after the fifth crash, three
 // are allowed.
 func TestTrialsOfAPartEnd(t *testing.T) {
--- a/internal/quarantine/partverdict.go
+++ b/internal/quarantine/partverdict.go
@@ -15,12 +15,22 @@
 	answeredCrashSteps = 2 // of them, crashes under a run that was sent after another one
 )
 
-// The times from the last crash of a quarantined part to the next run of a request with it.
+// The times from the last crash of a quarantined part to the next run of a request with it. A
+// part that was judged wrongly is refused for little more than the first one.
 var (
-	partTrialDelays         = []time.Duration{8 * time.Second, time.Minute}
+	partTrialDelays         = []time.Duration{time.Second, 8 * time.Second, time.Minute}
 	answeredPartTrialDelays = []time.Duration{time.Second, 2 * time.Second, 8 * time.Second}
 )
 
+// After maxLateCrashes later than lateCrashTime from crash number toleratedPartCrashes no
+// request with the part is tried again: three may reach upstreams, and two hosts may begin a
+// trial before they hear of each other's.
+const (
+	toleratedPartCrashes = 5
+	lateCrashTime        = 3 * time.Second
+	maxLateCrashes       = 2
+)
+
 // PartVerdict is why requests with a part of a prompt aren't run.
 type PartVerdict struct {
 	Crashes   int
@@ -188,12 +198,23 @@
 	if wasAnswered(crashes) {
 		delays = answeredPartTrialDelays
 	}
-	if failed := failedPartTrials(crashes, delays); failed < len(delays) {
+	if failed := failedPartTrials(crashes, delays); failed < len(delays) && countLate(crashes) < maxLateCrashes {
 		v.NextTrial = v.LastCrash.Add(delays[failed])
 	}
 	return v
 }
 
+// countLate counts the crashes that came late after those that are tolerated.
+func countLate(crashes []*partCrash) int {
+	late := 0
+	for n := toleratedPartCrashes; n < len(crashes); n++ {
+		if crashes[n].At.Sub(crashes[toleratedPartCrashes-1].At) > lateCrashTime {
+			late++
+		}
+	}
+	return late
+}
+
 // failedPartTrials counts the trials that have failed since the part was quarantined. A crash
 // sooner than the next trial is due belongs to the runs before.
 func failedPartTrials(crashes []*partCrash, delays []time.Duration) int {
