A host that ends soon after its start is noticed late

What callers saw: the other hosts went on counting a host that had ended as live for 1.9 s instead of 0.7 s, if it ended in the first two seconds after they had heard of it.

Cause: MergeState recorded that a peer had been heard directly after it had computed the cell. A peer that is heard before it is listed was thus taken for one that came from another cell, and got the limit of those.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -122,12 +122,10 @@
 		s = p.state // a relay was faster
 		s.Admitted = nil
 	}
-	joined := c.mergePeer(s, now)
-	p := c.peers[s.Host]
-	p.directAt = now
+	joined := c.mergePeer(s, now, true)
 	fromCell := c.cellHosts[s.Host]
 	if !fromCell {
-		p.outsideAt = now
+		c.peers[s.Host].outsideAt = now
 	}
 	urgent := s.Urgent != before && c.hasOtherCells()
 	c.mu.Unlock()
@@ -150,9 +148,10 @@
 	}
 }
 
-// mergePeer replaces the state of a peer that was heard at the time. It returns a change if
-// the peer started, restarted or recovered. The caller must hold mu.
-func (c *Core) mergePeer(s mesh.State, heard time.Time) *PeerChange {
+// mergePeer replaces the state of a peer that was heard at the time, directly or through a
+// relay. It returns a change if the peer started, restarted or recovered. The caller must hold
+// mu.
+func (c *Core) mergePeer(s mesh.State, heard time.Time, direct bool) *PeerChange {
 	p, known := c.peers[s.Host]
 	restarted := known && p.state.Incarnation != s.Incarnation
 	joined := !known || p.unresponsive || restarted
@@ -175,6 +174,9 @@
 	if heard.After(p.lastHeartbeat) {
 		p.lastHeartbeat = heard
 	}
+	if direct {
+		p.directAt = heard
+	}
 	p.admitted.put(s.Admitted, s.Number)
 	if joined {
 		c.linksOutdated = true
--- a/internal/entry/relaystates.go
+++ b/internal/entry/relaystates.go
@@ -165,7 +165,7 @@
 		if known && !c.replaces(p, r.State, heard) {
 			return nil, false
 		}
-		return c.mergePeer(*r.State, heard), true
+		return c.mergePeer(*r.State, heard, false), true
 	}
 	if p.unresponsive && heard.Sub(p.lastHeartbeat) < leastHeartbeatGap {
 		return nil, false // another relay has yet to notice the silence
@@ -180,7 +180,7 @@
 			next.Number, next.Running, next.Outcomes, next.Admitted = r.State.Number, r.State.Running, r.State.Outcomes, r.State.Admitted
 		}
 	}
-	return c.mergePeer(next, heard), merged
+	return c.mergePeer(next, heard, false), merged
 }
 
 // replaces reports whether the relayed state of another incarnation takes the place of what is
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -322,6 +322,24 @@
 	})
 }
 
+// TestHostThatEndsSoonAfterItsStartIsNoticedLate guards against a host that is heard before it
+// is listed, and whose end is then noticed as late as that of a host of another cell.
+func TestHostThatEndsSoonAfterItsStartIsNoticedLate(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		c := qt.New(t)
+		core := newCore(1)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { core.Run(ctx) })
+		core.MergeState(mesh.State{Host: "h2", Incarnation: "i2", DataCentre: "dc"})
+		core.SetMembers(map[string]entry.HostInfo{"h1": {Address: "a", DataCentre: "dc"}, "h2": {Address: "b", DataCentre: "dc"}}, 2)
+		time.Sleep(time.Second)
+		c.Check(core.Peers(), qt.HasLen, 0)
+		cancel()
+		wg.Wait()
+	})
+}
+
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	c := qt.New(t)
 	core := newCore(1)
