--- a/internal/quarantine/partverdict.go
+++ b/internal/quarantine/partverdict.go
@@ -22,13 +22,13 @@
 	answeredPartTrialDelays = []time.Duration{time.Second, 2 * time.Second, 8 * time.Second}
 )
 
-// After maxLateCrashes later than lateCrashTime from crash number toleratedPartCrashes no
-// request with the part is tried again: three may reach upstreams, and two hosts may begin a
+// After maxUntolerated crashes later than toleranceTime from crash number toleratedPartCrashes
+// no request with the part is tried again: three may reach upstreams, and two hosts may begin a
 // trial before they hear of each other's.
 const (
 	toleratedPartCrashes = 5
-	lateCrashTime        = 3 * time.Second
-	maxLateCrashes       = 2
+	toleranceTime        = 3 * time.Second
+	maxUntolerated       = 2
 )
 
 // PartVerdict is why requests with a part of a prompt aren't run.
@@ -120,9 +120,9 @@
 func unexplained(part map[Instance]*partCrash, explained map[Instance]bool, guilty []map[Instance]bool) []*partCrash {
 	crashes := countingPartCrashes(part, explained)
 	for n := 0; n < len(guilty); n++ {
-		left := slices.DeleteFunc(slices.Clone(crashes), func(c *partCrash) bool { return guilty[n][c.Upstream] })
-		if len(left) < len(crashes) && (len(guilty[n]) >= len(crashes) || endedElsewhere(guilty[n], part)) {
-			crashes, n = left, -1
+		ranThere := func(c *partCrash) bool { return guilty[n][c.Upstream] }
+		if slices.ContainsFunc(crashes, ranThere) && (len(guilty[n]) >= len(crashes) || endedElsewhere(guilty[n], part)) {
+			crashes, n = slices.DeleteFunc(crashes, ranThere), -1
 		}
 	}
 	return crashes
@@ -198,21 +198,21 @@
 	if wasAnswered(crashes) {
 		delays = answeredPartTrialDelays
 	}
-	if failed := failedPartTrials(crashes, delays); failed < len(delays) && countLate(crashes) < maxLateCrashes {
+	if failed := failedPartTrials(crashes, delays); failed < len(delays) && countUntolerated(crashes) < maxUntolerated {
 		v.NextTrial = v.LastCrash.Add(delays[failed])
 	}
 	return v
 }
 
-// countLate counts the crashes that came late after those that are tolerated.
-func countLate(crashes []*partCrash) int {
-	late := 0
+// countUntolerated counts the crashes that came later than is tolerated.
+func countUntolerated(crashes []*partCrash) int {
+	untolerated := 0
 	for n := toleratedPartCrashes; n < len(crashes); n++ {
-		if crashes[n].At.Sub(crashes[toleratedPartCrashes-1].At) > lateCrashTime {
-			late++
+		if crashes[n].At.Sub(crashes[toleratedPartCrashes-1].At) > toleranceTime {
+			untolerated++
 		}
 	}
-	return late
+	return untolerated
 }
 
 // failedPartTrials counts the trials that have failed since the part was quarantined. A crash
