--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -49,7 +49,7 @@
 	req.Host = domain
 	req.Header.Set("Api-Key", key)
 	if id != "" {
-		req.Header.Set("X-Attempt-Id", id)
+		req.Header.Set(wire["request"], id)
 	}
 	for name, value := range header {
 		req.Header.Set(name, value)
@@ -69,7 +69,7 @@
 	id := newID()
 	body, _ := json.Marshal(w) // a struct of plain fields can always be encoded
 	header := map[string]string{
-		"X-Model": "m", "X-Token-Count": "450,60", "X-Prompt-Prefix": fmt.Sprintf("%s:200,%s:250", part, fmt.Sprintf("%08x", crc32.ChecksumIEEE(body))), "X-Deadline-Ms": "5000",
+		"X-Model": "m", wire["tokens"]: "450,60", wire["prompt"]: fmt.Sprintf("%s:200,%s:250", part, fmt.Sprintf("%08x", crc32.ChecksumIEEE(body))), wire["time left"]: "5000",
 	}
 	return id, call(http.MethodPost, fmt.Sprintf("http://%s/reply/%08x", h.callers, crc32.ChecksumIEEE(body)), id, header, body, 6*time.Second)
 }
@@ -99,14 +99,14 @@
 	body, _ := json.Marshal(w)
 	return batchItem{
 		ID: id, Path: "/batch/" + id[:4], Body: base64.StdEncoding.EncodeToString(body), Tokens: 650, work: w,
-		Header: map[string]string{"X-Model": "m", "X-Token-Count": "350,300", "X-Prompt-Prefix": fmt.Sprintf("%s:100,%s:250", part, id[:8])},
+		Header: map[string]string{"X-Model": "m", wire["tokens"]: "350,300", wire["prompt"]: fmt.Sprintf("%s:100,%s:250", part, id[:8])},
 	}
 }
 
 // submit hands a batch job in.
 func submit(h *host, job string, items []batchItem, limit time.Duration) answer {
 	body, _ := json.Marshal(map[string]any{"items": items})
-	header := map[string]string{"Content-Type": "application/json", "X-Deadline-Ms": fmt.Sprint(limit.Milliseconds())}
+	header := map[string]string{"Content-Type": "application/json", wire["time left"]: fmt.Sprint(limit.Milliseconds())}
 	return call(http.MethodPost, "http://"+h.callers+"/batch/"+job, job, header, body, limit)
 }
 
@@ -120,7 +120,7 @@
 // read returns the results of a batch job from the first one on.
 func read(h *host, job string) (total int, results []itemResult, err error) {
 	for {
-		a := call(http.MethodGet, fmt.Sprintf("http://%s/lots/%s?after=%d", h.callers, job, len(results)), "", map[string]string{"X-Wait-Ms": "1"}, nil, 5*time.Second)
+		a := call(http.MethodGet, fmt.Sprintf("http://%s%s%s?after=%d", h.callers, wire["results path"], job, len(results)), "", map[string]string{wire["wait"]: "1"}, nil, 5*time.Second)
 		if a.err != nil || a.status != http.StatusOK {
 			return 0, nil, fmt.Errorf("read of job %s: %s", job, a)
 		}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -28,8 +28,8 @@
 	graceTime  = 8 * time.Second // from SIGTERM to SIGKILL
 )
 
-// hostMemory is the memory_mb of a host.
-var hostMemory = 284
+// hostMemory is the memory of a host in MB.
+const hostMemory = 284
 
 // errNotRun means that the case could not run.
 var errNotRun = errors.New("the case could not run")
@@ -78,6 +78,7 @@
 	record   *os.File
 	began    time.Time
 	closed   bool
+	change   func(n int, settings map[string]any) error // of the settings of host n; nil for none
 }
 
 // newFleet starts the platform's store. The record is written to the path.
@@ -216,9 +217,14 @@
 	for n, free := range peers {
 		settings := map[string]any{
 			"name": fmt.Sprint("edge-", n), "data_centre": fmt.Sprint("zone-", n%zones), "store": f.store, "seeds": seeds,
-			"listen":    map[string]string{"callers": free[0], "readiness": free[1], "peers": free[2], "metrics": free[3]},
+			"listen":    map[string]any{"callers": free[0], "readiness": free[1], "peers": free[2], "metrics": free[3]},
 			"memory_mb": hostMemory, "cores": 1, "stop_seconds": 8, "keep_seconds": 120,
 		}
+		if f.change != nil {
+			if err := f.change(n, settings); err != nil {
+				return err
+			}
+		}
 		raw, err := json.Marshal(settings)
 		if err != nil {
 			return err
@@ -301,8 +307,8 @@
 func (f *fleet) writeConfig() error {
 	route := func(name, kind string, more map[string]any) map[string]any {
 		r := map[string]any{
-			"name": name, "host": domain, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 5000, "slo_ms": 300,
-			"service": service, "max_attempts": 1, "gap_target_ms": 300, "sticky": true, "priority": 0,
+			"name": name, "host": domain, wire["prefix"]: "/" + name + "/", "kind": kind, "timeout_ms": 5000, wire["latency target"]: 300,
+			"service": service, wire["attempts"]: 1, wire["gap target"]: 300, "sticky": true, "priority": 0,
 		}
 		for name, value := range more {
 			r[name] = value
@@ -314,7 +320,7 @@
 		"routes": []any{
 			route("reply", "streaming", nil),
 			route("batch", "batch", map[string]any{
-				"timeout_ms": 15000, "slo_ms": 400, "max_attempts": 3, "priority": 2, "run_target_ms": 18000, "retention_s": 60, "max_count": 940000,
+				"timeout_ms": 15000, wire["latency target"]: 400, wire["attempts"]: 3, "priority": 2, wire["due"]: 18000, "retention_s": 60, "max_count": 940000,
 			}),
 		},
 		"services": []any{map[string]any{"name": service, "health_path": healthPath, "max_conns": 370}},
--- a/review/standin/prompt_part.go
+++ b/review/standin/prompt_part.go
@@ -117,7 +117,7 @@
 		switch {
 		case !ok:
 			lost++
-			f.note("item %s is listed neither as completed nor as dead_letter", i.ID)
+			f.note("item %s is listed neither as completed nor as given up", i.ID)
 		case r.State == "completed" && r.Output != expectedOutput(i.ID, i.work.Events):
 			return false, fmt.Errorf("%w: item %s has another output than expected", errNotRun, i.ID)
 		}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -110,7 +110,7 @@
 
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet && r.URL.Path == healthPath {
-		out.Header().Set("X-Instance-Id", w.id)
+		out.Header().Set(wire["worker"], w.id)
 		out.WriteHeader(http.StatusOK)
 		return
 	}
@@ -119,11 +119,11 @@
 		_ = json.NewEncoder(out).Encode(map[string]any{"stage": "mixed", "born": w.born, "running": len(w.inUse), "waiting": 0})
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
-	out.Header().Set("X-Attempt-Id", id)
-	out.Header().Set("X-Instance-Load", fmt.Sprintf("%d,%d,%d", len(w.inUse), max(len(w.waiting)-len(w.inUse), 0), w.slots))
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
-		out.Header().Set("X-Instance-Id", w.id)
+	id := r.Header.Get(wire["request"])
+	out.Header().Set(wire["request"], id)
+	out.Header().Set(wire["load"], fmt.Sprintf("%d,%d,%d", len(w.inUse), max(len(w.waiting)-len(w.inUse), 0), w.slots))
+	if expected := r.Header.Get(wire["expected worker"]); expected != "" && expected != w.id {
+		out.Header().Set(wire["worker"], w.id)
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -135,7 +135,7 @@
 	case w.waiting <- struct{}{}:
 	default:
 		w.note("refuse", id, 0, "")
-		out.Header().Set("X-Not-Executed", "1")
+		out.Header().Set(wire["not run"], "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -148,12 +148,12 @@
 	defer func() { <-w.inUse }()
 	var job work
 	if err := json.Unmarshal(body, &job); err != nil {
-		out.Header().Set("X-Server-Stamp", "stamp-"+w.id)
+		out.Header().Set(wire["stamp"], "stamp-"+w.id)
 		out.WriteHeader(http.StatusUnprocessableEntity)
 		return
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // zero without the header
-	w.note("begin", id, after, r.Header.Get("X-Tenant"))
+	w.note("begin", id, after, r.Header.Get(wire["team"]))
 	if job.Deadly {
 		time.Sleep(30 * time.Millisecond)
 		w.note("crash", id, 0, "")
@@ -163,7 +163,7 @@
 		w.streamUnframed(out, id, after, job)
 		return
 	}
-	out.Header().Set("X-Server-Stamp", "stamp-"+w.id)
+	out.Header().Set(wire["stamp"], "stamp-"+w.id)
 	out.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(out).Flush
 	if w.stream(r.Context(), out, flush, id, after, job) {
@@ -197,7 +197,7 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: stamp-%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id, w.id)
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp-%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", wire["request"], id, wire["stamp"], w.id)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { // the host closes the channel: the run is dropped
