A part of a prompt is quarantined for two requests that crash upstreams by their contents

What callers saw: requests and items of jobs that share a part of their prompts with two requests that crash upstreams are refused, or wait, though they are sound.

Cause: a part was quarantined with its third crash as soon as no single content had run under all three. Two contents that are each sent twice reach that, though they explain all four crashes.

Fix: where two contents explain the crashes of a part, five are needed. With three contents or more, three are enough as before; one content never suffices.

Evidence: TestTwoContentsExplainTheCrashesOfAPart fails before (quarantined after three crashes of two contents).

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -127,6 +127,23 @@
 	c.Assert(quarantinedOf(table, "shared", "other"), qt.HasLen, 0)
 }
 
+// TestTwoContentsExplainTheCrashesOfAPart guards against a part that is quarantined because of
+// two requests with it that crash upstreams by their contents, and are each sent twice. Five
+// crashes are tolerated under one part.
+func TestTwoContentsExplainTheCrashesOfAPart(t *testing.T) {
+	for contents, needed := range map[int]int{2: 5, 3: 3, 5: 3} {
+		t.Run(fmt.Sprint(contents, " contents"), func(t *testing.T) {
+			c := qt.New(t)
+			table := quarantine.NewPartTable(quarantine.NewTable())
+			for n := range needed {
+				c.Assert(table.Verdict("a"), qt.IsNil, qt.Commentf("after %d crashes", n))
+				table.Observe(runWith(n, 1500*n, byte(n%contents), "team", "a"), at(1500*n))
+			}
+			c.Assert(table.Verdict("a"), qt.IsNotNil)
+		})
+	}
+}
+
 // TestRequestsThatAreSentAgainHideTheirPart guards against a part that isn't found because
 // each request with it is sent to upstreams until it is quarantined itself.
 func TestRequestsThatAreSentAgainHideTheirPart(t *testing.T) {
--- a/internal/quarantine/partverdict.go
+++ b/internal/quarantine/partverdict.go
@@ -11,6 +11,7 @@
 // that it only ran beside the one that crashes.
 const (
 	partCrashLimit     = 3 // crashes, each under a run that was sent after the crash before
+	sharedCrashLimit   = 5 // crashes of a part if the contents of two requests explain them
 	answeredCrashLimit = 5 // crashes of a part that requests were answered with shortly before
 	answeredCrashSteps = 2 // of them, crashes under a run that was sent after another one
 )
@@ -101,18 +102,40 @@
 }
 
 // incriminate reports whether the crashes, the oldest first, quarantine their part. A single
-// content that ran under all of them explains them as well.
+// content that ran under all of them explains them as well. Two contents explain a few: callers
+// send a request that failed again.
 func incriminate(crashes []*partCrash) bool {
-	proven := withoutUnproven(crashes)
-	if len(common(crashes, func(c *partCrash) []Fingerprint { return c.Contents })) > 0 {
+	if len(crashes) < partCrashLimit {
 		return false
 	}
-	if wasAnswered(crashes) {
+	proven, contents := withoutUnproven(crashes), explainingContents(crashes)
+	switch {
+	case contents == 1:
+		return false
+	case wasAnswered(crashes):
 		return len(proven) >= answeredCrashLimit && countSteps(proven) >= answeredCrashSteps
+	case contents == 2 && len(proven) < sharedCrashLimit:
+		return false
 	}
 	return countSteps(proven) >= partCrashLimit
 }
 
+// explainingContents returns how many contents at least ran under the crashes, of which there
+// is one or more, so that one of them ran under each: 1, 2, or 3 if two don't suffice.
+func explainingContents(crashes []*partCrash) int {
+	contentsOf := func(c *partCrash) []Fingerprint { return c.Contents }
+	if len(common(crashes, contentsOf)) > 0 {
+		return 1
+	}
+	for _, f := range crashes[0].Contents {
+		others := slices.DeleteFunc(slices.Clone(crashes), func(c *partCrash) bool { return slices.Contains(c.Contents, f) })
+		if len(common(others, contentsOf)) > 0 {
+			return 2
+		}
+	}
+	return 3
+}
+
 // unexplained returns the crashes that count against the part, the oldest first, and that
 // neither another part explains nor a quarantined request. guilty has the upstreams that ended
 // under each of those. A part that crashes upstreams is in the prompt whenever a request with
