Items wait until their deadline for a part that only a request may try again

What callers saw: a job is accepted whose items share a part of their prompts with requests that crashed upstreams.

Cause: items with a quarantined part wait for its release, and only an online request could try it again. If no request with the part comes, nothing ends the wait. After three failed trials none was left for an hour, also for requests.

Fix: from six seconds after the part's last crash one item at a time tries it, whatever trials of requests have failed, so that the wait of items is bounded by the crash alone. Hosts with waiting items of the team and route do so one after the other. A crash in such a run counts against the part and never against the item; after the third late crash no item is tried. An answer that goes on for 250 ms, of an item too, releases the part.

Evidence: the log has item_held for all items and no prompt_part_tried; now item_held says when an item may try. TestItemsWaitForARequestToTryTheirPart fails before in all five variants (no item runs). TestEachItemTriesAQuarantinedPart: 40 items that all crash end five upstreams, three sends are late (three are allowed).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -25,7 +25,7 @@
 	ctx, span := telemetry.Tracer().Start(ctx, "upstream")
 	defer span.End()
 	r.attemptAt, r.status, r.eventStream = time.Now(), 0, false
-	r.answeringSince, r.isAnswerSound = time.Time{}, false
+	r.answering = AnswerWatch{}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	newConnection := r.needsNewConnection(slot)
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -62,6 +62,7 @@
 	started   time.Time             // zero for an item of a job
 	request   *quarantine.BrokenRun // that a crash counts against; nil for an item of a job
 	item      string                // id, unless request is set
+	trial     *quarantine.BrokenRun // of an item that tries a quarantined part; a crash counts against its parts
 	answering bool                  // the upstream had sent an event
 	ended     bool                  // the response has ended with the connection, and may be whole
 	succeeded bool                  // ended, and its status is a success
@@ -86,7 +87,7 @@
 func (r *request) brokenRun(wasAlive bool) RunBreak {
 	return RunBreak{
 		Fingerprint: r.fingerprint(), Started: r.attemptAt, WasAlive: wasAlive,
-		Team: r.team.Name, PromptParts: r.PromptParts, Answering: !r.answeringSince.IsZero(), Sound: r.isAnswerSound,
+		Team: r.team.Name, PromptParts: r.PromptParts, Answering: r.answering.HasBegun(), Sound: r.answering.IsSound(),
 	}
 }
 
@@ -194,9 +195,22 @@
 }
 
 // ReportBrokenItemRun is ReportBrokenRun for an item of a job. No crash counts against
-// an item: it is owed until the job's deadline.
-func (s *Slot) ReportBrokenItemRun(ctx context.Context, item string) BreakCause {
-	return s.findBreakCause(ctx, brokenRun{item: item})
+// an item: it is owed until the job's deadline. If the run tries a quarantined part of the
+// prompt, trial describes it, and a crash counts against the parts.
+func (s *Slot) ReportBrokenItemRun(ctx context.Context, item string, trial *RunBreak) BreakCause {
+	run := brokenRun{item: item}
+	if trial != nil {
+		broken := s.brokenRun(*trial)
+		run.trial, run.answering = &broken, trial.Answering
+	}
+	return s.findBreakCause(ctx, run)
+}
+
+// ReportUndelimitedItemEnd is ReportUndelimitedEnd for an item that tries quarantined parts of
+// its prompt. What turns out counts for the parts alone.
+func (s *Slot) ReportUndelimitedItemEnd(item string, trial RunBreak) {
+	broken := s.brokenRun(trial)
+	s.checkBreak(brokenRun{item: item, trial: &broken, answering: trial.Answering, ended: true, succeeded: true})
 }
 
 // ReportUndelimitedEnd finds out whether the upstream ended together with a response that
@@ -237,7 +251,7 @@
 func (r brokenRun) logFields() logrus.Fields {
 	fields := logrus.Fields{"upstream": r.upstream.ID}
 	if r.request == nil {
-		fields["id"] = r.item
+		fields["id"], fields["part_trial"] = r.item, r.trial != nil
 		return fields
 	}
 	fields["fingerprint"] = r.request.Fingerprint
@@ -298,6 +312,7 @@
 	line.Info("checked an upstream after the connection of a run broke")
 	switch {
 	case run.request == nil:
+		c.concludeItemBreak(run, cause)
 	case cause == UpstreamEnded:
 		c.countCrash(*run.request)
 	case cause == UpstreamAlive && run.ended:
@@ -309,6 +324,20 @@
 	run.cause <- cause
 }
 
+// concludeItemBreak counts a crash under an item that tries quarantined parts, or the end of its
+// answer.
+func (c *Core) concludeItemBreak(run brokenRun, cause BreakCause) {
+	switch {
+	case run.trial == nil:
+	case cause == UpstreamEnded:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.addPartCrash(*run.trial, time.Now())
+	case cause == UpstreamAlive && run.ended:
+		c.ReportAnswered(run.trial.PromptParts)
+	}
+}
+
 // findCause returns why connections to the upstream broke.
 func (c *Core) findCause(ctx context.Context, u fleet.Upstream) (BreakCause, error) {
 	if cause := c.registeredCause(u); cause != BreakUnknown {
--- a/internal/entry/promptparts.go
+++ b/internal/entry/promptparts.go
@@ -20,15 +20,22 @@
 	soundAnswerTime = 250 * time.Millisecond // from the first event, after which the upstream would have ended
 	partTrialGap    = 250 * time.Millisecond // between the times from which hosts may try a quarantined part
 	maxPartTrialGap = 4 * time.Second        // between those of the first and the last host
-	partTrialTime   = 3 * time.Second        // in which a trial shows its end
+	partTrialTime   = 3 * time.Second        // in which a request that tries a part shows its end
 	minPartRetry    = time.Second            // Retry-After of a request whose part is due to be tried
 )
 
-// partTrial is a request that this host runs though a part of its prompt is quarantined.
+// partTrial is a request, or an item of a job, that this host runs though a part of its prompt
+// is quarantined.
 type partTrial struct {
-	holder    *request
+	holder    *request  // nil if an item holds it
+	item      ItemKey   // zero if a request holds it
 	lastCrash time.Time // of the part, when the trial began
-	began     time.Time
+	since     time.Time // begin of a request's trial, or end of an item's run; zero while an item runs
+}
+
+// isOver reports whether another request or item may try the part.
+func (t partTrial) isOver(now time.Time) bool {
+	return !t.since.IsZero() && now.Sub(t.since) >= partTrialTime
 }
 
 // checkPromptParts returns an error if a part of the prompt is quarantined, unless the request
@@ -115,11 +122,11 @@
 		return false
 	}
 	t, ongoing := c.partTrials[part]
-	if ongoing && t.lastCrash.Equal(v.LastCrash) && t.holder != r && now.Sub(t.began) < partTrialTime {
+	if ongoing && t.lastCrash.Equal(v.LastCrash) && t.holder != r && !t.isOver(now) {
 		return false
 	}
 	if !ongoing || t.holder != r {
-		c.partTrials[part] = partTrial{holder: r, lastCrash: v.LastCrash, began: now}
+		c.partTrials[part] = partTrial{holder: r, lastCrash: v.LastCrash, since: now}
 		c.log.WithFields(logrus.Fields{"event": "prompt_part_tried", "part": part, "id": r.ID, "crashes": v.Crashes, "age_ms": now.Sub(v.LastCrash).Milliseconds()}).
 			Info("a request with a quarantined part of a prompt runs, to find out whether upstreams still end")
 	}
@@ -129,6 +136,13 @@
 // partTrialDelay returns how much later than the first host this one may try the part. The
 // caller must hold mu.
 func (c *Core) partTrialDelay(part string) time.Duration {
+	rank, hosts := c.partTrialRank(part, func(*peerRecord) bool { return true })
+	return time.Duration(rank) * min(partTrialGap, maxPartTrialGap/time.Duration(hosts))
+}
+
+// partTrialRank returns this host's place, from 0 on, in the order in which hosts try the part,
+// and the number of hosts: this one and the active peers that take part. The caller must hold mu.
+func (c *Core) partTrialRank(part string, takesPart func(*peerRecord) bool) (rank, hosts int) {
 	type place struct {
 		hash uint64
 		name string
@@ -138,9 +152,10 @@
 		_, _ = hash.Write([]byte(part + "\x00" + host)) // a hash never fails
 		return place{hash.Sum64(), host}
 	}
-	own, rank, hosts := placeOf(c.self.Name), 0, 1
+	own := placeOf(c.self.Name)
+	hosts = 1
 	for name, p := range c.peers {
-		if p.unresponsive || p.state.Leaving {
+		if p.unresponsive || p.state.Leaving || !takesPart(p) {
 			continue
 		}
 		hosts++
@@ -148,7 +163,7 @@
 			rank++
 		}
 	}
-	return time.Duration(rank) * min(partTrialGap, maxPartTrialGap/time.Duration(hosts))
+	return rank, hosts
 }
 
 // addPartCrash counts the end of the run's upstream against the parts of its prompt and tells
@@ -212,7 +227,7 @@
 // end. The caller must hold mu.
 func (c *Core) reviewParts(now time.Time) {
 	c.partCrashes.Expire(now)
-	maps.DeleteFunc(c.partTrials, func(_ string, t partTrial) bool { return now.Sub(t.began) > partTrialTime })
+	maps.DeleteFunc(c.partTrials, func(_ string, t partTrial) bool { return t.isOver(now) })
 	c.logPartVerdicts(slices.Collect(maps.Keys(c.loggedParts)), "review", now)
 }
 
@@ -257,17 +272,35 @@
 	c.mergePartCrashes("store", crashes)
 }
 
-// observeEvents records that events of the response have arrived. An upstream that goes on
-// for soundAnswerTime after the first isn't crashed by the prompt.
-func (h *Handler) observeEvents(r *request, events []eventstream.Event) {
-	if r.isAnswerSound || !slices.ContainsFunc(events, func(e eventstream.Event) bool { return e.Data != nil }) {
-		return
+// AnswerWatch tells whether an upstream goes on with an answer that it has begun. The zero value
+// is that of a run without an event.
+type AnswerWatch struct {
+	since time.Time // first event with data; zero before it
+	sound bool      // the upstream went on for soundAnswerTime after it, or has sent the whole answer
+}
+
+// Observe records that events of the answer have arrived. It reports whether they show that the
+// prompt doesn't crash the upstream, and no earlier ones did: it has gone on for soundAnswerTime.
+func (a *AnswerWatch) Observe(events []eventstream.Event, now time.Time) bool {
+	if a.sound || !slices.ContainsFunc(events, func(e eventstream.Event) bool { return e.Data != nil }) {
+		return false
 	}
-	if r.answeringSince.IsZero() {
-		r.answeringSince = time.Now()
+	if a.since.IsZero() {
+		a.since = now
 	}
-	if time.Since(r.answeringSince) >= soundAnswerTime {
-		r.isAnswerSound = true
+	a.sound = now.Sub(a.since) >= soundAnswerTime
+	return a.sound
+}
+
+// HasBegun reports whether an event with data has arrived.
+func (a *AnswerWatch) HasBegun() bool { return !a.since.IsZero() }
+
+// IsSound reports whether the prompt doesn't crash the upstream, according to the answer so far.
+func (a *AnswerWatch) IsSound() bool { return a.sound }
+
+// observeEvents records that events of the response have arrived.
+func (h *Handler) observeEvents(r *request, events []eventstream.Event) {
+	if r.answering.Observe(events, time.Now()) {
 		h.core.ReportAnswered(r.PromptParts)
 	}
 }
@@ -280,8 +313,8 @@
 		r.reportUndelimited(slot, succeeded)
 		return
 	}
-	if succeeded && !r.isAnswerSound {
-		r.isAnswerSound = true
+	if succeeded && !r.answering.sound {
+		r.answering.sound = true
 		h.core.ReportAnswered(r.PromptParts)
 	}
 	if h.core.TracksCompletion(len(r.Body)) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -127,8 +127,7 @@
 	status         int             // of the response to the last attempt; zero if there was none
 	eventStream    bool            // whether that response was an event stream
 	attemptAt      time.Time       // start of the last attempt
-	answeringSince time.Time       // first event of the last attempt; zero before it
-	isAnswerSound  bool            // the upstream went on for soundAnswerTime after it, or has sent the whole answer
+	answering      AnswerWatch     // of the last attempt
 	hasSuspectPart bool            // crashes count against a part of the prompt
 	isPartTrial    bool            // it runs though a part of its prompt is quarantined
 	suspicion      quarantine.Level
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -84,14 +84,41 @@
 	lastID   string
 }
 
+// partEvidence is what a run of an item shows of the parts of its prompt.
+type partEvidence struct {
+	answer entry.AnswerWatch
+	trial  *entry.RunBreak // describes the run in case it breaks; nil unless it tries quarantined parts
+}
+
+// newPartEvidence returns the evidence of a run of the item that begins now. The caller holds
+// Runner.mu.
+func newPartEvidence(i *item) partEvidence {
+	if !i.triesParts {
+		return partEvidence{}
+	}
+	return partEvidence{trial: &entry.RunBreak{
+		Fingerprint: i.fingerprint(), Started: time.Now(), WasAlive: true, // a trial has a connection of its own
+		Team: i.job.record.Team, PromptParts: i.PromptParts,
+	}}
+}
+
+// brokenRun returns the description of a run that broke now, or nil if it tried no parts.
+func (e *partEvidence) brokenRun() *entry.RunBreak {
+	if e.trial != nil {
+		e.trial.Answering, e.trial.Sound = e.answer.HasBegun(), e.answer.IsSound()
+	}
+	return e.trial
+}
+
 // runItem runs the item once in the slot and records the outcome.
 func (r *Runner) runItem(ctx context.Context, i *item, route *fleet.Route, slot *entry.Slot) {
 	r.mu.Lock()
 	p := progress{output: i.output, events: i.events, lastID: i.lastID}
 	idleTimeout := i.idleTimeout()
+	evidence := newPartEvidence(i)
 	r.mu.Unlock()
 	started := time.Now()
-	outcome, err := r.streamItem(ctx, i, slot, idleTimeout, &p)
+	outcome, err := r.streamItem(ctx, i, slot, idleTimeout, &p, &evidence)
 	if ctx.Err() != nil && outcome != runDone {
 		outcome = runPreempted
 	}
@@ -100,11 +127,12 @@
 	took := time.Since(started)
 	cause := entry.BreakUnknown
 	if outcome == runTruncated {
-		cause = slot.ReportBrokenItemRun(ctx, i.ID)
+		cause = slot.ReportBrokenItemRun(ctx, i.ID, evidence.brokenRun())
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	i.cancelRun, i.slot = nil, nil
+	r.endTrial(i, outcome != runTruncated || cause != entry.BreakUnknown)
 	if i.state != itemRunning {
 		return // cancelled, or finished by another host
 	}
@@ -234,14 +262,14 @@
 
 // streamItem sends the item to the upstream and reads the response's events into
 // p.
-func (r *Runner) streamItem(ctx context.Context, i *item, slot *entry.Slot, idleTimeout time.Duration, p *progress) (runOutcome, error) {
+func (r *Runner) streamItem(ctx context.Context, i *item, slot *entry.Slot, idleTimeout time.Duration, p *progress, evidence *partEvidence) (runOutcome, error) {
 	header := http.Header{}
 	for name, value := range i.Header {
 		header.Set(name, value)
 	}
 	response, err := r.upstreams.Do(ctx, entry.Call{
 		Upstream: slot.Upstream, ID: i.ID, Method: http.MethodPost, Target: i.Path, Host: i.job.record.Host, Team: i.job.record.Team,
-		Header: header, Body: i.Body, TimeLeft: r.remainingTime(i), ResumeAfter: p.lastID, IdleTimeout: idleTimeout,
+		Header: header, Body: i.Body, TimeLeft: r.remainingTime(i), ResumeAfter: p.lastID, IdleTimeout: idleTimeout, NewConnection: evidence.trial != nil,
 	})
 	if err != nil {
 		return sendOutcome(ctx, slot, err), err
@@ -268,13 +296,29 @@
 		return runUnexpected, errors.New("upstream responded without an event stream")
 	}
 	slot.ReportSuccess()
-	outcome, err := readEvents(response, p, maxEvents(i.Tokens))
-	if outcome == runDone && response.Delimited {
-		r.core.ReportAnswered(i.PromptParts)
+	outcome, err := readEvents(response, p, maxEvents(i.Tokens), func(events []eventstream.Event) {
+		if evidence.answer.Observe(events, time.Now()) {
+			r.core.ReportAnswered(i.PromptParts)
+		}
+	})
+	if outcome == runDone {
+		r.reportEndOfRun(i, slot, response, evidence)
 	}
 	return outcome, err
 }
 
+// reportEndOfRun reports what the end of an answer that seems complete shows of the parts of the
+// prompt. One that isn't delimited may have ended with its upstream.
+func (r *Runner) reportEndOfRun(i *item, slot *entry.Slot, response *entry.Response, evidence *partEvidence) {
+	switch {
+	case evidence.answer.IsSound():
+	case response.Delimited:
+		r.core.ReportAnswered(i.PromptParts)
+	case evidence.trial != nil:
+		slot.ReportUndelimitedItemEnd(i.ID, *evidence.brokenRun())
+	}
+}
+
 // refusesResume reports whether the status says that the id of the last event, or the state
 // that it refers to, is unusable. Any other status may have a cause at the upstream.
 func refusesResume(status int) bool {
@@ -328,10 +372,10 @@
 
 // readEvents appends the events of the response to p until the stream ends. Afterwards p is
 // empty if the item must start again, because its output exceeds a limit or no run can go on
-// after its last event.
-func readEvents(response *entry.Response, p *progress, maxEvents int64) (runOutcome, error) {
+// after its last event. The function observe is called with the events as they arrive.
+func readEvents(response *entry.Response, p *progress, maxEvents int64, observe func([]eventstream.Event)) (runOutcome, error) {
 	sequence := eventstream.NewResumableSequence(p.lastID)
-	outcome, err := appendEvents(response.Body, &sequence, p, maxEvents)
+	outcome, err := appendEvents(response.Body, &sequence, p, maxEvents, observe)
 	if outcome == runDone {
 		outcome, err = endOutcome(response, sequence.RunLen(), p)
 	}
@@ -354,7 +398,7 @@
 }
 
 // appendEvents appends events to p until the stream ends.
-func appendEvents(body io.Reader, sequence *eventstream.Sequence, p *progress, maxEvents int64) (runOutcome, error) {
+func appendEvents(body io.Reader, sequence *eventstream.Sequence, p *progress, maxEvents int64, observe func([]eventstream.Event)) (runOutcome, error) {
 	events := eventstream.NewReader(body)
 	for {
 		batch, err := events.Next()
@@ -368,6 +412,7 @@
 		case err != nil:
 			return runTruncated, err
 		}
+		observe(batch)
 		for _, e := range batch {
 			if err := sequence.Add(e); err != nil {
 				return runMalformed, err
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -15,6 +15,7 @@
 
 	"github.com/masticscale/masticscale/internal/entry"
 	"github.com/masticscale/masticscale/internal/fleet"
+	"github.com/masticscale/masticscale/internal/mesh"
 	"github.com/masticscale/masticscale/internal/quarantine"
 )
 
@@ -152,6 +153,7 @@
 	deferred    bool        // by the last plan; runs after the items that can be in time
 	contested   bool        // the last plan has deferred items of the item's team
 	held        bool        // its wait for a quarantined part of its prompt was logged
+	triesParts  bool        // its run tries quarantined parts of its prompt again
 	slot        *entry.Slot // nil while the item isn't running
 	preemptible bool        // the run was made preemptible, since the item is deferred
 	yielding    bool        // the run was stopped for an item that can be in time
@@ -159,6 +161,8 @@
 	content *quarantine.Fingerprint // nil until it is needed
 }
 
+func (i *item) key() entry.ItemKey { return entry.ItemKey{Job: i.job.id, Item: i.ID} }
+
 // fingerprint returns the fingerprint of the item's content, by which operators find its
 // runs in logs.
 func (i *item) fingerprint() quarantine.Fingerprint {
@@ -209,6 +213,10 @@
 	return j
 }
 
+func (j *job) backlog() mesh.Backlog {
+	return mesh.Backlog{Route: j.record.Route, Team: j.record.Team}
+}
+
 // isDone reports whether every item has a stored result.
 func (j *job) isDone() bool { return len(j.results) >= j.record.Total }
 
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -192,8 +192,11 @@
 		return true
 	}
 	if r.core.RefusesPromptParts(i.PromptParts, i.job.record.Team) {
-		r.holdItem(i, now)
-		return true
+		if !r.core.BeginItemTrial(i.key(), i.PromptParts, i.job.backlog()) {
+			r.holdItem(i, now)
+			return true
+		}
+		i.triesParts = true
 	}
 	runCtx, cancel := context.WithDeadline(ctx, i.job.deadline)
 	urgency, due := r.stats.urgency(i, now), i.job.due
@@ -203,6 +206,7 @@
 	slot, ok := r.core.AcquireBatch(entry.BatchSlotRequest{Service: service, Due: due, Urgency: urgency, Avoid: i.failedAt, Pause: cancel})
 	if !ok {
 		cancel()
+		r.endTrial(i, true)
 		return false
 	}
 	i.state, i.held = itemRunning, false
@@ -238,10 +242,19 @@
 		return
 	}
 	i.held = true
-	r.log.WithFields(logrus.Fields{"event": "item_held", "job": i.job.id, "id": i.ID, "prompt_parts": strings.Join(i.PromptParts, ",")}).
+	r.log.WithFields(logrus.Fields{"event": "item_held", "job": i.job.id, "id": i.ID, "prompt_parts": strings.Join(i.PromptParts, ","), "trial_in": r.core.ItemHold(i.PromptParts, i.job.record.Team)}).
 		Warn("an item waits because a part of its prompt is quarantined")
 }
 
+// endTrial ends the item's trial of quarantined parts of its prompt, if it has begun one. The
+// argument decided tells whether it is known why the run ended. The caller holds mu.
+func (r *Runner) endTrial(i *item, decided bool) {
+	if i.triesParts {
+		i.triesParts = false
+		r.core.EndItemTrial(i.key(), i.PromptParts, decided)
+	}
+}
+
 // giveUpItem finishes an item as failed. The caller holds mu.
 func (r *Runner) giveUpItem(i *item, reason string) {
 	r.log.WithFields(logrus.Fields{"event": "item_given_up", "job": i.job.id, "id": i.ID, "failures": i.failures, "why": reason}).Info("item given up")
@@ -270,7 +283,7 @@
 	waiting := map[mesh.Backlog]int64{}
 	for _, j := range r.jobs {
 		if tokens := j.waitingTokens(); tokens > 0 {
-			waiting[mesh.Backlog{Route: j.record.Route, Team: j.record.Team}] += tokens
+			waiting[j.backlog()] += tokens
 		}
 	}
 	r.core.SetWaitingTokens(waiting)
--- a/internal/quarantine/partverdict.go
+++ b/internal/quarantine/partverdict.go
@@ -25,19 +25,27 @@
 
 // After maxUntolerated crashes later than toleranceTime from crash number toleratedPartCrashes
 // no request with the part is tried again: three may reach upstreams, and two hosts may begin a
-// trial before they hear of each other's.
+// trial before they hear of each other's. Items of jobs, which hosts try one after the other, are
+// tried up to maxUntoleratedItems.
 const (
 	toleratedPartCrashes = 5
 	toleranceTime        = 3 * time.Second
 	maxUntolerated       = 2
+	maxUntoleratedItems  = 3
 )
 
+// itemTrialDelay is the time from the last crash of a quarantined part to the run of an item with
+// it, if no request is tried meanwhile. Items wait for it whatever trials have failed, so that it
+// bounds their wait for a sound part.
+const itemTrialDelay = 6 * time.Second
+
 // PartVerdict is why requests with a part of a prompt aren't run.
 type PartVerdict struct {
-	Crashes   int
-	LastCrash time.Time
-	NextTrial time.Time // from which one request with the part may run; zero if none may
-	teams     []string  // to whose requests it applies; empty for all
+	Crashes       int
+	LastCrash     time.Time
+	NextTrial     time.Time // from which one request with the part may run; zero if none may
+	NextItemTrial time.Time // from which one item of a job with the part may run; zero if none may
+	teams         []string  // to whose requests it applies; empty for all
 }
 
 // AppliesTo reports whether the verdict applies to requests of the team. If each crash may be
@@ -221,9 +229,13 @@
 	if wasAnswered(crashes) {
 		delays = answeredPartTrialDelays
 	}
-	if failed := failedPartTrials(crashes, delays); failed < len(delays) && countUntolerated(crashes) < maxUntolerated {
+	untolerated := countUntolerated(crashes)
+	if failed := failedPartTrials(crashes, delays); failed < len(delays) && untolerated < maxUntolerated {
 		v.NextTrial = v.LastCrash.Add(delays[failed])
 	}
+	if untolerated < maxUntoleratedItems {
+		v.NextItemTrial = v.LastCrash.Add(itemTrialDelay)
+	}
 	return v
 }
 
