Jobs of lost hosts wait until most of the registered hosts are live

What callers saw: half of the hosts are removed. The other side of it: a host that is cut off from its peers alone, and runs its jobs on, loses them to the others after 7 s; the items that ran begin anew.

Cause: a host took over jobs only while it heard more than half of the registered hosts. Lost hosts stay registered until their entries are deleted after 20 s of silence. How many hosts are heard doesn't tell a lost host from one behind a cut, in either direction.

Fix: the store tells. Before a host takes over jobs it stores a challenge to their owner. An owner with unfinished jobs reads the states of all jobs each second while it doesn't hear a peer, and deletes the challenges there. Jobs of an owner that hasn't answered within 3 s, by 7 s after its last heartbeat, are claimed by conditional writes as before. Each owner has a check of its own, and a loop that doesn't wait for claims. A search that fails is repeated after 0.5 s and not after 12 s. A host that answers isn't pruned.

Evidence: TestJobsOfManyLostHostsWait fails before for four and seven of eight hosts lost at once, and six in steps (not run within 18 s). TestHostCutOffFromItsPeersRunsItemsTwice: 144 events made twice before where one of six hosts is cut off, none now; none before and now for two halves and for hosts that are all cut off from each other, which without the majority alone would take jobs from each other.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -305,33 +305,54 @@
 	return false
 }
 
-// TimeSinceHeartbeat returns the time since the peer's last heartbeat, or neverSeenAge
-// if there was none since this host's start.
-func (c *Core) TimeSinceHeartbeat(host string, now time.Time) time.Duration {
+// signOfLifeTTL is the time for which signs of life are remembered.
+const signOfLifeTTL = time.Minute
+
+// SilentHosts returns the unresponsive peers, with the time since which this host doesn't hear
+// each of them.
+func (c *Core) SilentHosts() map[string]time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p, known := c.peers[host]
-	if !known {
-		return neverSeenAge
+	silent := map[string]time.Time{}
+	for name, p := range c.peers {
+		if p.unresponsive {
+			silent[name] = p.lastHeartbeat
+		}
 	}
-	return now.Sub(p.lastHeartbeat)
+	return silent
 }
 
-// neverSeenAge exceeds every limit to which callers compare TimeSinceHeartbeat.
-const neverSeenAge = time.Hour
-
-// UnresponsivePeers returns the unresponsive peers and the time since each one's last
-// heartbeat.
-func (c *Core) UnresponsivePeers(now time.Time) map[string]time.Duration {
+// IsResponsibleFor reports whether this host carries out the duties of a host that it hasn't
+// heard: whether it is the rendezvous host among itself and the active peers.
+func (c *Core) IsResponsibleFor(host string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unresponsive := map[string]time.Duration{}
+	candidates := []string{c.self.Name}
 	for name, p := range c.peers {
-		if p.unresponsive {
-			unresponsive[name] = now.Sub(p.lastHeartbeat)
+		if !p.unresponsive && !p.state.Leaving {
+			candidates = append(candidates, name)
 		}
 	}
-	return unresponsive
+	return RendezvousHost(host, candidates) == c.self.Name
+}
+
+// ReportSignOfLife records that a host that this one doesn't hear has answered through the store.
+func (c *Core) ReportSignOfLife(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.signsOfLife[host] = time.Now()
+	maps.DeleteFunc(c.signsOfLife, func(_ string, at time.Time) bool { return time.Since(at) > signOfLifeTTL })
+}
+
+// IsGone reports whether there was no heartbeat and no other sign of life of the host for the
+// given time, signOfLifeTTL at most.
+func (c *Core) IsGone(host string, now time.Time, after time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, known := c.peers[host]; known && now.Sub(p.lastHeartbeat) <= after {
+		return false
+	}
+	return now.Sub(c.signsOfLife[host]) > after
 }
 
 // visibleFraction returns the fraction of the fleet's hosts that are live to this
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -46,7 +46,7 @@
 func (r *Runner) listClaimable(ctx context.Context, match func(id string, rec record, s state) bool) ([]claimable, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	states, err := r.listStates(ctx)
+	states, _, err := r.listStates(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -73,21 +73,30 @@
 	return found, nil
 }
 
-func (r *Runner) listStates(ctx context.Context) (map[string]state, error) {
+// listStates reads the states of all jobs, by id, and the challenges to hosts.
+func (r *Runner) listStates(ctx context.Context) (map[string]state, []storedChallenge, error) {
 	objects, _, err := r.store.List(ctx, KindState, "")
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	states := map[string]state{}
+	var challenges []storedChallenge
 	for _, o := range objects {
-		var s state
+		var s struct {
+			state
+			challenge
+		}
 		if err := o.Decode(&s); err != nil {
 			r.log.WithFields(logrus.Fields{"event": "job_state_unreadable", "job": o.Name, "error": err}).Warn("skipping a stored job state that can't be decoded")
 			continue
 		}
-		states[o.Name] = s
+		if s.challenge.Owner != "" {
+			challenges = append(challenges, storedChallenge{s.challenge, o.Name, o.Version})
+			continue
+		}
+		states[o.Name] = s.state
 	}
-	return states, nil
+	return states, challenges, nil
 }
 
 func (r *Runner) runsJob(id string) bool {
--- a/internal/jobs/engine_test.go
+++ b/internal/jobs/engine_test.go
@@ -22,6 +22,7 @@
 type engine struct {
 	mu      sync.Mutex
 	starts  map[string][]time.Time // of the runs by item
+	made    map[string]int         // events by item
 	status  map[string]int         // response status by item
 	breaks  map[string]breakPlan   // by item
 	down    map[string]bool        // upstreams that have crashed
@@ -61,7 +62,7 @@
 
 func newEngine() *engine {
 	return &engine{
-		starts: map[string][]time.Time{}, status: map[string]int{}, breaks: map[string]breakPlan{}, down: map[string]bool{},
+		starts: map[string][]time.Time{}, made: map[string]int{}, status: map[string]int{}, breaks: map[string]breakPlan{}, down: map[string]bool{},
 		endless: map[string]bool{}, padding: map[string]string{}, onCrash: func(string) {},
 	}
 }
@@ -156,6 +157,7 @@
 		if s.endless {
 			return copy(p, ":\n\n"), nil
 		}
+		s.engine.countEvent(s.id)
 		s.unread = fmt.Sprintf("data: %s/%d%s\n\n", s.id, s.next, s.padding)
 		if !s.engine.unnumbered || s.next <= s.engine.numbered {
 			s.unread = fmt.Sprintf("id: %d\n", s.next) + s.unread
@@ -223,6 +225,19 @@
 	return starts[len(starts)-1]
 }
 
+func (e *engine) countEvent(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.made[id]++
+}
+
+// eventsOf returns how many events of the item were made.
+func (e *engine) eventsOf(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.made[id]
+}
+
 func (e *engine) runsOf(id string) int { return len(e.startsOf(id)) }
 
 func outputOf(id string) string {
--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -55,6 +55,7 @@
 	cluster     *cluster
 	cancel      context.CancelFunc
 	partitioned bool // from all other hosts, but not from the store
+	side        int  // of a cut between hosts; hosts of different sides don't reach each other
 	killed      bool
 	adoptTime   time.Duration // that calls of Adopt from the host take
 	hung        bool          // calls to the host are carried out, but their responses don't arrive
@@ -162,6 +163,13 @@
 	h.partitioned = partitioned
 }
 
+// setSide puts the host on a side of a cut between hosts.
+func (h *host) setSide(side int) {
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	h.side = side
+}
+
 func (w *cluster) stop() {
 	for _, h := range w.hosts {
 		h.cancel()
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,7 +13,7 @@
 )
 
 const (
-	takeoverDelay       = 7 * time.Second          // since the last heartbeat; most killed or partitioned hosts return sooner and resume their jobs
+	takeoverDelay       = 7 * time.Second          // since the last heartbeat; most killed hosts return sooner and resume their jobs
 	sweepKey            = "jobs that no host runs" // rendezvous key of the host that claims orphaned jobs
 	announceGracePeriod = 8 * time.Second          // a host announces a new job within a second, and verifies an unverified one within a few seconds
 	sweepPeriod         = 12 * time.Second         // between searches for orphaned jobs
@@ -20,8 +21,8 @@
 	storeTimeout        = 4 * time.Second          // of a read or a claim
 	listTimeout         = 30 * time.Second         // of a list of all jobs or states, whose pages have time limits of their own
 	maxConcurrentClaims = 4
-	startRetryDelay     = 500 * time.Millisecond // first delay until own jobs are claimed again at startup
-	maxStartRetry       = 3 * time.Second
+	firstRetryDelay     = 500 * time.Millisecond  // after claims that failed
+	maxStartRetry       = 3 * time.Second         // between claims of own jobs at startup
 	stopWriteTimeout    = time.Second             // of the pending results when the host stops
 	handOverTimeout     = time.Second             // of one try to transfer the jobs to other hosts
 	handOverPeriod      = time.Second             // between the tries of a host that stops
@@ -30,13 +31,13 @@
 )
 
 // takeoverLoop claims the jobs that earlier incarnations of this host owned, and orphaned
-// jobs. Claims may take long, so that ownershipLoop doesn't wait for them.
+// jobs. Claims may take long, so that ownershipLoop and challengeLoop don't wait for them.
 func (r *Runner) takeoverLoop(ctx context.Context) {
 	ticker := time.NewTicker(ownershipPeriod)
 	defer ticker.Stop()
 	var resumed resumption
-	lastSweep, lastHandOver := time.Now(), time.Now()
-	handled := map[string]bool{} // unresponsive hosts whose takeover was decided
+	search := orphanSearch{last: time.Now()}
+	lastHandOver := time.Now()
 	for ctx.Err() == nil {
 		r.resumeOwnJobs(ctx, &resumed)
 		select {
@@ -51,16 +52,34 @@
 			}
 			continue
 		}
-		if !r.core.SeesMajority() {
-			continue
-		}
-		if r.shouldTakeOver(r.unresponsive(), handled) || time.Since(lastSweep) > sweepPeriod && r.core.IsRendezvousHost(sweepKey) {
-			lastSweep = time.Now()
-			r.claimOrphans(ctx)
-		}
+		r.searchOrphans(ctx, &search)
 	}
 }
 
+// orphanSearch is the repeated search for orphaned jobs.
+type orphanSearch struct {
+	last  time.Time // begin of the latest one
+	retry backoff   // after a search that failed
+}
+
+// searchOrphans searches for orphaned jobs if owners have turned out to be gone, or if the regular
+// search is due.
+func (r *Runner) searchOrphans(ctx context.Context, s *orphanSearch) {
+	gone := r.owners.unclaimed()
+	isSweep := time.Since(s.last) > sweepPeriod && r.core.IsRendezvousHost(sweepKey)
+	if len(gone) == 0 && !isSweep || time.Now().Before(s.retry.next) {
+		return
+	}
+	s.last = time.Now()
+	if err := r.claimOrphans(ctx); err != nil {
+		s.retry.failed(sweepPeriod)
+		r.log.WithFields(logrus.Fields{"event": "sweep_failed", "gone": strings.Join(gone, ","), "error": err}).Info("the search for orphaned jobs failed, or some can't be claimed")
+		return
+	}
+	s.retry = backoff{}
+	r.owners.setClaimed(gone)
+}
+
 // ownershipLoop verifies the ownership of this host's jobs, and releases jobs that
 // another host has taken over.
 func (r *Runner) ownershipLoop(ctx context.Context) {
@@ -84,7 +103,7 @@
 		if suspended || requested {
 			r.verifyOwnership(ctx)
 		}
-		uncertain := len(r.unresponsive()) > 0 || !r.core.SeesMajority() || r.hasUnverified()
+		uncertain := len(r.core.SilentHosts()) > 0 || !r.core.SeesMajority() || r.hasUnverified()
 		if uncertain && time.Since(lastVerify) > verifyPeriod {
 			lastVerify = time.Now()
 			r.verifyOwnership(ctx)
@@ -96,42 +115,30 @@
 // doesn't advance while the machine is suspended.
 func wallClock() time.Time { return time.Now().Round(0) }
 
-// unresponsive returns the unresponsive peers with the time since their last
-// heartbeat.
-func (r *Runner) unresponsive() map[string]time.Duration { return r.core.UnresponsivePeers(time.Now()) }
-
-// shouldTakeOver reports whether this host must claim the jobs of a host that has
-// been unresponsive for takeoverDelay.
-func (r *Runner) shouldTakeOver(unresponsive map[string]time.Duration, handled map[string]bool) bool {
-	for host := range handled {
-		if _, still := unresponsive[host]; !still {
-			delete(handled, host)
-		}
-	}
-	responsible := false
-	for host, elapsed := range unresponsive {
-		if elapsed < takeoverDelay || handled[host] {
-			continue
-		}
-		handled[host] = true
-		responsible = responsible || r.core.IsRendezvousHost(host)
-	}
-	return responsible
-}
-
 // resumption is the repeated claim of the jobs that earlier incarnations of this host
 // owned. One of them that can't be claimed must not hold up the others, nor the
 // verification of ownership.
 type resumption struct {
 	done  bool
+	retry backoff
+}
+
+// backoff spaces the tries of what fails, exponentially.
+type backoff struct {
 	next  time.Time // of the next try
 	delay time.Duration
 }
 
+// failed delays the next try, by the given time at most.
+func (b *backoff) failed(longest time.Duration) {
+	b.delay = min(max(2*b.delay, firstRetryDelay), longest)
+	b.next = time.Now().Add(b.delay)
+}
+
 // resumeOwnJobs claims the jobs that earlier incarnations of this host owned, if a try is
 // due. After a failure the next try follows with exponential backoff.
 func (r *Runner) resumeOwnJobs(ctx context.Context, s *resumption) {
-	if s.done || r.isStopping() || time.Now().Before(s.next) {
+	if s.done || r.isStopping() || time.Now().Before(s.retry.next) {
 		return
 	}
 	err := r.claimMatching(ctx, func(_ string, _ record, st state) bool { return st.Owner == r.self })
@@ -139,28 +146,32 @@
 		s.done = true
 		return
 	}
-	s.delay = min(max(2*s.delay, startRetryDelay), maxStartRetry)
-	s.next = time.Now().Add(s.delay)
+	s.retry.failed(maxStartRetry)
 	r.log.WithFields(logrus.Fields{"event": "jobs_not_read", "error": err}).Warn("own jobs can't all be claimed; retrying")
 }
 
-// claimOrphans claims the jobs of unresponsive hosts, and jobs that their owner
-// doesn't announce: the owner may never have learned that its create succeeded.
-func (r *Runner) claimOrphans(ctx context.Context) {
+// claimOrphans claims the jobs of hosts that are gone, and jobs that their owner doesn't
+// announce: the owner may never have learned that its create succeeded. It has the owners
+// checked that aren't live.
+func (r *Runner) claimOrphans(ctx context.Context) error {
 	live := r.core.Peers()
 	now := time.Now()
-	err := r.claimMatching(ctx, func(id string, rec record, s state) bool {
+	return r.claimMatching(ctx, func(id string, rec record, s state) bool {
+		submitted := time.UnixMilli(rec.SubmittedMS)
 		if s.Owner == r.self {
 			return true // the claim at startup failed
 		}
 		if owner, ok := live[s.Owner]; ok {
-			return !slices.Contains(owner.Jobs, id) && now.After(time.UnixMilli(rec.SubmittedMS).Add(announceGracePeriod))
+			return !slices.Contains(owner.Jobs, id) && now.After(submitted.Add(announceGracePeriod))
 		}
-		return r.core.TimeSinceHeartbeat(s.Owner, now) > takeoverDelay
+		if r.owners.mayClaim(s.Owner, submitted) {
+			return true
+		}
+		if r.core.IsGone(s.Owner, now, takeoverDelay) {
+			r.owners.request(s.Owner)
+		}
+		return false
 	})
-	if err != nil {
-		r.log.WithFields(logrus.Fields{"event": "sweep_failed", "error": err}).Info("the search for orphaned jobs failed")
-	}
 }
 
 // markAllUnverified stops this host from running, announcing and serving its
@@ -205,11 +216,18 @@
 	if len(marks) == 0 {
 		return
 	}
-	states, err := r.listStates(ctx)
+	states, challenges, err := r.listStates(ctx)
 	if err != nil {
 		r.log.WithFields(logrus.Fields{"event": "jobs_not_verified", "error": err}).Info("the states of this host's jobs can't be read from the store")
 		return
 	}
+	r.reconcileJobs(marks, states)
+	r.answerChallenges(ctx, challenges)
+}
+
+// reconcileJobs applies the stored states to the jobs, with the marks of each before they were
+// read.
+func (r *Runner) reconcileJobs(marks map[*job]int, states map[string]state) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for j, known := range marks {
--- a/internal/jobs/peers_test.go
+++ b/internal/jobs/peers_test.go
@@ -11,7 +11,7 @@
 
 // reaches reports whether the hosts reach each other. The caller holds mu.
 func (h *host) reaches(other *host) bool {
-	return h != other && !h.partitioned && !other.partitioned && !other.killed && !h.killed
+	return h != other && !h.partitioned && !other.partitioned && !other.killed && !h.killed && h.side == other.side
 }
 
 func (h *host) reachable() []*host {
--- a/internal/jobs/retention.go
+++ b/internal/jobs/retention.go
@@ -73,10 +73,13 @@
 func (r *Runner) deleteExpired(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
 	defer cancel()
-	states, err := r.listStates(ctx)
+	states, challenges, err := r.listStates(ctx)
 	if err != nil {
 		return err
 	}
+	if err := r.deleteChallenges(ctx, challenges); err != nil {
+		return err
+	}
 	objects, _, err := r.store.List(ctx, KindJob, "")
 	if err != nil {
 		return err
@@ -98,6 +101,19 @@
 	return nil
 }
 
+// deleteChallenges deletes challenges that nobody waits for any more.
+func (r *Runner) deleteChallenges(ctx context.Context, challenges []storedChallenge) error {
+	for _, c := range challenges {
+		if !r.isExpired(c.StoredMS, time.Now()) {
+			continue
+		}
+		if err := r.store.Delete(ctx, KindState, c.name, c.version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // deleteJob deletes a job's objects. The job object is deleted last, so that the
 // next round finds an interrupted deletion.
 func (r *Runner) deleteJob(ctx context.Context, o objstore.Object) error {
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -57,6 +57,7 @@
 	cancelled map[string]time.Time // time at which this host stored each cancellation
 	stats     runStats
 	plan      planState
+	owners    ownerChecks // of hosts that this one doesn't hear
 	stopping  bool
 	ttl       time.Duration // of a job and its results, counted from submission
 	work      chan struct{} // signals that an item may be waiting
@@ -74,7 +75,7 @@
 func NewRunner(self entry.Identity, core *entry.Core, store Store, upstreams entry.UpstreamClient, metrics *telemetry.Metrics, log logrus.FieldLogger) *Runner {
 	r := &Runner{
 		self: self.Name, incarnation: self.Incarnation, core: core, store: store, upstreams: upstreams, log: log, metrics: metrics,
-		jobs: map[string]*job{}, remote: map[string]*remoteJob{}, adopting: map[string]adoption{}, cancelled: map[string]time.Time{}, stats: newRunStats(), ttl: defaultTTL,
+		jobs: map[string]*job{}, remote: map[string]*remoteJob{}, adopting: map[string]adoption{}, cancelled: map[string]time.Time{}, stats: newRunStats(), owners: ownerChecks{checks: map[string]*ownerCheck{}}, ttl: defaultTTL,
 		work: make(chan struct{}, 1), write: make(chan struct{}, 1), verify: make(chan struct{}, 1), adopt: make(chan struct{}, 1),
 	}
 	r.doneMarks = newDuty(r.markDone)
@@ -113,6 +114,7 @@
 	loops.Go(func() { r.writeLoop(ctx) })
 	loops.Go(func() { r.ownershipLoop(ctx) })
 	loops.Go(func() { r.takeoverLoop(ctx) })
+	loops.Go(func() { r.challengeLoop(ctx) })
 	loops.Go(func() { r.cleanupLoop(ctx) })
 	loops.Go(func() { r.adoptLoop(ctx) })
 	tick := time.NewTicker(rescanPeriod)
--- a/internal/jobs/takeover_test.go
+++ b/internal/jobs/takeover_test.go
@@ -134,7 +134,7 @@
 	runCluster(t, func(c *qt.C, w *cluster) {
 		w.store.SetStaleReadLag(time.Minute)
 		h1 := w.start("h1")
-		for _, name := range []string{"h2", "h3", "h4", "h5"} { // a host takes over only while it sees a majority
+		for _, name := range []string{"h2", "h3", "h4", "h5"} {
 			w.start(name)
 		}
 		time.Sleep(time.Second)
--- a/internal/knowledge/hosts.go
+++ b/internal/knowledge/hosts.go
@@ -282,7 +282,7 @@
 	s.mu.Lock()
 	var stale []string
 	for name := range s.hostVersions {
-		if name != s.self.Name && s.core.TimeSinceHeartbeat(name, now) > pruneAfter {
+		if name != s.self.Name && s.core.IsGone(name, now, pruneAfter) {
 			stale = append(stale, name)
 		}
 	}
