Nobody takes over the jobs of a lost host if the responsible host restarts

Cause: the host that is to take over is chosen among the live ones. One that restarts after the loss is live again and chosen, but has never heard the lost host, and so doesn't know that it is silent. The others leave it to that one. The regular search that would find the job starts anew with each restart of the host that makes it.

Fix: a peer that started or recovered later than the loss takes no part in the choice, with two seconds for a fleet that starts. A host that has started counts as silent the registered hosts that it doesn't hear.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -49,6 +49,7 @@
 	startedAt           time.Time
 	unresponsiveDCs     map[string]bool      // other data centres with no live host
 	members             map[string]HostInfo  // hosts registered in the store, by name
+	listedSince         map[string]time.Time // when this host first heard of each of them
 	signsOfLife         map[string]time.Time // latest answers through the store of hosts that aren't heard
 	cells               *fleet.CellIndex     // of all known hosts and upstreams
 	cellHosts           map[string]bool      // hosts of this host's cell, by name
@@ -105,6 +106,7 @@
 		startedAt:       time.Now(),
 		onRelayedChange: func(bool) {},
 		members:         map[string]HostInfo{},
+		listedSince:     map[string]time.Time{},
 		signsOfLife:     map[string]time.Time{},
 		waitingTokens:   map[mesh.Backlog]int64{},
 		stateDirty:      true,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -16,6 +16,7 @@
 	remoteMissedIntervals = 2.8                    // cross-cell intervals without a state after which a host of another cell is unresponsive
 	peerCountsTTL         = 3 * time.Second        // most requests of an unresponsive host have ended by then
 	peerCheckInterval     = 100 * time.Millisecond
+	startSpread           = 2 * time.Second // in which the hosts of a fleet that starts hear each other
 	crashReviewInterval   = time.Second
 )
 
@@ -23,6 +24,7 @@
 type peerRecord struct {
 	state         mesh.State
 	lastHeartbeat time.Time
+	joinedAt      time.Time // when the peer was last heard to start, restart or recover
 	unresponsive  bool
 	key           uint64       // mesh.PeerKey of the host and its incarnation
 	directAt      time.Time    // when the peer last sent its state to this host
@@ -50,6 +52,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.members = hosts
+	c.noteListing(time.Now())
 	c.versions.Hosts = max(c.versions.Hosts, version)
 	c.stateDirty = true
 	for name, p := range c.peers {
@@ -64,6 +67,16 @@
 	c.updateUnresponsiveDCs()
 }
 
+// noteListing records since when the members are listed. The caller must hold mu.
+func (c *Core) noteListing(now time.Time) {
+	maps.DeleteFunc(c.listedSince, func(name string, _ time.Time) bool { _, listed := c.members[name]; return !listed })
+	for name := range c.members {
+		if _, known := c.listedSince[name]; !known {
+			c.listedSince[name] = now
+		}
+	}
+}
+
 // countRemotePeers returns the number of known peers in other cells. The caller must
 // hold mu.
 func (c *Core) countRemotePeers() int {
@@ -179,6 +192,7 @@
 	}
 	p.admitted.put(s.Admitted, s.Number)
 	if joined {
+		p.joinedAt = time.Now()
 		c.linksOutdated = true
 		c.updateCell()
 		c.updateUnresponsiveDCs()
@@ -308,8 +322,8 @@
 // signOfLifeTTL is the time for which signs of life are remembered.
 const signOfLifeTTL = time.Minute
 
-// SilentHosts returns the unresponsive peers, with the time since which this host doesn't hear
-// each of them.
+// SilentHosts returns the hosts that this one doesn't hear, with the time since which it doesn't:
+// the unresponsive peers, and the registered hosts that it hasn't heard since its start.
 func (c *Core) SilentHosts() map[string]time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -319,17 +333,23 @@
 			silent[name] = p.lastHeartbeat
 		}
 	}
+	for name := range c.members {
+		if _, known := c.peers[name]; !known && name != c.self.Name {
+			silent[name] = c.listedSince[name]
+		}
+	}
 	return silent
 }
 
 // IsResponsibleFor reports whether this host carries out the duties of a host that it hasn't
-// heard: whether it is the rendezvous host among itself and the active peers.
-func (c *Core) IsResponsibleFor(host string) bool {
+// heard since the time: whether it is the rendezvous host among itself and the active peers.
+// Peers that started or recovered later don't take part, since they may not know of the loss.
+func (c *Core) IsResponsibleFor(host string, silentSince time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	candidates := []string{c.self.Name}
 	for name, p := range c.peers {
-		if !p.unresponsive && !p.state.Leaving {
+		if !p.unresponsive && !p.state.Leaving && p.joinedAt.Sub(silentSince) < startSpread {
 			candidates = append(candidates, name)
 		}
 	}
--- a/internal/jobs/challenge.go
+++ b/internal/jobs/challenge.go
@@ -155,7 +155,7 @@
 		silent, live := r.core.SilentHosts(), r.core.Peers()
 		due := r.owners.update(silent,
 			func(host string) bool { _, ok := live[host]; return ok || host == r.self },
-			func(host string) bool { return r.core.IsResponsibleFor(host) },
+			func(host string) bool { return r.core.IsResponsibleFor(host, silent[host]) },
 			time.Now())
 		forEachConcurrently(due, func(host string) { r.advanceCheck(ctx, host) })
 	}
--- a/internal/jobs/loss_test.go
+++ b/internal/jobs/loss_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -48,6 +49,18 @@
 	return submitted
 }
 
+// responsibleFor returns the host that is to take over the jobs of another one.
+func responsibleFor(lost *host, hosts []*host) *host {
+	var names []string
+	for _, h := range hosts {
+		if h != lost {
+			names = append(names, h.name)
+		}
+	}
+	name := entry.RendezvousHost(lost.name, names)
+	return hosts[slices.IndexFunc(hosts, func(h *host) bool { return h.name == name })]
+}
+
 // TestJobsOfManyLostHostsWait guards against accepted jobs that no host runs within the time that
 // callers allow after the last loss, because too many hosts are lost.
 func TestJobsOfManyLostHostsWait(t *testing.T) {
@@ -96,6 +109,42 @@
 	return hosts[count:]
 }
 
+// TestTakeoverEndsWithTheResponsibleHost guards against jobs of a lost host that wait for the
+// next regular search, because the host that is to take them over is lost or restarted itself,
+// before, during or after the takeover.
+func TestTakeoverEndsWithTheResponsibleHost(t *testing.T) {
+	const hostCount = 8
+	for _, restarted := range []bool{false, true} {
+		for _, after := range []time.Duration{2500 * time.Millisecond, 4500 * time.Millisecond, 6 * time.Second, 7050 * time.Millisecond, 8 * time.Second} {
+			for lost := range hostCount {
+				t.Run(fmt.Sprintf("restarted %t after %v, of h%d", restarted, after, lost+1), func(t *testing.T) {
+					runCluster(t, func(c *qt.C, w *cluster) {
+						hosts := startHosts(w, hostCount)
+						time.Sleep(5 * time.Second) // the first regular search comes before the takeover is due
+						submitted := submitAtEach(c, hosts, 4)
+						time.Sleep(500 * time.Millisecond)
+						responsible := responsibleFor(hosts[lost], hosts)
+						hosts[lost].kill()
+						end := time.Now().Add(finishTime)
+						time.Sleep(after)
+						responsible.kill()
+						if restarted {
+							time.Sleep(time.Second)
+							hosts[slices.Index(hosts, responsible)] = w.start(responsible.name)
+							w.register(hosts...)
+						}
+						time.Sleep(time.Until(end))
+						n := slices.IndexFunc(hosts, func(h *host) bool { return !h.killed })
+						for _, s := range submitted {
+							w.checkResults(hosts[n], s)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
 // upstreamOf returns an upstream that only the host uses.
 func upstreamOf(h *host) []fleet.Upstream {
 	return []fleet.Upstream{{ID: "u" + h.name, Service: "lm", Address: "u" + h.name, Slots: 8}}
--- a/internal/jobs/owner.go
+++ b/internal/jobs/owner.go
@@ -103,7 +103,7 @@
 		if suspended || requested {
 			r.verifyOwnership(ctx)
 		}
-		uncertain := len(r.core.SilentHosts()) > 0 || !r.core.SeesMajority() || r.hasUnverified()
+		uncertain := len(r.core.SilentHosts()) > 0 || r.hasUnverified()
 		if uncertain && time.Since(lastVerify) > verifyPeriod {
 			lastVerify = time.Now()
 			r.verifyOwnership(ctx)
