A lost host stays registered if the store refuses the deletion of its entry

What operators and callers saw: the entry of a lost host remains, and with it the host counts in the size of the fleet, so that its part of each rate is given out to nobody.

Cause: the version of the entry was dropped before the one attempt to delete it. Only a later list of the kind brings it back.

Fix: the version is kept until the entry is deleted or has changed; an attempt that fails is repeated after two seconds and logged (hosts_not_pruned).

Evidence: TestRefusedDeletionKeepsALostHost fails before (three refused deletions; the entry is there 32 s after its host was last heard).

--- a/internal/knowledge/hosts.go
+++ b/internal/knowledge/hosts.go
@@ -177,14 +177,17 @@
 
 // pruneLoop prunes hosts that were removed for good. The store may take seconds for each.
 func (s *Syncer) pruneLoop(ctx context.Context) {
-	tick := time.NewTicker(pruneInterval)
-	defer tick.Stop()
+	wait := pruneInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
-			s.pruneHosts(ctx, now)
+		case <-time.After(wait):
+		}
+		wait = pruneInterval
+		if err := s.pruneHosts(ctx, time.Now()); err != nil {
+			s.log.WithFields(logrus.Fields{"event": "hosts_not_pruned", "error": err}).Info("the entry of an unresponsive host can't be removed; retrying")
+			wait = pruneRetryInterval
 		}
 	}
 }
@@ -275,9 +278,9 @@
 
 // pruneHosts deletes the entries of hosts that have been unresponsive for long. A
 // live host whose entry was deleted writes it again.
-func (s *Syncer) pruneHosts(ctx context.Context, now time.Time) {
+func (s *Syncer) pruneHosts(ctx context.Context, now time.Time) error {
 	if now.Sub(s.startedAt) < pruneAfter || !s.core.IsWatchingStore() {
-		return
+		return nil
 	}
 	s.mu.Lock()
 	var stale []string
@@ -289,23 +292,37 @@
 	unreachable := len(s.failedWatches) > 0
 	s.mu.Unlock()
 	if unreachable {
-		return
+		return nil
 	}
+	var lastErr error
 	for _, name := range stale {
 		if !s.core.IsRendezvousHost(name) {
 			continue
 		}
-		s.deleteHost(ctx, name)
+		if err := s.deleteHost(ctx, name); err != nil {
+			lastErr = err
+		}
 	}
+	return lastErr
 }
 
-func (s *Syncer) deleteHost(ctx context.Context, name string) {
+// deleteHost deletes the host's entry. An entry that has changed meanwhile stays; the watch
+// brings its version.
+func (s *Syncer) deleteHost(ctx context.Context, name string) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	s.mu.Lock()
 	version := s.hostVersions[name]
-	delete(s.hostVersions, name) // one attempt; if the entry remains, the watch restores the version
 	s.mu.Unlock()
 	err := s.store.Delete(ctx, KindHost, name, version)
+	if err != nil && !errors.Is(err, objstore.ErrConflict) && !errors.Is(err, objstore.ErrNotFound) {
+		return errors.Wrapf(err, "delete the entry of host %q", name)
+	}
 	s.log.WithFields(logrus.Fields{"event": "host_removed", "peer": name, "error": err}).Info("removed the entry of an unresponsive host")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hostVersions[name] == version {
+		delete(s.hostVersions, name)
+	}
+	return nil
 }
--- a/internal/knowledge/removal_test.go
+++ b/internal/knowledge/removal_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/bubbletest"
@@ -75,6 +77,35 @@
 
 func (*hosts) SetPeers(map[string]bool) {}
 
+// refusingDeletes is a store that is unavailable for a number of deletions.
+type refusingDeletes struct {
+	*memstore.Client
+	left *atomic.Int64
+}
+
+func (s refusingDeletes) Delete(ctx context.Context, kind objstore.Kind, name string, version int64) error {
+	if s.left.Add(-1) >= 0 {
+		return objstore.ErrUnavailable
+	}
+	return s.Client.Delete(ctx, kind, name, version)
+}
+
+// TestRefusedDeletionKeepsALostHost guards against a lost host that stays registered, and counts
+// in the size of the fleet, because the store refused the one attempt to delete its entry.
+func TestRefusedDeletionKeepsALostHost(t *testing.T) {
+	var left atomic.Int64
+	left.Store(3)
+	wrap := func(client *memstore.Client) objstore.Store { return refusingDeletes{client, &left} }
+	runSyncerOn(t, wrap, func(c *qt.C, f *fixture) {
+		_, err := f.write(knowledge.KindHost, "h9", 0, map[string]string{"address": "h9:1"})
+		c.Assert(err, qt.IsNil)
+		time.Sleep(32 * time.Second)
+		_, err = f.writer.Get(context.Background(), knowledge.KindHost, "h9")
+		c.Assert(errors.Is(err, objstore.ErrNotFound), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(f.core.SilentHosts(), qt.HasLen, 0)
+	})
+}
+
 // runHosts runs the test beside the syncers of several hosts, in virtual time.
 func runHosts(t *testing.T, names []string, run func(c *qt.C, f *fixture, all *hosts)) {
 	bubbletest.Run(t, func(t *testing.T) {
--- a/internal/knowledge/syncer.go
+++ b/internal/knowledge/syncer.go
@@ -51,6 +51,7 @@
 	maxRemovalDelay       = 1700 * time.Millisecond // after an event; a removed upstream serves for two seconds from the acknowledgement on
 	maxConfirmationAge    = 2 * peerInterval        // of a list of upstreams by peers
 	pruneInterval         = 250 * time.Millisecond
+	pruneRetryInterval    = 2 * time.Second         // after an entry that couldn't be deleted
 	pruneAfter            = 20 * time.Second        // without a heartbeat; the host was then removed for good
 	electionCheckInterval = 500 * time.Millisecond  // between checks whether this host has become a store poller
 	roleCheckInterval     = 40 * time.Millisecond   // between checks whether this host should watch the store
