Entries of lost hosts are never deleted in most fleets of several cells

What operators saw: in a fleet of several cells a lost host mostly stays registered, and its part of each rate is given out to nobody.

Cause: the entry is deleted by the rendezvous host among all live hosts, and only if that host watches the store. With several cells a few hosts watch, so that the chosen host mostly doesn't, and no other takes its place.

Fix: the rendezvous host is chosen among the live hosts that watch the store and reach it.

TestHostThatDoesNotWatchKeepsALostHost fails before for five of eight lost hosts beside one live peer that doesn't watch.

--- a/internal/entry/election.go
+++ b/internal/entry/election.go
@@ -120,3 +120,11 @@
 func (c *Core) IsRendezvousHost(key string) bool {
 	return RendezvousHost(key, append(c.ActivePeers(), c.self.Name)) == c.self.Name
 }
+
+// IsRendezvousWatcher reports whether this host is the rendezvous host of the key among itself
+// and the active peers that watch the store, and reach it.
+func (c *Core) IsRendezvousWatcher(key string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isAmongElected(key, 1, func(p *peerRecord) bool { return p.state.Watching && p.state.StoreReachable })
+}
--- a/internal/knowledge/hosts.go
+++ b/internal/knowledge/hosts.go
@@ -296,7 +296,7 @@
 	}
 	var lastErr error
 	for _, name := range stale {
-		if !s.core.IsRendezvousHost(name) {
+		if !s.core.IsRendezvousWatcher(name) {
 			continue
 		}
 		if err := s.deleteHost(ctx, name); err != nil {
--- a/internal/knowledge/removal_test.go
+++ b/internal/knowledge/removal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -106,6 +107,27 @@
 	})
 }
 
+// TestHostThatDoesNotWatchKeepsALostHost guards against a lost host that stays registered in a
+// fleet of several cells, because the host that is to delete its entry leaves the watch of the
+// list, which has the entry's version, to others.
+func TestHostThatDoesNotWatchKeepsALostHost(t *testing.T) {
+	for lost := range 8 {
+		t.Run(fmt.Sprint("g", lost), func(t *testing.T) {
+			runSyncer(t, func(c *qt.C, f *fixture) {
+				name := fmt.Sprint("g", lost)
+				_, err := f.write(knowledge.KindHost, name, 0, map[string]string{"address": name + ":1"})
+				c.Assert(err, qt.IsNil)
+				for range 24 * 20 {
+					f.core.MergeState(mesh.State{Host: "h2", Incarnation: "i", DataCentre: "dc", Address: "h2:1", StoreReachable: true})
+					time.Sleep(50 * time.Millisecond)
+				}
+				_, err = f.writer.Get(context.Background(), knowledge.KindHost, name)
+				c.Assert(errors.Is(err, objstore.ErrNotFound), qt.IsTrue, qt.Commentf("%v", err))
+			})
+		})
+	}
+}
+
 // runHosts runs the test beside the syncers of several hosts, in virtual time.
 func runHosts(t *testing.T, names []string, run func(c *qt.C, f *fixture, all *hosts)) {
 	bubbletest.Run(t, func(t *testing.T) {
