A host that hears no peer takes over the jobs of hosts that hear each other

What would be seen: a host whose peers' messages don't arrive, while its own do, takes all jobs of the fleet after 7 s, and their running items begin anew.

Cause: owners look for challenges while they don't hear a peer. In a cut of one direction they hear all of them, so that they don't look and don't answer.

Fix: the challenger also calls the owner, which then verifies its jobs at once. A call to a lost host fails, and its error is in the log line owner_challenged.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -341,6 +341,17 @@
 	return silent
 }
 
+// HostAddress returns the last known address of a host, whether it is live or not.
+func (c *Core) HostAddress(name string) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, known := c.peers[name]; known {
+		return p.state.Address, true
+	}
+	info, listed := c.members[name]
+	return info.Address, listed
+}
+
 // IsResponsibleFor reports whether this host carries out the duties of a host that it hasn't
 // heard since the time: whether it is the rendezvous host among itself and the active peers.
 // Peers that started or recovered later don't take part, since they may not know of the loss.
--- a/internal/jobs/challenge.go
+++ b/internal/jobs/challenge.go
@@ -14,8 +14,8 @@
 // A host that this one doesn't hear may be lost, or one of the two is cut off from its peers and
 // runs its jobs on. The store tells which: before a host takes over jobs it stores a challenge to
 // their owner. An owner with unfinished jobs reads the states of all jobs each verifyPeriod while
-// it doesn't hear a peer, and deletes the challenges that it finds there. The jobs of an owner
-// that hasn't done so within answerTime are claimed.
+// it doesn't hear a peer, and when a peer asks it to, and deletes the challenges that it finds
+// there. The jobs of an owner that hasn't done so within answerTime are claimed.
 
 const (
 	answerTime      = 3 * time.Second            // some reads of the states
@@ -212,10 +212,24 @@
 		return err
 	}
 	check.challengedAt, check.version = time.Now(), o.Version
-	r.log.WithFields(check.logFields(owner)).WithField("event", "owner_challenged").Info("asking through the store whether a silent host runs its jobs")
+	fields := check.logFields(owner)
+	if err := r.requestVerification(ctx, owner); err != nil {
+		fields["call_error"] = err
+	}
+	r.log.WithFields(fields).WithField("event", "owner_challenged").Info("asking through the store whether a silent host runs its jobs")
 	return nil
 }
 
+// requestVerification asks the owner to look for challenges. One that hears all its peers, while
+// one of them doesn't hear it, doesn't do so by itself.
+func (r *Runner) requestVerification(ctx context.Context, owner string) error {
+	address, known := r.core.HostAddress(owner)
+	if !known {
+		return errors.New("the host's address isn't known")
+	}
+	return r.peers.Adopt(ctx, address, nil)
+}
+
 // readAnswer finds out whether the owner has answered the challenge. The challenge is deleted if
 // it has not.
 func (r *Runner) readAnswer(ctx context.Context, owner string, check *ownerCheck) error {
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -207,8 +207,12 @@
 }
 
 // AdoptLocal implements mesh.Jobs. adoptLoop claims the jobs, except those that it is
-// already claiming.
+// already claiming. A call without jobs has this host verify the ownership of its jobs.
 func (r *Runner) AdoptLocal(ids []string) {
+	if len(ids) == 0 {
+		signal(r.verify)
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, id := range ids {
--- a/internal/jobs/fixture_test.go
+++ b/internal/jobs/fixture_test.go
@@ -56,6 +56,7 @@
 	cancel      context.CancelFunc
 	partitioned bool // from all other hosts, but not from the store
 	side        int  // of a cut between hosts; hosts of different sides don't reach each other
+	deaf        bool // gets no state of another host
 	killed      bool
 	adoptTime   time.Duration // that calls of Adopt from the host take
 	hung        bool          // calls to the host are carried out, but their responses don't arrive
@@ -170,6 +171,13 @@
 	h.side = side
 }
 
+// setDeaf keeps the states of other hosts from the host, while it reaches them.
+func (h *host) setDeaf(deaf bool) {
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	h.deaf = deaf
+}
+
 func (w *cluster) stop() {
 	for _, h := range w.hosts {
 		h.cancel()
@@ -180,7 +188,7 @@
 // gossip sends this host's state to the reachable hosts.
 func (h *host) gossip(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, other := range h.reachable() {
+		for _, other := range h.listeners() {
 			other.core.MergeState(h.core.State())
 		}
 		select {
--- a/internal/jobs/loss_test.go
+++ b/internal/jobs/loss_test.go
@@ -151,30 +151,39 @@
 }
 
 // TestHostCutOffFromItsPeersRunsItemsTwice guards against hosts that take over jobs of hosts
-// that run them and reach the store, because a cut keeps the hosts from hearing each other.
+// that run them and reach the store, because a cut keeps the hosts from hearing each other, or
+// some from hearing the others.
 func TestHostCutOffFromItsPeersRunsItemsTwice(t *testing.T) {
-	for name, sideOf := range map[string]func(n int) int{
-		"one host":       func(n int) int { return min(n, 1) },
-		"two halves":     func(n int) int { return n % 2 },
-		"all from all":   func(n int) int { return n },
-		"half, and each": func(n int) int { return max(n-2, 0) },
+	side := func(sideOf func(n int) int) func(n int, h *host) {
+		return func(n int, h *host) { h.setSide(sideOf(n)) }
+	}
+	deaf := func(isDeaf func(n int) bool) func(n int, h *host) {
+		return func(n int, h *host) { h.setDeaf(isDeaf(n)) }
+	}
+	for name, cutOff := range map[string]func(n int, h *host){
+		"one host":          side(func(n int) int { return min(n, 1) }),
+		"two halves":        side(func(n int) int { return n % 2 }),
+		"all from all":      side(func(n int) int { return n }),
+		"half, and each":    side(func(n int) int { return max(n-2, 0) }),
+		"one hears nobody":  deaf(func(n int) bool { return n == 0 }),
+		"half hears nobody": deaf(func(n int) bool { return n%2 == 0 }),
 	} {
 		for _, cut := range []time.Duration{12 * time.Second, 30 * time.Second} {
 			t.Run(fmt.Sprint(name, " for ", cut), func(t *testing.T) {
 				runCluster(t, func(c *qt.C, w *cluster) {
 					hosts := startHosts(w, 6)
 					for _, h := range hosts {
-						h.core.SetUpstreams(nil, 2) // no item runs twice for lack of slots
-						h.core.SetUpstreams(upstreamOf(h), 3)
+						h.core.SetUpstreams(upstreamOf(h), 2) // no item runs twice for lack of slots
 					}
 					submitted := submitAtEach(c, hosts, 120)
 					time.Sleep(500 * time.Millisecond)
 					for n, h := range hosts {
-						h.setSide(sideOf(n))
+						cutOff(n, h)
 					}
 					time.Sleep(cut)
 					for _, h := range hosts {
 						h.setSide(0)
+						h.setDeaf(false)
 					}
 					time.Sleep(25 * time.Second)
 					extra := 0
--- a/internal/jobs/peers_test.go
+++ b/internal/jobs/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,6 +27,15 @@
 	return found
 }
 
+// listeners returns the hosts that get this one's state.
+func (h *host) listeners() []*host {
+	return slices.DeleteFunc(h.reachable(), func(other *host) bool {
+		h.cluster.mu.Lock()
+		defer h.cluster.mu.Unlock()
+		return other.deaf
+	})
+}
+
 var errUnreachable = errors.New("host is unreachable")
 
 func (h *host) peerAt(address string) (*host, error) {
--- a/internal/mesh/calls.go
+++ b/internal/mesh/calls.go
@@ -31,7 +31,8 @@
 	ItemLocal(job, team, item string) ([]byte, error)
 	// CancelLocal cancels a job that this host runs, or returns ErrUnknownJob.
 	CancelLocal(ctx context.Context, job, team string) error
-	// AdoptLocal takes over jobs of a host that shuts down.
+	// AdoptLocal takes over jobs of a host that shuts down. Without jobs it asks this host to
+	// verify that it owns those that it runs.
 	AdoptLocal(jobs []string)
 }
 
@@ -231,7 +232,7 @@
 	return connect.NewResponse(&peerv1.AdoptResponse{}), nil
 }
 
-// Adopt asks the peer at the address to take over jobs.
+// Adopt asks the peer at the address to take over jobs, as AdoptLocal does.
 func (m *Mesh) Adopt(ctx context.Context, address string, jobs []string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
