Jobs are accepted whose items can't run before their deadline

What callers saw: a job is accepted though a part of an item's prompt has crashed the upstreams of all allowed trials. The item waits until its deadline and is given up.

Cause: the parts of items were looked at when an item starts, not when a job is accepted.

Fix: such a job is refused at its submission as not run; the error names the part and the remedy, Retry-After is what is left of the quarantine.

TestJobIsAcceptedThatCannotRun fails before.

--- a/internal/entry/itemparts.go
+++ b/internal/entry/itemparts.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/mesh"
 	"github.com/masticscale/masticscale/internal/quarantine"
 )
@@ -80,6 +81,21 @@
 	}
 }
 
+// RefuseItem returns an error if no item of the team with the parts may run any more until a
+// quarantine ends: a part is quarantined, and the last allowed trial has failed.
+func (c *Core) RefuseItem(parts []string, team string) *apierr.Error {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, part := range parts {
+		v := c.partCrashes.Verdict(part)
+		if v != nil && v.AppliesTo(team) && v.NextItemTrial.IsZero() {
+			return quarantinedPartError(part, v).WithRetryAfter(v.Remaining(now))
+		}
+	}
+	return nil
+}
+
 // ItemHold describes for logs why an item waits: the quarantined parts of its prompt, each with
 // the time until an item may try it, or "never".
 func (c *Core) ItemHold(parts []string, team string) string {
--- a/internal/entry/promptparts.go
+++ b/internal/entry/promptparts.go
@@ -69,9 +69,12 @@
 	if verdict == nil || r.isPartTrial {
 		return nil
 	}
+	return quarantinedPartError(part, verdict).WithRetryAfter(c.partRetryAfter(verdict, now))
+}
+
+func quarantinedPartError(part string, v *quarantine.PartVerdict) *apierr.Error {
 	return apierr.Newf(apierr.Quarantined, "send the prompt without this part; operators find it in the log as prompt_part_quarantined",
-		"%d upstreams ended when they began to answer requests with part %q of the prompt", verdict.Crashes, part).
-		WithRetryAfter(c.partRetryAfter(verdict, now))
+		"%d upstreams ended when they began to answer requests with part %q of the prompt", v.Crashes, part)
 }
 
 // quarantinedPart returns the first part that is quarantined for requests of the team, and how
--- a/internal/jobs/promptparts_test.go
+++ b/internal/jobs/promptparts_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/masticscale/masticscale/internal/apierr"
 	"github.com/masticscale/masticscale/internal/jobs"
 	"github.com/masticscale/masticscale/internal/mesh"
 	"github.com/masticscale/masticscale/internal/quarantine"
@@ -143,3 +144,22 @@
 		})
 	}
 }
+
+// TestJobIsAcceptedThatCannotRun guards against a job that is accepted, though an item of it can't
+// run before its deadline: a part of its prompt has crashed the upstreams of all allowed trials.
+func TestJobIsAcceptedThatCannotRun(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		h1 := w.start("h1")
+		const s = time.Second
+		h1.core.MergeState(mesh.State{Host: "h9", Incarnation: "i", PartCrashes: partCrashes("5c", 40*s, 39*s, 38*s, 37*s, 36*s, 30*s, 24*s, 18*s)})
+		job := submission("j", 8)
+		job.Items[7].PromptParts = []string{"50", "5c"}
+		err := h1.runner.Submit(background, job)
+		c.Assert(apierr.IsKind(err, apierr.Quarantined), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(apierr.From(err).Execution, qt.Equals, apierr.NotRun)
+		h1.core.ReportAnswered([]string{"5c"}) // of a run that had begun before
+		c.Assert(h1.runner.Submit(background, job), qt.IsNil)
+		time.Sleep(finishTime)
+		w.checkResults(h1, job)
+	})
+}
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -37,6 +37,9 @@
 	if _, announced := r.core.JobOwner(s.ID); announced {
 		return r.acceptDuplicate(ctx, s, team.Name)
 	}
+	if err := r.checkParts(s, team.Name); err != nil {
+		return err
+	}
 	if err := r.checkBacklog(s, route, team.Name); err != nil {
 		return err
 	}
@@ -148,6 +151,18 @@
 	r.AdoptLocal([]string{m.id})
 }
 
+// checkParts rejects a job with an item that can't run before its deadline, because a part of its
+// prompt crashes upstreams.
+func (r *Runner) checkParts(s Submission, team string) error {
+	for _, i := range s.Items {
+		if err := r.core.RefuseItem(i.PromptParts, team); err != nil {
+			r.log.WithFields(logrus.Fields{"event": "job_refused", "job": s.ID, "team": team, "id": i.ID, "error": err}).Info("job refused: a part of an item's prompt is quarantined")
+			return err
+		}
+	}
+	return nil
+}
+
 // checkBacklog rejects a job that would exceed the limit of waiting tokens of its
 // team.
 func (r *Runner) checkBacklog(s Submission, route *fleet.Route, team string) error {
