jobs: an item's trial of a part begins with its slot

A trial was recorded, and logged, before the item had a slot, and undone without one, at each scan while all slots are taken. Now the record follows the slot.

--- a/internal/entry/itemparts.go
+++ b/internal/entry/itemparts.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -19,30 +20,44 @@
 // ItemKey identifies an item among all jobs of this host.
 type ItemKey struct{ Job, Item string }
 
-// BeginItemTrial reports whether the item may run though parts of its prompt are quarantined.
+// MayTryItem reports whether an item with the parts may run though some of them are quarantined.
 // Requests may stay away that would try them again, and the item is owed; so one item at a time
-// does so. It must be followed by EndItemTrial.
-func (c *Core) BeginItemTrial(key ItemKey, parts []string, backlog mesh.Backlog) bool {
+// does so.
+func (c *Core) MayTryItem(parts []string, backlog mesh.Backlog) bool {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	quarantined := map[string]*quarantine.PartVerdict{}
-	for _, part := range parts {
-		if v := c.partCrashes.Verdict(part); v != nil && v.AppliesTo(backlog.Team) {
-			quarantined[part] = v
-		}
-	}
-	for part, v := range quarantined {
+	for part, v := range c.quarantinedParts(parts, backlog.Team) {
 		if !c.mayTryWithItem(part, v, backlog, now) {
 			return false
 		}
 	}
-	for part, v := range quarantined {
+	return true
+}
+
+// BeginItemTrial records that an item runs, as MayTryItem allows. It must be followed by
+// EndItemTrial.
+func (c *Core) BeginItemTrial(key ItemKey, parts []string, team string) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for part, v := range c.quarantinedParts(parts, team) {
 		c.partTrials[part] = partTrial{item: key, lastCrash: v.LastCrash}
 		c.log.WithFields(logrus.Fields{"event": "prompt_part_tried", "part": part, "job": key.Job, "id": key.Item, "crashes": v.Crashes, "age_ms": now.Sub(v.LastCrash).Milliseconds()}).
 			Info("an item with a quarantined part of a prompt runs, to find out whether upstreams still end")
 	}
-	return true
+}
+
+// quarantinedParts returns the parts that are quarantined for requests of the team. The caller
+// must hold mu.
+func (c *Core) quarantinedParts(parts []string, team string) map[string]*quarantine.PartVerdict {
+	quarantined := map[string]*quarantine.PartVerdict{}
+	for _, part := range parts {
+		if v := c.partCrashes.Verdict(part); v != nil && v.AppliesTo(team) {
+			quarantined[part] = v
+		}
+	}
+	return quarantined
 }
 
 // mayTryWithItem reports whether an item may try the part now. Hosts with waiting items of the
@@ -62,9 +77,8 @@
 	return !ongoing || isOutdated || t.isOver(now)
 }
 
-// EndItemTrial records that the run of an item that tried parts has ended, or hasn't begun. If it
-// isn't decided why the run ended, the parts aren't tried again for a while: an upstream may have
-// ended with it.
+// EndItemTrial records that the run of an item that tried parts has ended. If it isn't decided
+// why, the parts aren't tried again for a while: an upstream may have ended with it.
 func (c *Core) EndItemTrial(key ItemKey, parts []string, decided bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -87,9 +101,8 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, part := range parts {
-		v := c.partCrashes.Verdict(part)
-		if v != nil && v.AppliesTo(team) && v.NextItemTrial.IsZero() {
+	for part, v := range c.quarantinedParts(parts, team) {
+		if v.NextItemTrial.IsZero() {
 			return quarantinedPartError(part, v).WithRetryAfter(v.Remaining(now))
 		}
 	}
@@ -103,16 +116,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var holds []string
-	for _, part := range parts {
-		v := c.partCrashes.Verdict(part)
-		if v == nil || !v.AppliesTo(team) {
-			continue
-		}
+	for part, v := range c.quarantinedParts(parts, team) {
 		next := "never"
 		if !v.NextItemTrial.IsZero() {
 			next = max(v.NextItemTrial.Sub(now), 0).String()
 		}
 		holds = append(holds, part+" "+next)
 	}
+	slices.Sort(holds)
 	return strings.Join(holds, ",")
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/masticscale/masticscale/internal/entry"
+	"github.com/masticscale/masticscale/internal/fleet"
 	"github.com/masticscale/masticscale/internal/mesh"
 	"github.com/masticscale/masticscale/internal/objstore"
 	"github.com/masticscale/masticscale/internal/slots"
@@ -193,13 +194,17 @@
 		i.notBefore = now.Add(rescanPeriod)
 		return true
 	}
-	if r.core.RefusesPromptParts(i.PromptParts, i.job.record.Team) {
-		if !r.core.BeginItemTrial(i.key(), i.PromptParts, i.job.backlog()) {
-			r.holdItem(i, now)
-			return true
-		}
-		i.triesParts = true
+	triesParts := r.core.RefusesPromptParts(i.PromptParts, i.job.record.Team)
+	if triesParts && !r.core.MayTryItem(i.PromptParts, i.job.backlog()) {
+		r.holdItem(i, now)
+		return true
 	}
+	return r.placeItem(ctx, i, route, service, triesParts, now)
+}
+
+// placeItem starts the item in a slot of the service. It reports false if none is free. The
+// caller holds mu.
+func (r *Runner) placeItem(ctx context.Context, i *item, route *fleet.Route, service string, triesParts bool, now time.Time) bool {
 	runCtx, cancel := context.WithDeadline(ctx, i.job.deadline)
 	urgency, due := r.stats.urgency(i, now), i.job.due
 	if urgency == slots.Deferred {
@@ -208,9 +213,12 @@
 	slot, ok := r.core.AcquireBatch(entry.BatchSlotRequest{Service: service, Due: due, Urgency: urgency, Avoid: i.failedAt, Pause: cancel})
 	if !ok {
 		cancel()
-		r.endTrial(i, true)
 		return false
 	}
+	if triesParts {
+		i.triesParts = true
+		r.core.BeginItemTrial(i.key(), i.PromptParts, i.job.record.Team)
+	}
 	i.state, i.held = itemRunning, false
 	i.cancelRun, i.slot = cancel, slot
 	i.preemptible, i.yielding = urgency == slots.Deferred, false
@@ -248,7 +256,7 @@
 		Warn("an item waits because a part of its prompt is quarantined")
 }
 
-// endTrial ends the item's trial of quarantined parts of its prompt, if it has begun one. The
+// endTrial ends the item's trial of quarantined parts of its prompt, if its run was one. The
 // argument decided tells whether it is known why the run ended. The caller holds mu.
 func (r *Runner) endTrial(i *item, decided bool) {
 	if i.triesParts {
