--- a/internal/jobs/loss_test.go
+++ b/internal/jobs/loss_test.go
@@ -75,6 +75,12 @@
 			}
 			return hosts[6:]
 		},
+		"half, and the store is slow": func(_ *cluster, hosts []*host) []*host {
+			for _, h := range hosts {
+				h.store.SetLatency(200 * time.Millisecond)
+			}
+			return killAll(hosts, 4)
+		},
 		"all others are restarted": func(w *cluster, hosts []*host) []*host {
 			hosts[0].kill()
 			for n := 1; n < len(hosts); n++ {
