A job is refused for a part of a prompt whose quarantine ends before its deadline

What callers saw: on a route with a retention of more than an hour a job is refused because a part of an item's prompt has failed all trials, though the item could run when the quarantine ends.

Cause: refused such a job whatever its retention.

Fix: it is refused only if the quarantine lasts for the whole retention.

Evidence: found on reading the change. TestJobIsRefusedThatOutlastsAQuarantine fails before: with a retention of two hours the job is refused, and runs now after an hour.

--- a/internal/entry/itemparts.go
+++ b/internal/entry/itemparts.go
@@ -95,15 +95,15 @@
 	}
 }
 
-// RefuseItem returns an error if no item of the team with the parts may run any more until a
-// quarantine ends: a part is quarantined, and the last allowed trial has failed.
-func (c *Core) RefuseItem(parts []string, team string) *apierr.Error {
+// RefuseItem returns an error if no item of the team with the parts may run within the given time:
+// a part stays quarantined for longer, and the last allowed trial has failed.
+func (c *Core) RefuseItem(parts []string, team string, within time.Duration) *apierr.Error {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for part, v := range c.quarantinedParts(parts, team) {
-		if v.NextItemTrial.IsZero() {
-			return quarantinedPartError(part, v).WithRetryAfter(v.Remaining(now))
+		if left := v.Remaining(now); v.NextItemTrial.IsZero() && left >= within {
+			return quarantinedPartError(part, v).WithRetryAfter(left)
 		}
 	}
 	return nil
--- a/internal/jobs/promptparts_test.go
+++ b/internal/jobs/promptparts_test.go
@@ -163,3 +163,19 @@
 		w.checkResults(h1, job)
 	})
 }
+
+// TestJobIsRefusedThatOutlastsAQuarantine guards against a job that is refused for a part of a
+// prompt, though the part's quarantine ends before the job's deadline.
+func TestJobIsRefusedThatOutlastsAQuarantine(t *testing.T) {
+	runCluster(t, func(c *qt.C, w *cluster) {
+		h1 := w.start("h1")
+		long := config(2)
+		long.Routes[0].Batch.Retention = 2 * time.Hour
+		h1.core.SetConfig(long)
+		const s = time.Second
+		h1.core.MergeState(mesh.State{Host: "h9", Incarnation: "i", PartCrashes: partCrashes("5c", 40*s, 39*s, 38*s, 37*s, 36*s, 30*s, 24*s, 18*s)})
+		job := submitWithParts(c, h1, "j", "5c")
+		time.Sleep(time.Hour + time.Minute)
+		w.checkResults(h1, job)
+	})
+}
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -37,7 +37,7 @@
 	if _, announced := r.core.JobOwner(s.ID); announced {
 		return r.acceptDuplicate(ctx, s, team.Name)
 	}
-	if err := r.checkParts(s, team.Name); err != nil {
+	if err := r.checkParts(s, route, team.Name); err != nil {
 		return err
 	}
 	if err := r.checkBacklog(s, route, team.Name); err != nil {
@@ -153,9 +153,9 @@
 
 // checkParts rejects a job with an item that can't run before its deadline, because a part of its
 // prompt crashes upstreams.
-func (r *Runner) checkParts(s Submission, team string) error {
+func (r *Runner) checkParts(s Submission, route *fleet.Route, team string) error {
 	for _, i := range s.Items {
-		if err := r.core.RefuseItem(i.PromptParts, team); err != nil {
+		if err := r.core.RefuseItem(i.PromptParts, team, route.Batch.Retention); err != nil {
 			r.log.WithFields(logrus.Fields{"event": "job_refused", "job": s.ID, "team": team, "id": i.ID, "error": err}).Info("job refused: a part of an item's prompt is quarantined")
 			return err
 		}
