--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/masticscale ] && [ -x target/review-2/standin ] || { echo "build first: the build line of deploy/system.toml, and review/build-2.sh"; exit 2; }
-exec target/review-2/standin restart review/9
+exec target/review-2/standin rate review/9
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -102,6 +102,10 @@
 var cases = map[string]func(b *bench) bool{}
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "worker" {
+		serveWorker(os.Args[2], os.Args[3])
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		var names []string
 		for name := range cases {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -236,6 +236,15 @@
 	s.put(kind, o)
 }
 
+// delete is the end of an entry.
+func (s *store) delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.objects[kind][name]; ok {
+		s.remove(kind, o)
+	}
+}
+
 func must(err error) {
 	if err != nil {
 		panic(cannotRun{fmt.Sprint(err)})
