--- a/review/standin-2/hosts.go
+++ b/review/standin-2/hosts.go
@@ -56,13 +56,13 @@
 }
 
 // newHosts prepares hosts, one a zone, without starting them.
-func newHosts(dir string, s *store, n2 *network, count, memoryMB int) []*host {
+func newHosts(dir string, s *store, links *network, count, memoryMB int) []*host {
 	var hosts []*host
 	free := freeAddresses(4 * count)
 	for n := range count {
 		f := free[4*n:]
 		h := &host{name: fmt.Sprintf("edge-%d", n+1), zone: fmt.Sprintf("zone-%c", 'a'+n%3), callers: f[0], readiness: f[1], peers: f[2], metric: f[3]}
-		h.peersAt = n2.listen(h)
+		h.peersAt = links.listen(h)
 		hosts = append(hosts, h)
 	}
 	var seeds []string
@@ -121,7 +121,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// awaitReady waits until all hosts are ready and hear each other.
+// awaitReady waits until all hosts are ready.
 func awaitReady(hosts ...*host) {
 	deadline := time.Now().Add(20 * time.Second)
 	for _, h := range hosts {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -88,15 +88,14 @@
 
 // bench is what a case runs on.
 type bench struct {
-	rec        *record
-	store      *store
-	hosts      []*host
-	net        *network
-	memoryMB   int
-	bodyBytes  int // of an item
-	eventBytes int
-	trouble    bool
-	dir        string
+	rec       *record
+	store     *store
+	hosts     []*host
+	net       *network
+	memoryMB  int // of a host; 0 is that of Quillwood's sheet
+	bodyBytes int // of an item; 0 is a short text
+	trouble   bool
+	dir       string // of settings and logs
 }
 
 var cases = map[string]func(b *bench) bool{}
--- a/review/standin-2/proxy.go
+++ b/review/standin-2/proxy.go
@@ -95,10 +95,10 @@
 	}
 	defer func() { _ = out.Close() }()
 	done := make(chan struct{}, 2)
-	pump := func(to, from2 net.Conn) {
+	pump := func(to, source net.Conn) {
 		buffer := make([]byte, 16<<10)
 		for {
-			n, err := from2.Read(buffer)
+			n, err := source.Read(buffer)
 			x.net.await(from, x.to.name)
 			if n > 0 {
 				if _, err := to.Write(buffer[:n]); err != nil {
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
@@ -136,7 +137,7 @@
 	return waiting
 }
 
-// startFleet starts the workers and the hosts, and waits until all are ready and have heard
+// startFleet starts the workers and the hosts, and waits until all are ready and should have heard
 // each other.
 func (b *bench) startFleet(hosts, workers int, s site, plan func(r *http.Request) plan) {
 	b.writeManifest(s)
@@ -144,7 +145,7 @@
 		startWorker(b.store, b.rec, fmt.Sprintf("i-%02d", n), fmt.Sprintf("zone-%c", 'a'+n%3), service, plan)
 	}
 	b.net = newNetwork(func() []*host { return b.hosts })
-	b.hosts = newHosts(b.dir, b.store, b.net, hosts, max(b.memoryMB, 134))
+	b.hosts = newHosts(b.dir, b.store, b.net, hosts, cmp.Or(b.memoryMB, 134))
 	for _, h := range b.hosts {
 		h.start()
 	}
--- a/review/standin-2/slow.go
+++ b/review/standin-2/slow.go
@@ -57,7 +57,7 @@
 
 const (
 	slowMemoryMB = 144 // of the smallest edge machines on the sheet
-	slowReaders  = 110 // clients that read at one host
+	slowReaders  = 130 // clients that read at one host
 )
 
 // guardMemory ends a host's process when it uses more memory than the machine has, and starts it
@@ -97,7 +97,7 @@
 		}
 	}
 	b.rec.say("both jobs are done; memory of their hosts: %d and %d MB", b.hosts[0].rssMB(), b.hosts[1].rssMB())
-	end := time.Now().Add(60 * time.Second)
+	end := time.Now().Add(75 * time.Second)
 	pause := 150 * time.Millisecond
 	if !b.trouble {
 		pause = 0
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -144,15 +144,6 @@
 	return text
 }
 
-// outputOf is the whole output of an item.
-func outputOf(id string, events, bytes int) string {
-	var lines []string
-	for n := 1; n <= events; n++ {
-		lines = append(lines, padded(eventData(id, n), bytes))
-	}
-	return strings.Join(lines, "\n")
-}
-
 // sleepUnlessGone reports whether the caller is still there after the time.
 func sleepUnlessGone(r *http.Request, d time.Duration) bool {
 	timer := time.NewTimer(d)
