--- a/review/standin-2/quota.go
+++ b/review/standin-2/quota.go
@@ -45,7 +45,7 @@
 				sent[id] = time.Now()
 				mu.Unlock()
 				b.rec.note("request", id, "at", h.name)
-				a := h.call(5*time.Second, http.MethodPost, onlinePath+"2f", "prompt", map[string]string{"X-Attempt-Id": id, "Api-Key": t.key, "X-Model": "m", "X-Token-Count": "250,40", "X-Deadline-Ms": "5000"})
+				a := h.call(5*time.Second, http.MethodPost, onlinePath+"2f", "prompt", map[string]string{wire["request"]: id, "Api-Key": t.key, "X-Model": "m", wire["tokens"]: "250,40", wire["time left"]: "5000"})
 				b.rec.note("answered", id, "status", fmt.Sprint(a.status))
 			})
 			time.Sleep(pause)
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -43,10 +43,10 @@
 	b.store.write("config", "main", map[string]any{
 		"version": s.version,
 		"routes": []map[string]any{
-			{"name": "r-online", "host": siteHost, "path_prefix": onlinePath, "kind": "streaming", "timeout_ms": 5000, "slo_ms": 300, "priority": 0,
-				"service": service, "max_attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_target_ms": 400},
-			{"name": "r-batch", "host": siteHost, "path_prefix": batchPath, "kind": "batch", "timeout_ms": 15000, "slo_ms": 4000, "priority": 2,
-				"service": service, "max_attempts": max(s.attempts, 3), "run_target_ms": 18000, "retention_s": s.retention, "max_count": s.maxCount, "public": false, "resumable": true, "gap_target_ms": 400},
+			{"name": "r-online", "host": siteHost, wire["prefix"]: onlinePath, "kind": "streaming", "timeout_ms": 5000, wire["latency target"]: 300, "priority": 0,
+				"service": service, wire["attempts"]: 2, "public": false, "sticky": true, "resumable": true, wire["gap target"]: 400},
+			{"name": "r-batch", "host": siteHost, wire["prefix"]: batchPath, "kind": "batch", "timeout_ms": 15000, wire["latency target"]: 4000, "priority": 2,
+				"service": service, wire["attempts"]: max(s.attempts, 3), wire["due"]: 18000, "retention_s": s.retention, "max_count": s.maxCount, "public": false, "resumable": true, wire["gap target"]: 400},
 		},
 		"services": []map[string]any{{"name": service, "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": false,
 			"engine": map[string]any{"slots": 8, "kv_capacity_tokens": 79783, "models": []map[string]string{{"name": "m"}}}}},
@@ -96,7 +96,7 @@
 	for _, i := range j.items {
 		items = append(items, map[string]any{
 			"id": i.id, "path": batchPath + "3/91c4", "body": base64.StdEncoding.EncodeToString(b.bodyOf(i.id)), "tokens": i.tokens,
-			"headers": map[string]string{"X-Model": "m", "X-Token-Count": fmt.Sprintf("350,%d", i.tokens-350)},
+			"headers": map[string]string{"X-Model": "m", wire["tokens"]: fmt.Sprintf("350,%d", i.tokens-350)},
 		})
 	}
 	body, err := json.Marshal(map[string]any{"items": items})
@@ -105,7 +105,7 @@
 		j.sentAt = time.Now()
 	}
 	b.rec.note("job", j.id, "at", h.name, "tokens", fmt.Sprint(j.tokens()))
-	a := h.call(5*time.Second, http.MethodPost, batchPath+j.id, string(body), map[string]string{"X-Attempt-Id": j.id, "Api-Key": j.key, "Content-Type": "application/json", "X-Deadline-Ms": "4000"})
+	a := h.call(5*time.Second, http.MethodPost, batchPath+j.id, string(body), map[string]string{wire["request"]: j.id, "Api-Key": j.key, "Content-Type": "application/json", wire["time left"]: "4000"})
 	j.status = a.status
 	if a.status == http.StatusAccepted {
 		j.acked = time.Now()
--- a/review/standin-2/slow.go
+++ b/review/standin-2/slow.go
@@ -41,7 +41,7 @@
 		return 0
 	}
 	defer func() { _ = conn.Close() }()
-	_, _ = fmt.Fprintf(conn, "GET /lots/%s?after=0 HTTP/1.1\r\nHost: %s\r\nApi-Key: %s\r\nConnection: close\r\n\r\n", j.id, siteHost, j.key)
+	_, _ = fmt.Fprintf(conn, "GET %s%s?after=0 HTTP/1.1\r\nHost: %s\r\nApi-Key: %s\r\nConnection: close\r\n\r\n", wire["results path"], j.id, siteHost, j.key)
 	buffer := make([]byte, 4<<10)
 	for time.Now().Before(end) {
 		_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -162,7 +162,7 @@
 		}
 		items = append(items, o)
 	}
-	return map[string]any{"items": items, "more": more, "current_rev": s.revision}
+	return map[string]any{"items": items, "more": more, wire["revision"]: s.revision}
 }
 
 // put stores the object. The caller holds mu.
@@ -208,7 +208,7 @@
 			}
 		}
 		s.mu.Unlock()
-		answer := map[string]any{"events": events, "current_rev": revision}
+		answer := map[string]any{"events": events, wire["revision"]: revision}
 		if len(events) > 0 {
 			return http.StatusOK, answer
 		}
