--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -8,7 +8,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"sort"
 	"strings"
 	"sync"
@@ -111,7 +110,7 @@
 			names = append(names, name)
 		}
 		sort.Strings(names)
-		fmt.Println("usage: standin2 CASE FOLDER, with a case of", strings.Join(names, ", "))
+		fmt.Println("usage: standin2 CASE RECORD, with a case of", strings.Join(names, ", "))
 		os.Exit(2)
 	}
 	os.Exit(runCase(os.Args[1], os.Args[2]))
@@ -122,7 +121,7 @@
 
 // runCase runs a case and ends all that it has started: 0 if the rule held, 1 if it was broken,
 // 2 if the case couldn't run.
-func runCase(name, folder string) (code int) {
+func runCase(name, recordPath string) (code int) {
 	dir, err := os.MkdirTemp("", "review2-")
 	if err != nil {
 		fmt.Println("the case can't run:", err)
@@ -150,7 +149,7 @@
 			panic(cause)
 		}
 	}()
-	b.rec = newRecord(filepath.Join(folder, "record.txt"))
+	b.rec = newRecord(recordPath)
 	b.store = newStore()
 	if cases[name](b) {
 		b.rec.say("the rule held")
